Scaffold the workspace, the design page, core, testing and document

Cause: the repository was empty. Every later slice needs shared types, one schema and validator of the published document, and an injectable clock and transport.

--- /dev/null
+++ b/packages/core/__tests__/unit/Verdict.test.ts
@@ -0,0 +1,14 @@
+import * as assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import * as core from "../../src/index.js";
+
+describe("mayRetry", () => {
+    it("never repeats a non-idempotent request that may have run", () => {
+        assert.equal(core.mayRetry("may-have-run", false), false);
+        assert.equal(core.mayRetry("ran", true), false);
+    });
+
+    it("repeats what certainly did not run", () => {
+        assert.equal(core.mayRetry("not-run", false), true);
+    });
+});
--- /dev/null
+++ b/packages/core/src/Clock.ts
@@ -0,0 +1,46 @@
+/** Source of time and timers. Injected, so that tests run on virtual time. */
+export interface Clock {
+    /** Time in ms from an arbitrary origin; never runs backwards. Use it for every expiry. */
+    nowMs(): number;
+    /** Wall-clock time in ms since 1970. Use it for log lines and for times that cross machines. */
+    wallMs(): number;
+    /** Calls `callback` once after `delayMs`; returns a function that cancels it. */
+    setTimer(delayMs: number, callback: () => void): () => void;
+}
+
+/**
+ * The clock of this process.
+ *
+ * The monotonic clock can stand still while a virtual machine is suspended, which would keep an expired lease alive.
+ * So each reading adds the larger of the monotonic and the wall-clock progress since the last one.
+ */
+export function createSystemClock(): Clock {
+    let elapsedMs = 0;
+    let lastMonotonicMs = performance.now();
+    let lastWallMs = Date.now();
+    return {
+        nowMs() {
+            const monotonicMs = performance.now();
+            const wallMs = Date.now();
+            elapsedMs += Math.max(monotonicMs - lastMonotonicMs, wallMs - lastWallMs, 0);
+            lastMonotonicMs = monotonicMs;
+            lastWallMs = wallMs;
+            return elapsedMs;
+        },
+        wallMs: () => Date.now(),
+        setTimer(delayMs, callback) {
+            const timer = setTimeout(callback, delayMs);
+            return () => clearTimeout(timer);
+        },
+    };
+}
+
+/** Calls `callback` every `periodMs`; returns a function that stops it. */
+export function setRepeatingTimer(clock: Clock, periodMs: number, callback: () => void): () => void {
+    let cancel = clock.setTimer(periodMs, tick);
+    function tick(): void {
+        cancel = clock.setTimer(periodMs, tick);
+        callback();
+    }
+    return () => cancel();
+}
--- /dev/null
+++ b/packages/document/src/DocumentConstants.ts
@@ -0,0 +1,5 @@
+/** Largest document in bytes: the configuration service holds values up to 1 MB. */
+export const maxDocumentBytes = 1_000_000;
+export const maxVms = 1_000;
+export const maxCustomers = 10_000;
+export const maxKeys = 50_000;
--- /dev/null
+++ b/packages/document/src/DocumentUtils.ts
@@ -0,0 +1,24 @@
+import type * as core from "@peridotloft/core";
+import { createHash } from "node:crypto";
+import type { FleetDocument, Pool, ServiceState, Upstream } from "./FleetDocument.js";
+
+const severity: Record<ServiceState, number> = { "in-service": 0, "leaving": 1, "out": 2 };
+
+/** State of an upstream, which is never better than that of its availability zone. */
+export function effectiveUpstreamState(document: FleetDocument, upstream: Upstream): ServiceState {
+    const zoneState = document.zones.find(zone => zone.id === upstream.zone)?.state ?? "out";
+    return severity[zoneState] > severity[upstream.state] ? zoneState : upstream.state;
+}
+
+export function findPool(document: FleetDocument, id: core.PoolId): Pool | undefined {
+    return document.pools.find(pool => pool.id === id);
+}
+
+export function findPoolOfModel(document: FleetDocument, model: string): Pool | undefined {
+    return document.pools.find(pool => pool.kind === "engine" && pool.models.includes(model));
+}
+
+/** SHA-256 of the document's JSON text in 64 hex digits: tells apart two documents of the same version. */
+export function digestOf(text: string): string {
+    return createHash("sha256").update(text).digest("hex");
+}
--- /dev/null
+++ b/packages/document/src/index.ts
@@ -0,0 +1,5 @@
+export * from "./DocumentConstants.js";
+export * from "./DocumentDiff.js";
+export * from "./DocumentUtils.js";
+export * from "./DocumentValidator.js";
+export * from "./FleetDocument.js";
--- /dev/null
+++ b/packages/idempotency/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./OperationStore.js";
--- /dev/null
+++ b/packages/keys/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./KeyIndex.js";
--- /dev/null
+++ b/packages/limits/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./RateLimiter.js";
--- /dev/null
+++ b/packages/membership/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./Membership.js";
--- /dev/null
+++ b/packages/ownership/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./Ownership.js";
--- /dev/null
+++ b/packages/platform/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./DocumentFeed.js";
--- /dev/null
+++ b/packages/scheduling/src/index.ts
@@ -0,0 +1,1 @@
+export * from "./Scheduler.js";
--- /dev/null
+++ b/packages/testing/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./SeededRandom.js";
+export * from "./VirtualClock.js";
+export * from "./VirtualNetwork.js";
