--- a/packages/ownership/src/Ownership.ts
+++ b/packages/ownership/src/Ownership.ts
@@ -17,4 +17,6 @@
     ranking(resource: string): readonly core.VmId[];
     /** Notes that a peer holds this document version, as heard in an authenticated message from the peer itself. */
     notePeerVersion(peer: core.VmId, documentVersion: number): void;
+    /** Whether every other VM that is not retired has itself confirmed `documentVersion` or a later one. */
+    isConfirmedByAll(documentVersion: number): boolean;
 }
--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -1,1 +1,2 @@
+export * from "./createOwnership.js";
 export * from "./Ownership.js";
