Add the authenticated service between VMs

Cause: the slices need to call each other across VMs, and a refusal or an unreachable peer must be reported truthfully, since verdicts rest on it. Reply gains an outcome, so that a refusal is told apart from a handler's error.

--- /dev/null
+++ b/packages/peering/src/PeerNode.ts
@@ -0,0 +1,163 @@
+import * as core from "@peridotloft/core";
+import { err, ok, type Result } from "neverthrow";
+import { isAuthenticReply, sealEnvelope } from "./EnvelopeCodec.js";
+import { createEnvelopeReceiver } from "./EnvelopeReceiver.js";
+import { type Envelope, Outcome, type Reply } from "./gen/peering_pb.js";
+import { createPeerCounters, type PeerCounters } from "./PeerCounters.js";
+import * as constants from "./PeeringConstants.js";
+import { createPeerLink, type PeerLink } from "./PeerLink.js";
+import { createPeerServer } from "./PeerServer.js";
+import { createReplayGuard } from "./ReplayGuard.js";
+
+export interface PeerNodeOptions {
+    readonly self: core.VmId;
+    /** Start number of this run; must be higher than that of every earlier run of this VM. */
+    readonly incarnation: number;
+    /** IPv4 address and port to listen on; port 0 picks a free one. */
+    readonly listen: string;
+    /** Key of the HMAC, the same on all VMs. */
+    readonly secret: string;
+    /** Current IPv4 address and port of a VM; undefined when it is not known. Asked on each call. */
+    readonly addressOf: (vm: core.VmId) => string | undefined;
+    readonly clock: core.Clock;
+}
+
+/** The traffic of this VM with the other VMs over HTTP/2. */
+export interface PeerNode extends core.PeerEndpoint {
+    /** Starts to listen; returns the bound address and port, or why listening failed. */
+    start(): Promise<Result<string, string>>;
+    counters(): Readonly<PeerCounters>;
+    /** Ends running calls and stops listening. */
+    dispose(): Promise<void>;
+}
+
+type CallResult = Result<Uint8Array, core.PeerError>;
+
+export function createPeerNode(options: PeerNodeOptions): PeerNode {
+    const { self, secret, clock } = options;
+    const counters = createPeerCounters();
+    const handlers = new Map<string, core.SliceHandler>();
+    const links = new Map<core.VmId, PeerLink>();
+    const incarnation = BigInt(options.incarnation);
+    let counter = 0n;
+    let disposed = false;
+    const server = createPeerServer(createEnvelopeReceiver({
+        self,
+        secret,
+        counters,
+        replayGuard: createReplayGuard(),
+        handlerOf: slice => handlers.get(slice),
+    }));
+
+    const linkTo = (to: core.VmId): PeerLink | undefined => {
+        const address = options.addressOf(to);
+        const known = links.get(to);
+        if (known && known.address === address) {
+            return known;
+        }
+        known?.close();
+        links.delete(to);
+        if (address === undefined) {
+            return undefined;
+        }
+        const link = createPeerLink({ address, clock, counters });
+        links.set(to, link);
+        return link;
+    };
+
+    const seal = (to: core.VmId, slice: string, payload: Uint8Array): Envelope =>
+        sealEnvelope(secret, { sender: self, incarnation, receiver: to, counter: ++counter, slice, payload });
+
+    const send = async (to: core.VmId, slice: string, payload: Uint8Array, timeoutMs: number): Promise<CallResult> => {
+        if (payload.length > constants.maxPayloadBytes) {
+            const limit = constants.maxPayloadBytes;
+            return fail("refused", `payload of ${payload.length} bytes is above the limit of ${limit}`);
+        }
+        const link = disposed ? undefined : linkTo(to);
+        if (!link) {
+            return fail("unreachable", disposed ? "this VM is shutting down" : `address of ${to} is unknown`);
+        }
+        const deadlineMs = clock.nowMs() + timeoutMs;
+        const opened = await within(clock, timeoutMs, link.open());
+        if (opened.isErr()) {
+            return fail("unreachable", opened.error);
+        }
+        const remainingMs = Math.max(1, deadlineMs - clock.nowMs());
+        const envelope = seal(to, slice, payload);
+        const reply = await opened.value.call(envelope, remainingMs);
+        return reply.match(
+            value => readReply(secret, envelope, value, counters),
+            error => fail(error.kind === "not-sent" ? "unreachable" : "timeout", `${to}: ${error.message}`),
+        );
+    };
+
+    return {
+        registerSlice(slice, handler) {
+            core.invariant(!handlers.has(slice), `slice ${slice} is registered once`);
+            handlers.set(slice, handler);
+            return () => {
+                handlers.delete(slice);
+            };
+        },
+        async call(to, slice, payload, timeoutMs) {
+            counters.callsSent++;
+            const result = await send(to, slice, payload, timeoutMs);
+            countResult(counters, result);
+            return result;
+        },
+        start: () => server.listen(options.listen),
+        counters: () => ({ ...counters }),
+        async dispose() {
+            disposed = true;
+            links.forEach(link => link.destroy());
+            await server.close();
+        },
+    };
+}
+
+function fail(kind: core.PeerError["kind"], message: string): Result<never, core.PeerError> {
+    return err({ kind, message });
+}
+
+// The connection attempt goes on after the deadline, for the sake of later calls. This call is then never sent.
+function within<T>(clock: core.Clock, timeoutMs: number, opening: Promise<Result<T, string>>): Promise<
+    Result<T, string>
+> {
+    return new Promise(resolve => {
+        const cancel = clock.setTimer(timeoutMs, () => resolve(err(`no connection within ${timeoutMs} ms`)));
+        void opening.then(result => {
+            cancel();
+            resolve(result);
+        });
+    });
+}
+
+function readReply(secret: string, envelope: Envelope, reply: Reply, counters: PeerCounters): CallResult {
+    const peer = envelope.receiver;
+    if (!isAuthenticReply(secret, envelope, reply)) {
+        counters.repliesUnauthentic++;
+        // Anyone on the path could have written this reply, so it proves nothing about what the peer did.
+        const claim = reply.error === "" ? "" : `; it says: ${reply.error.slice(0, 200)}`;
+        return fail("timeout", `reply of ${peer} is not authentic${claim}`);
+    }
+    switch (reply.outcome) {
+        case Outcome.OK:
+            return ok(reply.payload);
+        case Outcome.REFUSED:
+            return fail("refused", `refused by ${peer}: ${reply.error}`);
+        case Outcome.REPEATED:
+            return fail("timeout", `refused by ${peer}, which may have handled an earlier copy: ${reply.error}`);
+        default:
+            return fail("failed", `${peer}: ${reply.error}`);
+    }
+}
+
+function countResult(counters: PeerCounters, result: CallResult): void {
+    const counterOfKind = {
+        unreachable: "callsUnreachable",
+        timeout: "callsTimedOut",
+        refused: "callsRefused",
+        failed: "callsFailed",
+    } as const;
+    counters[result.isOk() ? "callsOk" : counterOfKind[result.error.kind]]++;
+}
--- /dev/null
+++ b/packages/peering/src/PeerServer.ts
@@ -0,0 +1,51 @@
+import * as connectNode from "@connectrpc/connect-node";
+import { err, ok, type Result } from "neverthrow";
+import * as http2 from "node:http2";
+import type { AddressInfo } from "node:net";
+import { type Envelope, PeerService, type Reply } from "./gen/peering_pb.js";
+import * as constants from "./PeeringConstants.js";
+
+/** Receives envelopes from other VMs. */
+export interface PeerServer {
+    /** Starts to listen; returns the bound address, or why listening failed. */
+    listen(address: string): Promise<Result<string, string>>;
+    /** Ends all connections and stops listening. */
+    close(): Promise<void>;
+}
+
+export function createPeerServer(handle: (envelope: Envelope) => Promise<Reply>): PeerServer {
+    const server = http2.createServer(connectNode.connectNodeAdapter({
+        routes: router => router.service(PeerService, { call: handle }),
+        grpc: false,
+        grpcWeb: false,
+        acceptCompression: [],
+        readMaxBytes: constants.maxReadBytes,
+    }));
+    const sessions = new Set<http2.ServerHttp2Session>();
+    server.on("session", session => {
+        sessions.add(session);
+        session.setTimeout(constants.serverIdleTimeoutMs, () => session.close());
+        session.on("error", () => session.destroy());
+        session.once("close", () => sessions.delete(session));
+    });
+    return {
+        listen: address => listen(server, address),
+        close() {
+            sessions.forEach(session => session.destroy());
+            return new Promise(resolve => server.close(() => resolve()));
+        },
+    };
+}
+
+function listen(server: http2.Http2Server, address: string): Promise<Result<string, string>> {
+    const { hostname, port } = new URL(`http://${address}`);
+    return new Promise(resolve => {
+        const fail = (error: Error): void => resolve(err(`cannot listen on ${address}: ${error.message}`));
+        server.once("error", fail);
+        server.listen(Number(port), hostname, () => {
+            server.off("error", fail);
+            const bound = server.address() as AddressInfo;
+            resolve(ok(`${bound.address}:${bound.port}`));
+        });
+    });
+}
--- a/packages/peering/src/index.ts
+++ b/packages/peering/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./PeerCounters.js";
+export * from "./PeeringConstants.js";
+export * from "./PeerNode.js";
