Serve streamed and whole requests through caller, router and engine processes

Cause: the workspace had declared interfaces only; nothing could be requested.

Change: `keys` hashes and finds API keys. `router` has the HTTP entry, the relay with back-pressure and completeness checks, the mapping of failures to verdicts, operations, the audit trail, the admin port, settings and the daemon. `demo` has stand-in platform, engine and service processes, and starts 1 platform, 3 routers, 4 engines and 2 services. `router` tests use the starter of `demo`, so `demo` no longer references the router's project; it starts the router by its compiled entry.

The failure paths of the router have no tests yet.

--- /dev/null
+++ b/packages/demo/src/Platform.ts
@@ -0,0 +1,142 @@
+import * as documents from "@peridotloft/document";
+import type { ServerResponse } from "node:http";
+import { createCallLimit } from "./CallLimit.js";
+import { readJson, readText, sendJson, serveStandIn } from "./StandInServer.js";
+
+/** Settings of the stand-in for the platform's configuration service. */
+export interface PlatformOptions {
+    readonly port: number;
+    /** The first document; a submission can also set it later. */
+    readonly document: unknown;
+    readonly callsPerS: number;
+    /** Time in ms by which the list of VMs is behind the document. */
+    readonly listLagMs: number;
+}
+
+interface Published {
+    readonly document: documents.FleetDocument;
+    readonly text: string;
+    readonly atMs: number;
+}
+
+/** How the service behaves: `stale` serves what was published when the switch was set, `down` answers nothing. */
+type Mode = "up" | "stale" | "down";
+
+const maxWaitMs = 60_000;
+
+/**
+ * Runs the stand-in platform:
+ *
+ * - `GET /v1/document` gives the document's text with its version in `x-document-version`. With `after=VERSION` and
+ *   `waitMs=N` it waits until the version is higher, and gives 304 if that does not happen in time.
+ * - `PUT /v1/document` submits a document; it is validated, and its version must grow.
+ * - `GET /v1/vms` gives the lagging list of VMs.
+ * - `PUT /admin/mode` with `{"mode":"up"|"stale"|"down"}`, `GET /admin/stats`: switches and counters for tests.
+ */
+export function runPlatform(options: PlatformOptions): void {
+    const history: Published[] = [];
+    const limit = createCallLimit(options.callsPerS, () => performance.now());
+    const watchers = new Set<() => void>();
+    let mode: Mode = "up";
+    let frozen: Published | undefined;
+    let calls = 0;
+    let refused = 0;
+
+    const current = (): Published | undefined => mode === "stale" ? frozen : history.at(-1);
+
+    function publish(text: string): readonly documents.DocumentError[] {
+        return documents.parseDocument(text).match(document => {
+            const version = history.at(-1)?.document.version ?? 0;
+            if (document.version <= version) {
+                return [{ path: "version", message: `is ${document.version}; must be higher than ${version}` }];
+            }
+            history.push({ document, text, atMs: performance.now() });
+            [...watchers].forEach(wake => wake());
+            return [];
+        }, errors => errors);
+    }
+
+    function sendDocument(response: ServerResponse, after: number): void {
+        const published = current();
+        if (!published) {
+            return sendJson(response, 404, { error: { message: "no document has been published" } });
+        }
+        const headers = { "x-document-version": String(published.document.version) };
+        if (published.document.version <= after) {
+            response.writeHead(304, headers).end();
+            return;
+        }
+        response.writeHead(200, { "content-type": "application/json", ...headers }).end(published.text);
+    }
+
+    function watch(response: ServerResponse, after: number, waitMs: number): void {
+        const endWaiting = limit.addWaiting();
+        const finish = (): void => {
+            clearTimeout(timer);
+            watchers.delete(wake);
+            endWaiting();
+        };
+        const answer = (): void => {
+            finish();
+            response.removeListener("close", finish);
+            sendDocument(response, after);
+        };
+        const wake = (): void => {
+            if ((current()?.document.version ?? 0) > after) {
+                answer();
+            }
+        };
+        const timer = setTimeout(answer, Math.min(waitMs, maxWaitMs));
+        response.once("close", finish);
+        watchers.add(wake);
+    }
+
+    function listVms() {
+        const listed = history.filter(({ atMs }) => atMs <= performance.now() - options.listLagMs).at(-1) ?? history[0];
+        return (listed?.document.vms ?? [])
+            .filter(vm => vm.state !== "retired")
+            .map(({ id, zone, peerAddress, state }) => ({ id, zone, peerAddress, state }));
+    }
+
+    if (options.document !== undefined) {
+        publish(JSON.stringify(options.document)).forEach(error => {
+            throw new Error(`document ${error.path}: ${error.message}`);
+        });
+    }
+    serveStandIn(options.port, async (request, response, url) => {
+        const action = `${request.method} ${url.pathname}`;
+        if (action === "PUT /admin/mode") {
+            mode = (await readJson<{ mode: Mode; }>(request)).mode;
+            frozen = history.at(-1);
+            return sendJson(response, 200, { mode });
+        }
+        if (action === "GET /admin/stats") {
+            return sendJson(response, 200, { calls, refused, waiting: watchers.size });
+        }
+        if (mode === "down") {
+            request.socket.destroy();
+            return;
+        }
+        calls++;
+        if (!limit.tryCall()) {
+            refused++;
+            return sendJson(response, 429, { error: { message: "too many calls" } }, { "retry-after": "1" });
+        }
+        if (action === "GET /v1/document") {
+            const after = Number(url.searchParams.get("after") ?? 0);
+            const waitMs = Number(url.searchParams.get("waitMs") ?? 0);
+            const isNewer = (current()?.document.version ?? 0) > after;
+            return waitMs > 0 && !isNewer ? watch(response, after, waitMs) : sendDocument(response, after);
+        }
+        if (action === "PUT /v1/document") {
+            const errors = publish(await readText(request));
+            return errors.length === 0
+                ? sendJson(response, 200, { version: history.at(-1)?.document.version })
+                : sendJson(response, 422, { errors });
+        }
+        if (action === "GET /v1/vms") {
+            return sendJson(response, 200, { vms: listVms() });
+        }
+        return sendJson(response, 404, { error: { message: "no such resource" } });
+    });
+}
--- a/packages/demo/src/index.ts
+++ b/packages/demo/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./ChildProcesses.js";
+export * from "./DemoFleet.js";
+export * from "./EngineOptions.js";
--- /dev/null
+++ b/packages/router/src/CallerResponse.ts
@@ -0,0 +1,125 @@
+import type * as core from "@peridotloft/core";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import * as headers from "./HeaderUtils.js";
+import type { Refusal } from "./RequestFailure.js";
+import * as constants from "./RouterConstants.js";
+
+/** The answer to one caller. Nothing can be taken back once it has begun. */
+export interface CallerResponse {
+    readonly requestId: core.RequestId;
+    hasBegun(): boolean;
+    begin(statusCode: number, headers: headers.HeaderList): void;
+    /** Sends bytes and waits until the caller takes more, has left or the signal is aborted. */
+    write(bytes: Uint8Array): Promise<void>;
+    /** Ends the answer as complete. */
+    end(): void;
+    /** Sends a complete answer. */
+    send(statusCode: number, headers: headers.HeaderList, body: Uint8Array): void;
+    sendJson(statusCode: number, value: unknown): void;
+    /** Refuses the request; an answer that has begun is broken off, so that it cannot pass for a complete one. */
+    refuse(refusal: Refusal): void;
+}
+
+export function createCallerResponse(
+    requestId: core.RequestId,
+    request: IncomingMessage,
+    response: ServerResponse,
+    signal: AbortSignal,
+    isDraining: () => boolean,
+): CallerResponse {
+    let isEventStream = false;
+    response.setHeader("x-request-id", requestId);
+
+    function begin(statusCode: number, list: headers.HeaderList): void {
+        // A caller that is still sending its body would keep the connection busy with bytes that nobody wants.
+        if (isDraining() || !request.complete) {
+            response.setHeader("connection", "close");
+        }
+        Object.entries(headers.groupHeaders(list))
+            .forEach(([name, value]) => response.setHeader(name, value));
+        isEventStream = isEventStreamType(headers.findHeader(list, "content-type"));
+        response.writeHead(statusCode);
+    }
+
+    function send(statusCode: number, list: headers.HeaderList, body: Uint8Array): void {
+        const others = list.filter(([name]) => name.toLowerCase() !== "content-length");
+        begin(statusCode, [...others, ["content-length", String(body.length)]]);
+        response.end(body);
+    }
+
+    function sendJson(statusCode: number, value: unknown): void {
+        send(statusCode, [["content-type", "application/json"]], Buffer.from(JSON.stringify(value)));
+    }
+
+    return {
+        requestId,
+        hasBegun: () => response.headersSent,
+        begin,
+        write: bytes => writeAndDrain(response, bytes, signal),
+        end: () => void response.end(),
+        send,
+        sendJson,
+        refuse(refusal) {
+            const body = refusalBody(refusal, requestId);
+            if (response.headersSent) {
+                breakOff(response, isEventStream ? `data: ${JSON.stringify(body)}\n\n` : "");
+                return;
+            }
+            refusalHeaders(refusal).forEach(([name, value]) => response.setHeader(name, value));
+            sendJson(refusal.statusCode, body);
+        },
+    };
+}
+
+/** Whether a content type stands for server-sent events. */
+export function isEventStreamType(contentType: string | undefined): boolean {
+    return contentType?.toLowerCase().startsWith("text/event-stream") === true;
+}
+
+export function refusalHeaders(refusal: Refusal): headers.HeaderList {
+    return [
+        ["x-peridotloft-verdict", refusal.verdict],
+        ...(refusal.retryAfterMs === undefined
+            ? []
+            : [["retry-after", String(Math.max(1, Math.ceil(refusal.retryAfterMs / 1_000)))] as const]),
+    ];
+}
+
+export function refusalBody(refusal: Refusal, requestId: string) {
+    return {
+        error: {
+            message: refusal.message,
+            type: refusal.type,
+            code: refusal.code,
+            verdict: refusal.verdict,
+            request_id: requestId,
+        },
+    };
+}
+
+function writeAndDrain(response: ServerResponse, bytes: Uint8Array, signal: AbortSignal): Promise<void> {
+    if (response.destroyed || signal.aborted || response.write(bytes)) {
+        return Promise.resolve();
+    }
+    return new Promise(resolve => {
+        const done = (): void => {
+            response.removeListener("drain", done);
+            response.removeListener("close", done);
+            signal.removeEventListener("abort", done);
+            resolve();
+        };
+        response.once("drain", done);
+        response.once("close", done);
+        signal.addEventListener("abort", done);
+    });
+}
+
+// Closes without the final chunk or the announced length, after the caller had time to take the last event.
+function breakOff(response: ServerResponse, lastEvent: string): void {
+    const timer = setTimeout(() => response.destroy(), constants.abortGraceMs);
+    response.once("close", () => clearTimeout(timer));
+    response.write(lastEvent === "" ? "" : Buffer.from(lastEvent), () => response.destroy());
+    if (lastEvent === "") {
+        response.destroy();
+    }
+}
--- /dev/null
+++ b/packages/router/src/EntryServer.ts
@@ -0,0 +1,74 @@
+import { randomUUID } from "node:crypto";
+import { createServer, type RequestListener, type Server } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import { refusalBody, refusalHeaders } from "./CallerResponse.js";
+import { type FailureKind, notWritten, refusalOf } from "./RequestFailure.js";
+import * as constants from "./RouterConstants.js";
+import { type EntrySettings, parseAddress } from "./Settings.js";
+
+/** Creates the server for callers, with bounds on what a caller may send and how slowly. */
+export function createEntryServer(settings: EntrySettings, onRequest: RequestListener): Server {
+    const server = createServer({
+        maxHeaderSize: settings.maxHeaderBytes,
+        headersTimeout: settings.headersTimeoutMs,
+        requestTimeout: Math.max(settings.requestTimeoutMs, settings.headersTimeoutMs),
+        connectionsCheckingInterval: constants.timeoutCheckPeriodMs,
+        keepAliveTimeout: constants.callerIdleTimeoutMs,
+    }, onRequest);
+    server.on("clientError", (error: NodeJS.ErrnoException, socket) => refuseConnection(error, socket as Socket));
+    return server;
+}
+
+/** Listens on `127.0.0.1:8080` or similar and returns the actual address. Rejects when the port is in use. */
+export function listen(server: Server, address: string): Promise<string> {
+    const { host, port } = parseAddress(address);
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, host, () => resolve(`${host}:${(server.address() as AddressInfo).port}`));
+    });
+}
+
+/** Stops listening and closes each connection once it carries no request. */
+export function closeWhenIdle(server: Server): Promise<void> {
+    // A connection whose answer began before can only be closed after its end.
+    server.on("request", (_request, response) => response.once("close", () => closeIdle(server)));
+    return new Promise(resolve => {
+        server.close(() => resolve());
+        server.closeIdleConnections();
+    });
+}
+
+/** Closes connections without a request, after the end of an answer has been handed to the socket. */
+export function closeIdle(server: Server): void {
+    setImmediate(() => server.closeIdleConnections());
+}
+
+function refuseConnection(error: NodeJS.ErrnoException, socket: Socket): void {
+    if (error.code === "ECONNRESET" || !socket.writable) {
+        socket.destroy();
+        return;
+    }
+    const refusal = refusalOf(notWritten(kindOfClientError(error)));
+    const requestId = randomUUID();
+    const body = JSON.stringify(refusalBody(refusal, requestId));
+    const lines = [
+        `HTTP/1.1 ${refusal.statusCode} Refused`,
+        "connection: close",
+        "content-type: application/json",
+        `content-length: ${Buffer.byteLength(body)}`,
+        `x-request-id: ${requestId}`,
+        ...refusalHeaders(refusal).map(([name, value]) => `${name}: ${value}`),
+    ];
+    socket.end(`${lines.join("\r\n")}\r\n\r\n${body}`);
+}
+
+function kindOfClientError(error: NodeJS.ErrnoException): FailureKind {
+    switch (error.code) {
+        case "HPE_HEADER_OVERFLOW":
+            return "headers-too-large";
+        case "ERR_HTTP_REQUEST_TIMEOUT":
+            return "slow-request";
+        default:
+            return "invalid-request";
+    }
+}
--- /dev/null
+++ b/packages/router/src/IdempotentRequest.ts
@@ -0,0 +1,78 @@
+import type * as scheduling from "@peridotloft/scheduling";
+import { err } from "neverthrow";
+import { failureOfHead } from "./AnswerChecks.js";
+import { relayAnswer } from "./AnswerRelay.js";
+import { type Attempted, type AttemptsOutcome, runAttempts } from "./Attempts.js";
+import type { CallerResponse } from "./CallerResponse.js";
+import { metricNames } from "./Metrics.js";
+import type { PreparedRequest } from "./PreparedRequest.js";
+import { verdictOf } from "./RequestFailure.js";
+import type { UpstreamContext } from "./RouterContext.js";
+import { callUpstream } from "./UpstreamCall.js";
+
+/** Runs a request at an upstream and relays the answer; cancels it at the upstream when `signal` is aborted. */
+export function runIdempotent(
+    context: UpstreamContext,
+    request: PreparedRequest,
+    estimatedCost: number,
+    caller: CallerResponse,
+    signal: AbortSignal,
+): Promise<AttemptsOutcome<void>> {
+    const { customer, pool, fingerprint } = request;
+    const deadlineMs = context.clock.nowMs() + pool.deadlineMs;
+    const plan = {
+        customer,
+        pool: pool.id,
+        estimatedCost,
+        deadlineMs,
+        idempotent: true,
+        fingerprint,
+        signal,
+        hasBegun: () => caller.hasBegun(),
+    };
+    return runAttempts(context, plan, lease => attemptOnce(context, request, lease, deadlineMs, caller, signal));
+}
+
+async function attemptOnce(
+    context: UpstreamContext,
+    request: PreparedRequest,
+    lease: scheduling.SlotLease,
+    deadlineMs: number,
+    caller: CallerResponse,
+    signal: AbortSignal,
+): Promise<Attempted<void>> {
+    const { pool, method, target, headers, body } = request;
+    const call = {
+        upstream: lease.upstream,
+        method,
+        target,
+        headers,
+        body,
+        requestId: request.id,
+        firstByteTimeoutMs: pool.firstByteTimeoutMs,
+        idleTimeoutMs: pool.idleTimeoutMs,
+        deadlineMs,
+        reuseConnection: true,
+    };
+    const answer = await callUpstream(context.connections, context.clock, call, signal);
+    if (answer.isErr()) {
+        const ran = verdictOf(answer.error) !== "not-run";
+        return { result: err(answer.error), cost: ran ? costOf(request, undefined, 0) : 0 };
+    }
+    const refused = failureOfHead(answer.value);
+    if (refused) {
+        answer.value.cancel();
+        return { result: err(refused), cost: 0 };
+    }
+    const relayed = await relayAnswer(answer.value, caller, pool.kind === "engine", () => {
+        const delayMs = context.clock.nowMs() - answer.value.writtenMs;
+        lease.noteFirstByte(delayMs);
+        context.metrics.histogram(metricNames.firstByteMs, delayMs, { upstream: lease.upstream.id });
+    });
+    return { result: relayed.result, cost: costOf(request, relayed.totalTokens, relayed.countedTokens) };
+}
+
+function costOf(request: PreparedRequest, totalTokens: number | undefined, countedTokens: number): number {
+    const rule = request.cost;
+    return rule.kind === "fixed" ? rule.cost : totalTokens ?? rule.promptTokens + countedTokens;
+}
--- /dev/null
+++ b/packages/router/src/OperationExecutor.ts
@@ -0,0 +1,127 @@
+import * as core from "@peridotloft/core";
+import * as documents from "@peridotloft/document";
+import type * as idempotency from "@peridotloft/idempotency";
+import type * as scheduling from "@peridotloft/scheduling";
+import { err, ok, type Result } from "neverthrow";
+import { randomUUID } from "node:crypto";
+import { failureOfHead } from "./AnswerChecks.js";
+import { type Attempted, runAttempts } from "./Attempts.js";
+import { headersForCaller } from "./HeaderUtils.js";
+import { fingerprintOf } from "./PreparedRequest.js";
+import { notWritten, refusalOf, type RequestFailure, verdictOf } from "./RequestFailure.js";
+import * as constants from "./RouterConstants.js";
+import type { UpstreamContext } from "./RouterContext.js";
+import { callUpstream, type UpstreamAnswer } from "./UpstreamCall.js";
+
+type Response = idempotency.OperationResponse;
+
+// Non-idempotent work is never cancelled once it has been sent.
+const neverAborted = new AbortController().signal;
+
+/**
+ * Runs a non-idempotent request at an upstream, writing it to at most one, and returns the whole answer.
+ * Another upstream is tried only after an attempt that certainly did not run.
+ *
+ * @param signal ends the wait for a slot; a request that has been sent runs to its end.
+ */
+export async function executeOperation(
+    context: UpstreamContext,
+    customer: core.CustomerId,
+    request: idempotency.OperationRequest,
+    signal: AbortSignal = neverAborted,
+): Promise<Result<Response, idempotency.OperationRefusal>> {
+    const document = context.feed.inForce.read()?.document;
+    const route = document?.routes.find(candidate => candidate.id === request.route);
+    const pool = document && route && documents.findPool(document, route.pool);
+    if (!pool || !route) {
+        return err(refuse(notWritten(document ? "unknown-route" : "not-ready")));
+    }
+    const fingerprint = fingerprintOf(customer, route.id, request.body);
+    if (context.scheduler.isQuarantined(fingerprint)) {
+        return err(refuse(notWritten("quarantined")));
+    }
+    const deadlineMs = context.clock.nowMs() + pool.deadlineMs;
+    const plan = {
+        customer,
+        pool: pool.id,
+        estimatedCost: route.cost,
+        deadlineMs,
+        idempotent: false,
+        fingerprint,
+        signal,
+        hasBegun: () => false,
+    };
+    const outcome = await runAttempts(
+        context,
+        plan,
+        lease => attemptOnce(context, request, lease, pool, deadlineMs, route.cost),
+    );
+    return outcome.result.mapErr(failure => refuse(failure, outcome.earlier));
+}
+
+async function attemptOnce(
+    context: UpstreamContext,
+    request: idempotency.OperationRequest,
+    lease: scheduling.SlotLease,
+    pool: documents.Pool,
+    deadlineMs: number,
+    cost: number,
+): Promise<Attempted<Response>> {
+    const call = {
+        upstream: lease.upstream,
+        method: request.method,
+        target: request.target,
+        headers: request.headers,
+        body: request.body,
+        requestId: randomUUID(),
+        firstByteTimeoutMs: pool.firstByteTimeoutMs,
+        idleTimeoutMs: pool.idleTimeoutMs,
+        deadlineMs,
+        // An upstream may close an idle connection at the moment of writing, which would leave the outcome unknown.
+        reuseConnection: false,
+    };
+    const answer = await callUpstream(context.connections, context.clock, call, neverAborted);
+    if (answer.isErr()) {
+        return { result: err(answer.error), cost: verdictOf(answer.error) === "not-run" ? 0 : cost };
+    }
+    lease.noteFirstByte(context.clock.nowMs() - answer.value.writtenMs);
+    const refused = failureOfHead(answer.value);
+    if (refused) {
+        answer.value.cancel();
+        return { result: err(refused), cost: 0 };
+    }
+    return { result: await readWhole(answer.value), cost };
+}
+
+async function readWhole(answer: UpstreamAnswer): Promise<Result<Response, RequestFailure>> {
+    const chunks: Uint8Array[] = [];
+    let sizeBytes = 0;
+    for (;;) {
+        const chunk = await answer.read();
+        if (chunk.isErr()) {
+            return err(chunk.error);
+        }
+        if (chunk.value === undefined) {
+            break;
+        }
+        sizeBytes += chunk.value.length;
+        if (sizeBytes > constants.maxBodyBytes) {
+            answer.cancel();
+            return err({ kind: "answer-too-large", written: true });
+        }
+        chunks.push(chunk.value);
+    }
+    if (!answer.isFramed) {
+        return err({ kind: "truncated", written: true });
+    }
+    return ok({
+        statusCode: answer.statusCode,
+        headers: headersForCaller(answer.headers),
+        body: Buffer.concat(chunks),
+    });
+}
+
+function refuse(failure: RequestFailure, earlier?: core.Verdict): idempotency.OperationRefusal {
+    const { verdict, message, statusCode } = refusalOf(failure, earlier);
+    return { verdict, kind: "failed", message, statusCode };
+}
--- /dev/null
+++ b/packages/router/src/RequestFailure.ts
@@ -0,0 +1,139 @@
+import type * as core from "@peridotloft/core";
+import * as constants from "./RouterConstants.js";
+
+/**
+ * When a request of this kind of failure may have run:
+ *
+ * - `not-run`: it was refused before an upstream was asked, or an upstream refused it before running it.
+ * - `if-written`: it may have run if any of it was written to an upstream.
+ */
+type VerdictRule = "not-run" | "if-written";
+
+interface FailureRule {
+    readonly statusCode: number;
+    readonly type: string;
+    readonly verdict: VerdictRule;
+    readonly message: string;
+    /** Set where sending the request again can help. */
+    readonly retryAfterMs?: number;
+}
+
+const retryAfterMs = constants.defaultRetryAfterMs;
+
+const invalid = (statusCode: number, message: string): FailureRule => ({
+    statusCode,
+    type: "invalid_request_error",
+    verdict: "not-run",
+    message,
+});
+
+const unavailable = (statusCode: number, message: string): FailureRule => ({
+    statusCode,
+    type: "unavailable_error",
+    verdict: "not-run",
+    message,
+    retryAfterMs,
+});
+
+const upstream = (statusCode: number, verdict: VerdictRule, message: string): FailureRule => ({
+    statusCode,
+    type: "upstream_error",
+    verdict,
+    message,
+    retryAfterMs,
+});
+
+/** Every way in which a request can fail, with its status and the rule for its verdict. */
+export const failureRules = {
+    "not-ready": unavailable(503, "this VM holds no document yet"),
+    "memory-full": unavailable(503, "too many request bodies are held"),
+    "unknown-route": invalid(404, "no such route"),
+    "method-not-allowed": invalid(405, "the route does not accept this method"),
+    "invalid-request": invalid(400, "the request is invalid"),
+    "body-too-large": invalid(413, "the request body is too large"),
+    "headers-too-large": invalid(431, "the request headers are too large"),
+    "slow-request": { ...invalid(408, "the request was not received in time"), retryAfterMs },
+    "unknown-model": invalid(404, "no pool serves this model"),
+    "missing-key": { ...invalid(401, "an API key is required"), type: "authentication_error" },
+    "unknown-key": { ...invalid(401, "the API key is not valid"), type: "authentication_error" },
+    "key-withdrawn": {
+        statusCode: 401,
+        type: "authentication_error",
+        verdict: "if-written",
+        message: "the API key has been withdrawn",
+    },
+    "quarantined": {
+        ...invalid(422, "requests with this content have crashed several upstreams"),
+        retryAfterMs: constants.quarantineMs,
+    },
+    "rate-exceeded": { ...unavailable(429, "the customer's rate is exceeded"), type: "rate_limit_error" },
+    "cost-exceeds-burst": invalid(400, "the request costs more than the customer's burst"),
+    "unknown-customer": { ...invalid(403, "the key's customer does not exist"), type: "authentication_error" },
+    "queue-full": { ...unavailable(429, "the customer's queue is full"), type: "rate_limit_error" },
+    "queue-deadline": unavailable(503, "the request cannot be run before its deadline"),
+    "no-upstream": unavailable(503, "no upstream of the pool takes requests"),
+    "caller-left": { ...unavailable(499, "the caller closed the connection"), verdict: "if-written" },
+    "connect-failed": upstream(502, "not-run", "no connection to the upstream"),
+    "refused-before-running": upstream(503, "not-run", "the upstream refused the request before running it"),
+    "overloaded": upstream(503, "if-written", "the upstream is overloaded"),
+    "connection-broken": upstream(502, "if-written", "the connection to the upstream broke"),
+    "first-byte-timeout": upstream(504, "if-written", "the upstream did not begin its answer in time"),
+    "idle-timeout": upstream(504, "if-written", "the upstream fell silent within its answer"),
+    "deadline": upstream(504, "if-written", "the request did not end before its deadline"),
+    "truncated": upstream(502, "if-written", "the upstream's answer is incomplete"),
+    "malformed": upstream(502, "if-written", "the upstream's answer is not valid HTTP"),
+    "answer-too-large": upstream(502, "if-written", "the upstream's answer is too large"),
+    "internal": { ...upstream(500, "if-written", "internal error"), type: "internal_error" },
+} satisfies Record<string, FailureRule>;
+
+export type FailureKind = keyof typeof failureRules;
+
+/** How a request, or one attempt to run it, failed. */
+export interface RequestFailure {
+    readonly kind: FailureKind;
+    /** Whether any of the request may have been written to an upstream, in this attempt or an earlier one. */
+    readonly written: boolean;
+    /** Replaces the kind's general message. */
+    readonly message?: string;
+    /** Replaces the kind's general time in ms. */
+    readonly retryAfterMs?: number;
+}
+
+/** What the caller is told of a failure. */
+export interface Refusal {
+    readonly statusCode: number;
+    readonly type: string;
+    readonly code: string;
+    readonly message: string;
+    readonly verdict: core.Verdict;
+    readonly retryAfterMs?: number | undefined;
+}
+
+/** A failure before anything was written to an upstream. */
+export function notWritten(kind: FailureKind, detail: Pick<RequestFailure, "message" | "retryAfterMs"> = {}) {
+    return { kind, written: false, ...detail } satisfies RequestFailure;
+}
+
+/** Verdict of one failed attempt, regardless of earlier ones. */
+export function verdictOf(failure: RequestFailure): core.Verdict {
+    const rule: FailureRule = failureRules[failure.kind];
+    return rule.verdict === "if-written" && failure.written ? "may-have-run" : "not-run";
+}
+
+/** Verdict of a request after several attempts: `not-run` only if it holds for each of them. */
+export function combineVerdicts(earlier: core.Verdict, last: core.Verdict): core.Verdict {
+    return earlier === "not-run" ? last : earlier;
+}
+
+/** What to tell the caller whose request failed; `earlier` is the verdict of the attempts before the failed one. */
+export function refusalOf(failure: RequestFailure, earlier: core.Verdict = "not-run"): Refusal {
+    const rule: FailureRule = failureRules[failure.kind];
+    return {
+        statusCode: rule.statusCode,
+        type: rule.type,
+        code: failure.kind,
+        message: failure.message ?? rule.message,
+        verdict: combineVerdicts(earlier, verdictOf(failure)),
+        retryAfterMs: failure.retryAfterMs ?? rule.retryAfterMs,
+    };
+}
--- /dev/null
+++ b/packages/router/src/RequestHandler.ts
@@ -0,0 +1,155 @@
+import * as core from "@peridotloft/core";
+import type * as documents from "@peridotloft/document";
+import { err, ok, type Result } from "neverthrow";
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { createBodyReader } from "./BodyReader.js";
+import { type CallerResponse, createCallerResponse } from "./CallerResponse.js";
+import { pairHeaders } from "./HeaderUtils.js";
+import { abortKind } from "./InFlightRequests.js";
+import { metricNames } from "./Metrics.js";
+import { fingerprintOf, type PreparedRequest, readChat } from "./PreparedRequest.js";
+import { notWritten, refusalOf, type RequestFailure } from "./RequestFailure.js";
+import { answerRequest } from "./RequestRun.js";
+import * as constants from "./RouterConstants.js";
+import type { RouterContext } from "./RouterContext.js";
+import { findTarget, type Target } from "./RouteTable.js";
+
+type InFlight = ReturnType<RouterContext["inFlight"]["open"]>;
+
+/** Returns the handler of callers' requests. Every request ends with exactly one answer. */
+export function createRequestHandler(context: RouterContext) {
+    const bodies = createBodyReader();
+
+    async function handle(request: IncomingMessage, caller: CallerResponse, inFlight: InFlight): Promise<void> {
+        const document = context.feed.inForce.read()?.document;
+        if (!document || !context.feed.isReady()) {
+            return caller.refuse(refusalOf(notWritten("not-ready")));
+        }
+        const opened = openRequest(context, document, request);
+        if (opened.isErr()) {
+            return caller.refuse(refusalOf(opened.error));
+        }
+        const { target, key } = opened.value;
+        if (key) {
+            inFlight.setKey(key);
+        }
+        if (target.kind === "models") {
+            return caller.sendJson(200, listModels(document));
+        }
+        const body = await bodies.read(request, context.entry.maxBodyBytes);
+        if (body.isErr()) {
+            return caller.refuse(refusalOf(body.error));
+        }
+        try {
+            // The key may have been withdrawn while the caller was sending.
+            if (inFlight.signal.aborted) {
+                return caller.refuse(refusalOf(notWritten(abortKind(inFlight.signal))));
+            }
+            if (target.kind === "operations") {
+                return issueTicket(context, caller, key);
+            }
+            const prepared = prepareRequest(document, request, caller.requestId, target, key, body.value.bytes);
+            await prepared.match(
+                value => answerRequest(context, value, target, key !== undefined, caller, inFlight.signal),
+                failure => Promise.resolve(caller.refuse(refusalOf(failure))),
+            );
+        }
+        finally {
+            body.value.release();
+        }
+    }
+
+    return (request: IncomingMessage, response: ServerResponse): void => {
+        const startMs = context.clock.nowMs();
+        const inFlight = context.inFlight.open(response);
+        const requestId = core.requestId(randomUUID());
+        const caller = createCallerResponse(requestId, request, response, inFlight.signal, context.isDraining);
+        response.once("close", () => {
+            inFlight.close();
+            noteFinished(context, response, startMs);
+        });
+        handle(request, caller, inFlight).catch((error: unknown) => {
+            context.logger.error("request failed unexpectedly", { requestId, error: String(error) });
+            caller.refuse(refusalOf({ kind: "internal", written: true }));
+        });
+    };
+}
+
+interface OpenedRequest {
+    readonly target: Target;
+    /** The document's entry of the caller's key; undefined on open routes without a valid key. */
+    readonly key: documents.ApiKey | undefined;
+}
+
+function openRequest(
+    context: RouterContext,
+    document: documents.FleetDocument,
+    request: IncomingMessage,
+): Result<OpenedRequest, RequestFailure> {
+    return findTarget(document, request.method ?? "", pathOf(request)).andThen(target => {
+        const apiKey = apiKeyOf(request);
+        const key = apiKey === undefined ? undefined : context.keyIndex().find(apiKey);
+        const isOpen = target.kind === "route" && target.route.open;
+        return key || isOpen
+            ? ok({ target, key })
+            : err(notWritten(apiKey === undefined ? "missing-key" : "unknown-key"));
+    });
+}
+
+function pathOf(request: IncomingMessage): string {
+    return (request.url ?? "/").split("?", 1)[0] ?? "/";
+}
+
+function apiKeyOf(request: IncomingMessage): string | undefined {
+    const bearer = /^bearer +(\S+) *$/i.exec(request.headers.authorization ?? "")?.[1];
+    const header = request.headers["x-api-key"];
+    return bearer ?? (typeof header === "string" ? header : undefined);
+}
+
+function listModels(document: documents.FleetDocument) {
+    const data = document.pools
+        .filter(pool => pool.kind === "engine")
+        .flatMap(pool => pool.models.map(id => ({ id, object: "model", created: 0, owned_by: pool.id })));
+    return { object: "list", data };
+}
+
+function issueTicket(context: RouterContext, caller: CallerResponse, key: documents.ApiKey | undefined): void {
+    core.invariant(key, "the operations endpoint is keyed");
+    const { ticket, lifetimeMs } = context.services.operations.issueTicket(key.customer);
+    caller.sendJson(201, { ticket, lifetime_ms: lifetimeMs });
+}
+
+function prepareRequest(
+    document: documents.FleetDocument,
+    request: IncomingMessage,
+    id: core.RequestId,
+    target: Extract<Target, { kind: "chat" | "route"; }>,
+    key: documents.ApiKey | undefined,
+    body: Buffer,
+): Result<PreparedRequest, RequestFailure> {
+    const customer = key?.customer ?? core.customerId(constants.anonymousCustomer);
+    const routed = target.kind === "chat"
+        ? readChat(document, body)
+        : ok({ pool: target.pool, cost: { kind: "fixed", cost: target.route.cost } as const });
+    return routed.map(({ pool, cost }) => ({
+        id,
+        customer,
+        pool,
+        method: request.method ?? "",
+        target: request.url ?? "/",
+        headers: pairHeaders(request.rawHeaders),
+        body,
+        fingerprint: fingerprintOf(customer, target.kind === "chat" ? "chat" : target.route.id, body),
+        cost,
+    }));
+}
+
+function noteFinished(context: RouterContext, response: ServerResponse, startMs: number): void {
+    const verdict = response.getHeader("x-peridotloft-verdict");
+    context.metrics.count(metricNames.requests, 1, {
+        status: response.headersSent ? String(response.statusCode) : "none",
+        verdict: typeof verdict === "string" ? verdict : response.writableFinished ? "ran" : "may-have-run",
+    });
+    context.metrics.histogram(metricNames.requestMs, context.clock.nowMs() - startMs);
+}
--- /dev/null
+++ b/packages/router/src/RequestRun.ts
@@ -0,0 +1,139 @@
+import type * as core from "@peridotloft/core";
+import type * as idempotency from "@peridotloft/idempotency";
+import type * as limits from "@peridotloft/limits";
+import { ok, type Result } from "neverthrow";
+import type { CallerResponse } from "./CallerResponse.js";
+import { runIdempotent } from "./IdempotentRequest.js";
+import { abortKind } from "./InFlightRequests.js";
+import { metricNames } from "./Metrics.js";
+import { readToken, runNonIdempotent } from "./NonIdempotentRequest.js";
+import { maxCostOf, type PreparedRequest } from "./PreparedRequest.js";
+import { notWritten, type Refusal, refusalOf, type RequestFailure } from "./RequestFailure.js";
+import type { RouterContext } from "./RouterContext.js";
+import type { Target } from "./RouteTable.js";
+
+/**
+ * Checks the rate, runs a prepared request and answers the caller.
+ *
+ * @param isCharged false for callers without a key on open routes, who have no customer to charge.
+ */
+export async function answerRequest(
+    context: RouterContext,
+    request: PreparedRequest,
+    target: Extract<Target, { kind: "chat" | "route"; }>,
+    isCharged: boolean,
+    caller: CallerResponse,
+    signal: AbortSignal,
+): Promise<void> {
+    const isIdempotent = target.kind === "chat" || target.route.idempotent;
+    const token = isIdempotent ? ok(undefined) : readToken(request);
+    if (token.isErr()) {
+        return refuse(context, caller, refusalOf(token.error));
+    }
+    if (context.scheduler.isQuarantined(request.fingerprint)) {
+        return refuse(context, caller, refusalOf(notWritten("quarantined")));
+    }
+    const charge = await admit(context, request, isCharged);
+    if (charge.isErr()) {
+        return refuse(context, caller, refusalOf(charge.error));
+    }
+    return isIdempotent
+        ? answerIdempotent(context, request, charge.value, caller, signal)
+        : answerNonIdempotent(context, request, target.route.id, token.value, charge.value, caller, signal);
+}
+
+function refuse(context: RouterContext, caller: CallerResponse, refusal: Refusal): void {
+    context.metrics.count(metricNames.failures, 1, { code: refusal.code });
+    caller.refuse(refusal);
+}
+
+async function admit(
+    context: RouterContext,
+    request: PreparedRequest,
+    isCharged: boolean,
+): Promise<Result<limits.Charge, RequestFailure>> {
+    const maxCost = maxCostOf(request.cost);
+    if (!isCharged) {
+        return ok({ estimatedCost: maxCost, settle: () => undefined, refund: () => undefined });
+    }
+    const { limiter } = context.services;
+    const estimate = request.cost.kind === "fixed" ? maxCost : limiter.estimateCost(request.customer, maxCost);
+    const charge = await limiter.admit(request.customer, estimate);
+    return charge.mapErr(({ kind, retryAfterMs }) =>
+        notWritten(kind, kind === "rate-exceeded" ? { retryAfterMs } : {})
+    );
+}
+
+async function answerIdempotent(
+    context: RouterContext,
+    request: PreparedRequest,
+    charge: limits.Charge,
+    caller: CallerResponse,
+    signal: AbortSignal,
+): Promise<void> {
+    const outcome = await withCharge(
+        charge,
+        () => runIdempotent(context, request, charge.estimatedCost, caller, signal),
+    );
+    settle(context, request, charge, outcome.cost);
+    if (outcome.result.isErr()) {
+        refuse(context, caller, refusalOf(outcome.result.error, outcome.earlier));
+    }
+}
+
+async function answerNonIdempotent(
+    context: RouterContext,
+    request: PreparedRequest,
+    route: core.RouteId,
+    token: idempotency.OperationToken | undefined,
+    charge: limits.Charge,
+    caller: CallerResponse,
+    signal: AbortSignal,
+): Promise<void> {
+    // The work goes on when the caller has left, and counts as in flight until it ends.
+    const endTracking = context.inFlight.track();
+    const run = withCharge(charge, () => runNonIdempotent(context, request, route, token, signal))
+        .then(result => {
+            const ran = result.isOk() || result.error.verdict !== "not-run";
+            settle(context, request, charge, ran ? charge.estimatedCost : 0);
+            return result;
+        })
+        .finally(endTracking);
+    const result = await Promise.race([run, whenAborted(signal)]);
+    if (result === "aborted") {
+        // The refusal is sent at once; the outcome of the work is not this caller's any more.
+        run.catch((error: unknown) => context.logger.error("operation failed", { error: String(error) }));
+        return refuse(context, caller, refusalOf({ kind: abortKind(signal), written: true }));
+    }
+    result.match(
+        ({ statusCode, headers, body }) =>
+            caller.send(statusCode, [...headers, ["x-peridotloft-verdict", "ran"]], body),
+        refusal => refuse(context, caller, refusal),
+    );
+}
+
+async function withCharge<T>(charge: limits.Charge, run: () => Promise<T>): Promise<T> {
+    try {
+        return await run();
+    }
+    catch (error) {
+        charge.settle(charge.estimatedCost);
+        throw error;
+    }
+}
+
+function settle(context: RouterContext, request: PreparedRequest, charge: limits.Charge, cost: number): void {
+    if (cost === 0) {
+        return charge.refund();
+    }
+    charge.settle(cost);
+    context.metrics.count(metricNames.cost, Math.ceil(cost), { customer: request.customer });
+}
+
+function whenAborted(signal: AbortSignal): Promise<"aborted"> {
+    return new Promise(resolve =>
+        signal.aborted
+            ? resolve("aborted")
+            : signal.addEventListener("abort", () => resolve("aborted"), { once: true })
+    );
+}
--- /dev/null
+++ b/packages/router/src/RouterContext.ts
@@ -0,0 +1,42 @@
+import type * as core from "@peridotloft/core";
+import type * as idempotency from "@peridotloft/idempotency";
+import type * as keys from "@peridotloft/keys";
+import type * as limits from "@peridotloft/limits";
+import type * as platform from "@peridotloft/platform";
+import type * as scheduling from "@peridotloft/scheduling";
+import type { InFlightRequests } from "./InFlightRequests.js";
+import type { Logger } from "./Logging.js";
+import type { Metrics } from "./Metrics.js";
+import type { EntrySettings } from "./Settings.js";
+import type { UpstreamConnections } from "./UpstreamConnections.js";
+
+/** The slices that the router works with. */
+export interface RouterServices {
+    readonly feed: platform.DocumentFeed;
+    readonly limiter: limits.RateLimiter;
+    readonly scheduler: scheduling.Scheduler;
+    readonly operations: idempotency.OperationStore;
+    /** Stops the slices that were assembled together with these. */
+    dispose(): void;
+}
+
+/** What running requests at upstreams needs. */
+export interface UpstreamContext {
+    readonly clock: core.Clock;
+    readonly feed: platform.DocumentFeed;
+    readonly scheduler: scheduling.Scheduler;
+    readonly connections: UpstreamConnections;
+    readonly metrics: Metrics;
+}
+
+/** What handling callers' requests needs. */
+export interface RouterContext extends UpstreamContext {
+    readonly services: RouterServices;
+    readonly inFlight: InFlightRequests;
+    readonly entry: EntrySettings;
+    readonly logger: Logger;
+    /** Index of the document in force. */
+    keyIndex(): keys.KeyIndex;
+    /** Whether the process is finishing its requests in order to exit. */
+    isDraining(): boolean;
+}
--- /dev/null
+++ b/packages/router/src/main.ts
@@ -0,0 +1,3 @@
+import { runRouterDaemon } from "./RouterDaemon.js";
+
+await runRouterDaemon(process.argv.slice(2));
