Test every failure path of an upstream exchange and its verdict

Cause: the mapping of failures to verdicts and the completeness checks had no tests.

A caller that takes nothing for 30 s is disconnected, a draining router closes connections without a request after 1 s of quiet, and connections are closed after a refusal only where the body was not read to its end.

--- /dev/null
+++ b/packages/router/__tests__/unit/Attempts.test.ts
@@ -0,0 +1,105 @@
+import * as core from "@peridotloft/core";
+import type * as scheduling from "@peridotloft/scheduling";
+import { err, ok } from "neverthrow";
+import * as assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { runAttempts } from "../../src/Attempts.js";
+import type { RequestFailure } from "../../src/RequestFailure.js";
+import type { UpstreamContext } from "../../src/RouterContext.js";
+
+interface Scenario {
+    /** Results of the attempts: undefined for an answer; an error is thrown. */
+    readonly failures: readonly (RequestFailure | Error | undefined)[];
+    readonly idempotent: boolean;
+    readonly hasBegun?: boolean;
+    readonly budget?: number;
+    readonly upstreams?: number;
+    readonly released?: scheduling.UpstreamOutcome[];
+}
+
+/** Runs attempts whose results are given, against a scheduler that hands out each upstream once. */
+async function run(scenario: Scenario) {
+    const { failures, idempotent, hasBegun = false, budget = 9, upstreams = 9, released = [] } = scenario;
+    let retriesLeft = budget;
+    const crashed: string[] = [];
+    const scheduler = {
+        acquire: async (request: scheduling.SlotRequest) =>
+            request.exclude.length >= upstreams
+                ? err({ kind: "no-upstream", retryAfterMs: 1 })
+                : ok({
+                    upstream: { id: core.upstreamId(`e${request.exclude.length}`) },
+                    noteFirstByte: () => undefined,
+                    release: (outcome: scheduling.UpstreamOutcome) => void released.push(outcome),
+                }),
+        mayRetry: () => retriesLeft-- > 0,
+        noteCrash: (_: string, upstream: string) => void crashed.push(upstream),
+    };
+    const metrics = { count: () => undefined, histogram: () => undefined };
+    const context = { clock: core.createSystemClock(), scheduler, metrics } as unknown as UpstreamContext;
+    const plan = {
+        customer: core.customerId("north"),
+        pool: core.poolId("assistant"),
+        estimatedCost: 1,
+        deadlineMs: Infinity,
+        idempotent,
+        fingerprint: "f",
+        signal: new AbortController().signal,
+        hasBegun: () => hasBegun,
+    };
+    let attempts = 0;
+    const outcome = await runAttempts<string>(context, plan, async () => {
+        const failure = failures[attempts++];
+        if (failure instanceof Error) {
+            throw failure;
+        }
+        return { result: failure ? err(failure) : ok("answer"), cost: 1 };
+    });
+    return { outcome, attempts, released, crashed };
+}
+
+const broken: RequestFailure = { kind: "connection-broken", written: true };
+const unreachable: RequestFailure = { kind: "connect-failed", written: false };
+
+describe("runAttempts", () => {
+    it("never sends a non-idempotent request a second time once it may have run", async () => {
+        const { attempts, outcome } = await run({ failures: [broken, undefined], idempotent: false });
+        assert.equal(attempts, 1);
+        assert.equal(outcome.result.isErr(), true);
+    });
+
+    it("tries another upstream when the first was never reached, also for non-idempotent requests", async () => {
+        const { attempts, outcome, released } = await run({ failures: [unreachable, undefined], idempotent: false });
+        assert.equal(outcome.result.isOk(), true);
+        assert.deepEqual([attempts, released], [2, ["unreachable", "completed"]]);
+    });
+
+    it("tries an idempotent request elsewhere and reports the crash", async () => {
+        const { outcome, crashed } = await run({ failures: [broken, undefined], idempotent: true });
+        assert.equal(outcome.result.isOk(), true);
+        assert.deepEqual(crashed, ["e0"]);
+    });
+
+    it("does not mix two answers once bytes have reached the caller", async () => {
+        assert.equal((await run({ failures: [broken, undefined], idempotent: true, hasBegun: true })).attempts, 1);
+    });
+
+    it("stops when the retry budget is used up", async () => {
+        assert.equal((await run({ failures: [broken, broken, broken], idempotent: true, budget: 1 })).attempts, 2);
+    });
+
+    it("keeps may-have-run when a later attempt was not even sent", async () => {
+        const { outcome } = await run({ failures: [broken, unreachable], idempotent: true, budget: 1 });
+        assert.equal(outcome.earlier, "may-have-run");
+    });
+
+    it("reports the failure of the only upstream and not the lack of a second", async () => {
+        const { outcome } = await run({ failures: [unreachable], idempotent: true, upstreams: 1 });
+        assert.equal(outcome.result._unsafeUnwrapErr().kind, "connect-failed");
+    });
+
+    it("releases the slot of an attempt that throws, which would be lost otherwise", async () => {
+        const released: scheduling.UpstreamOutcome[] = [];
+        await assert.rejects(run({ failures: [new Error("fault")], idempotent: true, released }), /fault/);
+        assert.deepEqual(released, ["broken"]);
+    });
+});
--- /dev/null
+++ b/packages/router/__tests__/unit/EventScanner.test.ts
@@ -0,0 +1,44 @@
+import * as assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createEventScanner } from "../../src/EventScanner.js";
+import * as constants from "../../src/RouterConstants.js";
+
+const stream = Buffer.from(
+    "data: {\"n\":1}\n\ndata: {\"n\":2,\"usage\":{\"total_tokens\":42}}\r\n\r\n: comment\n\ndata: [DONE]\n\n",
+);
+
+describe("EventScanner", () => {
+    it("counts events, usage and the end alike wherever the network cuts the stream", () => {
+        Array.from(stream).forEach((_, cut) => {
+            const scanner = createEventScanner();
+            const parts = [stream.subarray(0, cut), stream.subarray(cut)].map(part =>
+                scanner.push(part)._unsafeUnwrap()
+            );
+            assert.equal(Buffer.concat(parts).toString(), stream.toString());
+            assert.deepEqual([scanner.eventCount, scanner.totalTokens, scanner.isComplete()], [2, 42, true]);
+        });
+    });
+
+    it("is not complete without [DONE], or with half an event after it", () => {
+        const scanner = createEventScanner();
+        scanner.push(Buffer.from("data: {\"n\":1}\n\n"));
+        assert.equal(scanner.isComplete(), false);
+        scanner.push(Buffer.from("data: [DONE]\n\ndata: {"));
+        assert.equal(scanner.isComplete(), false);
+    });
+
+    it("passes on whole events only, so that an error event can follow", () => {
+        const passed = createEventScanner().push(Buffer.from("data: 1\n\ndata: {\"cut"))._unsafeUnwrap();
+        assert.equal(passed.toString(), "data: 1\n\n");
+    });
+
+    it("does not take a marker inside generated text for the end", () => {
+        const scanner = createEventScanner();
+        scanner.push(Buffer.from("data: {\"content\":\"data: [DONE]\"}\n\n"));
+        assert.equal(scanner.isComplete(), false);
+    });
+
+    it("refuses an event without end instead of holding it in memory", () => {
+        assert.ok(createEventScanner().push(Buffer.alloc(constants.maxEventBytes + 1, "x")).isErr());
+    });
+});
--- a/packages/router/src/CallerResponse.ts
+++ b/packages/router/src/CallerResponse.ts
@@ -1,7 +1,7 @@
 import type * as core from "@peridotloft/core";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ServerResponse } from "node:http";
 import * as headers from "./HeaderUtils.js";
-import type { Refusal } from "./RequestFailure.js";
+import type { FailureKind, Refusal } from "./RequestFailure.js";
 import * as constants from "./RouterConstants.js";
 
 /** The answer to one caller. Nothing can be taken back once it has begun. */
@@ -9,7 +9,10 @@
     readonly requestId: core.RequestId;
     hasBegun(): boolean;
     begin(statusCode: number, headers: headers.HeaderList): void;
-    /** Sends bytes and waits until the caller takes more, has left or the signal is aborted. */
+    /**
+     * Sends bytes and waits until the caller takes more, has left or the signal is aborted. A caller that takes
+     * nothing for 30 s counts as having left.
+     */
     write(bytes: Uint8Array): Promise<void>;
     /** Ends the answer as complete. */
     end(): void;
@@ -20,19 +23,22 @@
     refuse(refusal: Refusal): void;
 }
 
+// The rest of the body would otherwise be read, only to find the next request behind it.
+const stopsReading: readonly string[] = ["body-too-large", "memory-full"] satisfies FailureKind[];
+
 export function createCallerResponse(
     requestId: core.RequestId,
-    request: IncomingMessage,
     response: ServerResponse,
     signal: AbortSignal,
     isDraining: () => boolean,
 ): CallerResponse {
     let isEventStream = false;
     response.setHeader("x-request-id", requestId);
+    // A write that meets a closed connection is no fault of this process; the close event tells of it.
+    response.on("error", () => undefined);
 
     function begin(statusCode: number, list: headers.HeaderList): void {
-        // A caller that is still sending its body would keep the connection busy with bytes that nobody wants.
-        if (isDraining() || !request.complete) {
+        if (isDraining()) {
             response.setHeader("connection", "close");
         }
         Object.entries(headers.groupHeaders(list))
@@ -60,11 +66,17 @@
         send,
         sendJson,
         refuse(refusal) {
+            if (response.writableEnded) {
+                return;
+            }
             const body = refusalBody(refusal, requestId);
             if (response.headersSent) {
                 breakOff(response, isEventStream ? `data: ${JSON.stringify(body)}\n\n` : "");
                 return;
             }
+            if (stopsReading.includes(refusal.code)) {
+                response.setHeader("connection", "close");
+            }
             refusalHeaders(refusal).forEach(([name, value]) => response.setHeader(name, value));
             sendJson(refusal.statusCode, body);
         },
@@ -102,7 +114,9 @@
         return Promise.resolve();
     }
     return new Promise(resolve => {
+        const timer = setTimeout(() => response.destroy(), constants.callerStallTimeoutMs);
         const done = (): void => {
+            clearTimeout(timer);
             response.removeListener("drain", done);
             response.removeListener("close", done);
             signal.removeEventListener("abort", done);
@@ -116,10 +130,11 @@
 
 // Closes without the final chunk or the announced length, after the caller had time to take the last event.
 function breakOff(response: ServerResponse, lastEvent: string): void {
-    const timer = setTimeout(() => response.destroy(), constants.abortGraceMs);
-    response.once("close", () => clearTimeout(timer));
-    response.write(lastEvent === "" ? "" : Buffer.from(lastEvent), () => response.destroy());
     if (lastEvent === "") {
         response.destroy();
+        return;
     }
+    const timer = setTimeout(() => response.destroy(), constants.abortGraceMs);
+    response.once("close", () => clearTimeout(timer));
+    response.write(lastEvent, () => response.destroy());
 }
--- a/packages/router/src/EntryServer.ts
+++ b/packages/router/src/EntryServer.ts
@@ -28,10 +28,8 @@
     });
 }
 
-/** Stops listening and closes each connection once it carries no request. */
-export function closeWhenIdle(server: Server): Promise<void> {
-    // A connection whose answer began before can only be closed after its end.
-    server.on("request", (_request, response) => response.once("close", () => closeIdle(server)));
+/** Stops listening and closes idle connections; resolves when no connection is left. */
+export function stopListening(server: Server): Promise<void> {
     return new Promise(resolve => {
         server.close(() => resolve());
         server.closeIdleConnections();
@@ -60,6 +58,7 @@
         ...refusalHeaders(refusal).map(([name, value]) => `${name}: ${value}`),
     ];
     socket.end(`${lines.join("\r\n")}\r\n\r\n${body}`);
+    setTimeout(() => socket.destroy(), constants.abortGraceMs).unref();
 }
 
 function kindOfClientError(error: NodeJS.ErrnoException): FailureKind {
--- a/packages/router/src/Router.ts
+++ b/packages/router/src/Router.ts
@@ -3,7 +3,7 @@
 import type * as platform from "@peridotloft/platform";
 import { createAdminServer } from "./AdminServer.js";
 import { createAuditTrail } from "./AuditTrail.js";
-import { closeIdle, closeWhenIdle, createEntryServer, listen } from "./EntryServer.js";
+import { closeIdle, createEntryServer, listen, stopListening } from "./EntryServer.js";
 import { createInFlightRequests } from "./InFlightRequests.js";
 import type { Logger } from "./Logging.js";
 import { createMetrics, metricNames } from "./Metrics.js";
@@ -103,7 +103,14 @@
         adminListen,
         async drain() {
             draining = true;
-            await Promise.all([closeWhenIdle(entry), inFlight.whenEmpty()]);
+            const closed = stopListening(entry).then(() => true);
+            // Node checks no timeouts after `close`, so a connection without a request could stay open for ever.
+            const quiet = () => new Promise<false>(resolve => setTimeout(() => resolve(false), constants.drainQuietMs));
+            do {
+                await inFlight.whenEmpty();
+            }
+            while (!await Promise.race([closed, quiet()]) && inFlight.count() > 0);
+            await inFlight.whenEmpty();
         },
         async dispose() {
             draining = true;
--- a/packages/router/src/RouterConstants.ts
+++ b/packages/router/src/RouterConstants.ts
@@ -19,6 +19,10 @@
 export const connectTimeoutMs = 2_000;
 /** Idle connections to upstreams are closed after this time in ms. Below the 5 s after which Node servers close them. */
 export const upstreamIdleTimeoutMs = 4_000;
+/** Time in ms after which a caller that takes none of its answer is disconnected, since it holds an upstream slot. */
+export const callerStallTimeoutMs = 30_000;
+/** Time in ms without a request in flight after which a draining router closes the connections that are left. */
+export const drainQuietMs = 1_000;
 /** Time in ms that a caller gets to take the error event before its connection is closed. */
 export const abortGraceMs = 1_000;
 /** Bytes of prompt per token, for estimates. */
