Add a scheduler that shares slots between VMs

A VM could not queue requests or use upstream slots. createScheduler composes a fair queue, slot table, lender and borrower, recovery after a restart, upstream phases, quarantine and retry budget, with their own messages and gossip section. Fakes of a gossip registry and an engine are added to testing.

--- /dev/null
+++ b/packages/scheduling/src/RetryBudget.ts
@@ -0,0 +1,50 @@
+import type * as core from "@peridotloft/core";
+import * as constants from "./SchedulingConstants.js";
+
+/** Limits retries to a share of the requests of the last window. */
+export interface RetryBudget {
+    noteRequest(): void;
+    /** Takes one retry; false when the budget is used up. */
+    take(): boolean;
+}
+
+interface Period {
+    readonly startMs: number;
+    requests: number;
+    retries: number;
+}
+
+const periodsPerWindow = 10;
+
+export function createRetryBudget(clock: core.Clock, ratio = constants.retryRatio): RetryBudget {
+    const periodMs = constants.retryWindowMs / periodsPerWindow;
+    let periods: Period[] = [];
+
+    const current = (): Period => {
+        const nowMs = clock.nowMs();
+        periods = periods.filter(period => nowMs - period.startMs < constants.retryWindowMs);
+        const last = periods.at(-1);
+        if (last && nowMs - last.startMs < periodMs) {
+            return last;
+        }
+        const fresh = { startMs: nowMs, requests: 0, retries: 0 };
+        periods.push(fresh);
+        return fresh;
+    };
+
+    return {
+        noteRequest() {
+            current().requests++;
+        },
+        take() {
+            const period = current();
+            const requests = periods.reduce((sum, each) => sum + each.requests, 0);
+            const retries = periods.reduce((sum, each) => sum + each.retries, 0);
+            if (retries + 1 > ratio * requests) {
+                return false;
+            }
+            period.retries++;
+            return true;
+        },
+    };
+}
--- a/packages/scheduling/src/Scheduler.ts
+++ b/packages/scheduling/src/Scheduler.ts
@@ -29,6 +29,11 @@
 /** The right to run one request at one upstream. `release` is called exactly once. */
 export interface SlotLease {
     readonly upstream: documents.Upstream;
+    /**
+     * Time on this VM's clock at which the request must have ended, in ms. The holder cancels the request and releases
+     * the lease by then; a little later the slot's owner gives the slot to another request.
+     */
+    readonly deadlineMs: number;
     /** Notes the first byte of the answer, `delayMs` after the request was written. */
     noteFirstByte(delayMs: number): void;
     release(outcome: UpstreamOutcome, actualCost: number): void;
--- /dev/null
+++ b/packages/scheduling/src/SchedulingHandler.ts
@@ -0,0 +1,170 @@
+import { create, toBinary } from "@bufbuild/protobuf";
+import * as core from "@peridotloft/core";
+import type { Result } from "neverthrow";
+import type { Dispatcher } from "./Dispatcher.js";
+import type { DocumentView } from "./DocumentView.js";
+import * as gen from "./gen/scheduling_pb.js";
+import * as constants from "./SchedulingConstants.js";
+import { decode } from "./SchedulingMessages.js";
+import type { ServiceTotals } from "./ServiceTotals.js";
+import type { BorrowedLease, SlotBorrower } from "./SlotBorrower.js";
+import type { SlotLender } from "./SlotLender.js";
+import type { SlotRecovery } from "./SlotRecovery.js";
+import type { SlotTable } from "./SlotTable.js";
+import type { UpstreamHealth } from "./UpstreamHealth.js";
+import type { PhaseTable } from "./UpstreamPhase.js";
+import type { WantBook } from "./WantBook.js";
+import type { WantSender } from "./WantSender.js";
+
+export interface SchedulingHandlerOptions {
+    readonly incarnation: number;
+    readonly clock: core.Clock;
+    readonly view: () => DocumentView;
+    readonly dispatcher: Dispatcher;
+    readonly table: SlotTable;
+    readonly recovery: SlotRecovery;
+    readonly lender: SlotLender;
+    readonly borrower: SlotBorrower;
+    readonly wants: WantBook;
+    readonly wantSender: WantSender;
+    readonly totals: ServiceTotals;
+    readonly phases: PhaseTable;
+    readonly health: UpstreamHealth;
+    readonly noteHeard: (from: core.VmId) => void;
+}
+
+const empty = new Uint8Array();
+
+/** Answers the messages of other schedulers. */
+export function createSchedulingHandler(options: SchedulingHandlerOptions): core.SliceHandler {
+    const { clock, view, dispatcher, table, borrower, lender, totals, phases } = options;
+
+    const onWant = (from: core.VmId, incarnation: number, want: gen.Want): Uint8Array => {
+        const pool = core.poolId(want.pool);
+        const entries = want.entries.map(entry => ({ ...entry, customer: core.customerId(entry.customer) }));
+        if (options.wants.put(from, incarnation, pool, want.sequence, entries)) {
+            entries.forEach(entry => totals.notePeerWaiting(from, pool, entry.customer, entry.waiting));
+            dispatcher.pump(pool);
+        }
+        return empty;
+    };
+
+    const accepted = (lease: BorrowedLease): Uint8Array =>
+        toBinary(
+            gen.GrantAnswerSchema,
+            create(gen.GrantAnswerSchema, {
+                accepted: true,
+                customer: lease.customer,
+                estimatedCost: lease.estimatedCost,
+                remainingMs: Math.max(0, Math.ceil(lease.deadlineMs - clock.nowMs())),
+            }),
+        );
+
+    const run = (from: core.VmId, incarnation: number, grant: gen.Grant): BorrowedLease | undefined => {
+        const sentMs = options.wantSender.sentMs(grant.wantSequence);
+        if (sentMs === undefined) {
+            return undefined;
+        }
+        return dispatcher.runBorrowed({
+            lender: from,
+            lenderIncarnation: incarnation,
+            lease: grant.lease,
+            pool: core.poolId(grant.pool),
+            upstream: core.upstreamId(grant.upstream),
+            index: grant.slot,
+            customer: core.customerId(grant.customer),
+            epoch: grant.epoch,
+            usableUntilMs: sentMs + grant.lifetimeMs,
+        });
+    };
+
+    const onGrant = (from: core.VmId, incarnation: number, grant: gen.Grant): Uint8Array => {
+        const known = borrower.check(from, incarnation, grant.lease);
+        if (known !== "new") {
+            return known === "ended" ? empty : accepted(known);
+        }
+        options.wantSender.noteGrant(core.poolId(grant.pool), from);
+        const lease = run(from, incarnation, grant);
+        if (!lease) {
+            borrower.noteDeclined(from, incarnation, grant.lease);
+            return empty;
+        }
+        return accepted(lease);
+    };
+
+    const onReturn = (from: core.VmId, message: gen.Return): Uint8Array => {
+        const upstream = core.upstreamId(message.upstream);
+        if (message.failed) {
+            phases.noteFailure(upstream);
+        }
+        if (message.lenderIncarnation === options.incarnation) {
+            lender.noteReturn(message.lease, message.actualCost);
+            return empty;
+        }
+        const slot = table.find(upstream, message.slot);
+        if (slot) {
+            options.recovery.noteReturn(from, slot);
+            dispatcher.pumpAll();
+        }
+        return empty;
+    };
+
+    const heldSlots = (): gen.HeldSlot[] => {
+        const nowMs = clock.nowMs();
+        const remainingMs = (untilMs: number): number =>
+            Math.max(0, Math.ceil(untilMs - nowMs)) + constants.leaseMarginMs;
+        const borrowed = borrower.held().map(({ upstream, index, deadlineMs }) => ({
+            upstream,
+            slot: index,
+            remainingMs: remainingMs(deadlineMs),
+        }));
+        const own = table.inUse().map(({ upstream, index, use }) => ({
+            upstream,
+            slot: index,
+            remainingMs: remainingMs(use?.expiresMs ?? 0),
+        }));
+        return [...borrowed, ...own].map(slot => create(gen.HeldSlotSchema, slot));
+    };
+
+    const onHeld = (from: core.VmId, incarnation: number): Uint8Array => {
+        borrower.fence(from, incarnation);
+        return toBinary(
+            gen.HeldAnswerSchema,
+            create(gen.HeldAnswerSchema, {
+                incarnation: options.incarnation,
+                slots: heldSlots(),
+                upstreams: phases.states().map(state => create(gen.UpstreamStateSchema, state)),
+                totals: totals.snapshot().map(total => create(gen.CustomerTotalSchema, total)),
+            }),
+        );
+    };
+
+    const onReport = (report: gen.UpstreamReport): Uint8Array => {
+        const known = view().upstreams.get(core.upstreamId(report.upstream));
+        if (known) {
+            options.health.noteReport(known.upstream, report.epoch, report.fallback);
+        }
+        return empty;
+    };
+
+    const answer = (from: core.VmId, { incarnation, kind }: gen.SchedulingRequest): Uint8Array => {
+        options.noteHeard(from);
+        switch (kind.case) {
+            case "want":
+                return onWant(from, incarnation, kind.value);
+            case "grant":
+                return onGrant(from, incarnation, kind.value);
+            case "return":
+                return onReturn(from, kind.value);
+            case "held":
+                return onHeld(from, incarnation);
+            case "report":
+                return onReport(kind.value);
+            case undefined:
+                return empty;
+        }
+    };
+
+    return (from, payload): Promise<Result<Uint8Array, string>> =>
+        Promise.resolve(decode(gen.SchedulingRequestSchema, payload).map(request => answer(from, request)));
+}
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,3 +1,5 @@
+export * from "./FakeEngine.js";
+export * from "./FakeGossip.js";
 export * from "./SeededRandom.js";
 export * from "./VirtualClock.js";
 export * from "./VirtualNetwork.js";
