idempotency: add the operation store

Change: signed operation tickets, a ledger bounded in bytes, forwarding to the owner, and a fingerprint that refuses the same token with another body. A forward carries a reading of the owner's clock, so the owner bounds the attempt's age without comparing clocks. A not-run also covers attempts that had arrived before it and were delayed.

--- /dev/null
+++ b/packages/idempotency/__tests__/unit/OperationStore.test.ts
@@ -0,0 +1,243 @@
+import { err, ok } from "neverthrow";
+import * as assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import * as idempotency from "../../src/index.js";
+import { signTicket } from "../../src/OperationTicket.js";
+import * as fixture from "./OperationFixture.js";
+
+const { keyToken, ticketToken, summaryOf, north, south } = fixture;
+
+async function setUp(options: Partial<fixture.FleetOptions> = {}) {
+    const fleet = fixture.createFleet({ vms: 4, seed: 1, ...options });
+    await fleet.warmUp();
+    const owner = fleet.owners.ownerUnder("operation/north/k", 1);
+    const entry = fixture.entryFor(fleet.ids, owner, fleet.ids.at(-1)!);
+    const other = fixture.entryFor(fleet.ids, owner, entry);
+    return { ...fleet, owner, entry, other };
+}
+
+/** Fails with `not-run` until it is told to succeed. */
+function createFlakyExecute() {
+    const runs: string[] = [];
+    const state = { failing: true };
+    const execute: idempotency.ExecuteOperation = async (_customer, request) => {
+        if (state.failing) {
+            return err({ verdict: "not-run", kind: "failed", message: "rate exceeded", statusCode: 429 });
+        }
+        runs.push(Buffer.from(request.body).toString());
+        return ok(fixture.answerOf("done"));
+    };
+    return { runs, state, execute };
+}
+
+describe("OperationStore", () => {
+    describe("with an idempotency key", () => {
+        it("gives a resend through another VM the answer of the first run", async () => {
+            const fleet = await setUp();
+            const first = await fleet.run(fleet.entry, keyToken("k"), "seat 4");
+            const second = await fleet.run(fleet.other, keyToken("k"), "seat 4");
+            assert.deepEqual(second._unsafeUnwrap().body, first._unsafeUnwrap().body);
+            assert.deepEqual(second._unsafeUnwrap().headers, first._unsafeUnwrap().headers);
+            assert.deepEqual(fleet.ran, ["north:seat 4"]);
+        });
+
+        it("keeps equal keys of two customers apart", async () => {
+            const fleet = await setUp();
+            await fleet.run(fleet.entry, keyToken("k"), "seat 4", north);
+            await fleet.run(fleet.entry, keyToken("k"), "seat 4", south);
+            assert.deepEqual(fleet.ran, ["north:seat 4", "south:seat 4"]);
+        });
+
+        it("refuses the same key with another body", async () => {
+            const fleet = await setUp();
+            await fleet.run(fleet.entry, keyToken("k"), "seat 4");
+            const second = await fleet.run(fleet.entry, keyToken("k"), "seat 5");
+            assert.equal(summaryOf(second), "not-run different-request 422");
+        });
+
+        it("does not claim not-run for a key that a restarted owner forgot", async () => {
+            const fleet = await setUp();
+            await fleet.run(fleet.entry, keyToken("k"), "seat 4");
+            fleet.restart(fleet.owner);
+            assert.equal(
+                summaryOf(await fleet.run(fleet.entry, keyToken("k"), "seat 4")),
+                "may-have-run unknown-history 503",
+            );
+            assert.equal(fleet.ran.length, 1);
+        });
+
+        it("does not claim not-run when the owner cannot be reached", async () => {
+            const fleet = await setUp();
+            fleet.network.detach(fleet.owner);
+            const outcome = await fleet.run(fleet.entry, keyToken("k"), "seat 4");
+            assert.equal(summaryOf(outcome), "may-have-run owner-unreachable 503");
+        });
+
+        [["an empty key", ""], ["a key over 256 bytes", "é".repeat(129)]].forEach(([what, key]) =>
+            it(`refuses ${what}`, async () => {
+                const fleet = await setUp();
+                assert.equal(
+                    summaryOf(await fleet.run(fleet.entry, keyToken(key!), "x")),
+                    "not-run invalid-token 400",
+                );
+            })
+        );
+
+        it("asks the previous owner while the new owner waits for it, so that both documents run a key once", async () => {
+            const fleet = await setUp();
+            const joining = fleet.ids.at(-1)!;
+            const key = Array.from({ length: 200 }, (_, index) => `k${index}`)
+                .find(candidate => fleet.owners.ownerUnder(`operation/north/${candidate}`, 2) === joining)!;
+            const previous = fleet.owners.ownerUnder(`operation/north/${key}`, 1);
+            const [behind, ahead] = fleet.ids.filter(id => id !== joining && id !== previous);
+            fleet.owners.adopt(joining);
+            fleet.owners.adopt(ahead!);
+            const first = await fleet.run(ahead!, keyToken(key), "swap");
+            const second = await fleet.run(behind!, keyToken(key), "swap");
+            assert.equal(summaryOf(second), summaryOf(first));
+            fleet.owners.adopt(previous);
+            const third = await fleet.run(joining, keyToken(key), "swap");
+            assert.equal(summaryOf(third), "may-have-run unknown-history 503");
+            assert.equal(fleet.ran.length, 1);
+        });
+    });
+
+    describe("when execute answers not-run", () => {
+        it("lets a later attempt run", async () => {
+            const { runs, state, execute } = createFlakyExecute();
+            const fleet = await setUp({ execute });
+            assert.equal(summaryOf(await fleet.run(fleet.entry, keyToken("k"), "x")), "not-run failed 429");
+            state.failing = false;
+            await fleet.clock.advance(10);
+            assert.equal(summaryOf(await fleet.run(fleet.entry, keyToken("k"), "x")), "done");
+            assert.deepEqual(runs, ["x"]);
+        });
+
+        it("does not run an attempt that had arrived before the refusal and was delayed on its way", async () => {
+            const { runs, state, execute } = createFlakyExecute();
+            const fleet = await setUp({ execute });
+            const delayed = fleet.storeOf(fleet.entry).run(keyToken("k"), north, fixture.makeRequest("x"));
+            await fleet.clock.advance(1);
+            fleet.pause(fleet.entry);
+            assert.equal(summaryOf(await fleet.run(fleet.other, keyToken("k"), "x")), "not-run failed 429");
+            state.failing = false;
+            fleet.resume(fleet.entry);
+            await fleet.clock.advance(50);
+            assert.equal(summaryOf(await delayed), "not-run failed 429");
+            assert.deepEqual(runs, []);
+        });
+
+        it("keeps a may-have-run for every resend", async () => {
+            let calls = 0;
+            const fleet = await setUp({
+                execute: () => {
+                    calls += 1;
+                    return Promise.reject(new Error("connection reset"));
+                },
+            });
+            assert.equal(summaryOf(await fleet.run(fleet.entry, keyToken("k"), "x")), "may-have-run failed 502");
+            assert.equal(summaryOf(await fleet.run(fleet.other, keyToken("k"), "x")), "may-have-run failed 502");
+            assert.equal(calls, 1);
+        });
+
+        it("does not allow a start after the window, when the process woke late", async () => {
+            const allowed: boolean[] = [];
+            const fleet: Awaited<ReturnType<typeof setUp>> = await setUp({
+                execute: async (_customer, _request, guard) => {
+                    await new Promise<void>(resolve => fleet.clock.setTimer(fixture.windowMs, resolve));
+                    allowed.push(guard.mayStart());
+                    return err({ verdict: "not-run", kind: "failed", message: "too late", statusCode: 503 });
+                },
+            });
+            assert.equal(summaryOf(await fleet.run(fleet.owner, keyToken("k"), "x")), "not-run failed 503");
+            assert.deepEqual(allowed, [false]);
+        });
+    });
+
+    describe("with an operation ticket", () => {
+        it("runs through any VM and gives resends the same answer", async () => {
+            const fleet = await setUp();
+            const { ticket } = fleet.storeOf(fleet.owner).issueTicket(north);
+            const first = await fleet.run(fleet.entry, ticketToken(ticket), "x");
+            const second = await fleet.run(fleet.other, ticketToken(ticket), "x");
+            assert.equal(summaryOf(second), summaryOf(first));
+            assert.equal(fleet.ran.length, 1);
+        });
+
+        it("is accepted directly after the issuer's start, when keys are not", async () => {
+            const fleet = await setUp();
+            fleet.restart(fleet.owner);
+            const { ticket } = fleet.storeOf(fleet.owner).issueTicket(north);
+            assert.ok((await fleet.run(fleet.entry, ticketToken(ticket), "x")).isOk());
+        });
+
+        it("never runs after its issuer restarted", async () => {
+            const fleet = await setUp();
+            const { ticket } = fleet.storeOf(fleet.owner).issueTicket(north);
+            fleet.restart(fleet.owner);
+            const restarted = "may-have-run unknown-history 410";
+            assert.equal(summaryOf(await fleet.run(fleet.entry, ticketToken(ticket), "x")), restarted);
+            assert.equal(summaryOf(await fleet.run(fleet.owner, ticketToken(ticket), "x")), restarted);
+            assert.equal(fleet.ran.length, 0);
+        });
+
+        it("expires by the issuer's clock, and a known answer outlives it", async () => {
+            const fleet = await setUp();
+            const used = fleet.storeOf(fleet.owner).issueTicket(north);
+            const unused = fleet.storeOf(fleet.owner).issueTicket(north);
+            await fleet.run(fleet.entry, ticketToken(used.ticket), "x");
+            await fleet.clock.advance(used.lifetimeMs);
+            assert.ok((await fleet.run(fleet.entry, ticketToken(used.ticket), "x")).isOk());
+            const expired = "may-have-run expired-token 410";
+            assert.equal(summaryOf(await fleet.run(fleet.entry, ticketToken(unused.ticket), "x")), expired);
+            await fleet.clock.advance(idempotency.maxAttemptAgeMs + 1);
+            assert.equal(summaryOf(await fleet.run(fleet.entry, ticketToken(used.ticket), "x")), expired);
+        });
+
+        it("is refused when forged, over-long, cut short or another customer's", async () => {
+            const fleet = await setUp();
+            const { ticket } = fleet.storeOf(fleet.owner).issueTicket(north);
+            const contents = { vm: fleet.owner, incarnation: 1, customer: north, operationId: "00", expiresMs: 1e9 };
+            const forged = signTicket(contents, "another secret");
+            const run = async (text: string, customer = north) =>
+                summaryOf(await fleet.run(fleet.entry, ticketToken(text), "x", customer));
+            assert.equal(await run(forged), "may-have-run invalid-token 400");
+            assert.equal(await run("A".repeat(idempotency.maxTicketLength + 1)), "not-run invalid-token 400");
+            assert.equal(await run("AAAA"), "not-run invalid-token 400");
+            assert.equal(await run(ticket, south), "not-run invalid-token 400");
+            assert.equal(fleet.ran.length, 0);
+        });
+    });
+
+    describe("when the store is full", () => {
+        const room = 3 * (idempotency.entryOverheadBytes + idempotency.reservedAnswerBytes);
+
+        it("refuses new operations with not-run and keeps the known ones", async () => {
+            const fleet = await setUp({
+                maxStoredBytes: room,
+                execute: async () => ok(fixture.answerOf("y".repeat(60_000))),
+            });
+            const keys = Array.from({ length: 12 }, (_, index) => `k${index}`);
+            const keysOfOwner = keys.filter(key =>
+                fleet.owners.ownerUnder(`operation/north/${key}`, 1) === fleet.ids[0]
+            );
+            const outcomes = [];
+            for (const key of keysOfOwner) {
+                outcomes.push(summaryOf(await fleet.run(fleet.ids[0]!, keyToken(key), "x")).slice(0, 24));
+            }
+            assert.equal(outcomes[0], "y".repeat(24));
+            assert.equal(outcomes.at(-1), "not-run store-full 503");
+            assert.ok((await fleet.run(fleet.ids[0]!, keyToken(keysOfOwner[0]!), "x")).isOk());
+            assert.ok(fleet.storeOf(fleet.ids[0]!).status().storedBytes <= room);
+        });
+
+        it("says that an operation ran whose answer does not fit", async () => {
+            const fleet = await setUp({
+                maxStoredBytes: room,
+                execute: async () => ok(fixture.answerOf("y".repeat(room))),
+            });
+            assert.ok((await fleet.run(fleet.entry, keyToken("k"), "x")).isOk());
+            assert.equal(summaryOf(await fleet.run(fleet.entry, keyToken("k"), "x")), "ran failed 502");
+        });
+    });
+});
--- /dev/null
+++ b/packages/idempotency/src/OperationForwarder.ts
@@ -0,0 +1,96 @@
+import type * as core from "@peridotloft/core";
+import { err, ok, type Result } from "neverthrow";
+import * as constants from "./OperationConstants.js";
+import type { OperationOutcome } from "./OperationLedger.js";
+import * as messages from "./OperationMessages.js";
+import type { OperationPolicy } from "./OperationPolicy.js";
+import * as refusals from "./OperationRefusals.js";
+import type { OperationRefusal, OperationRequest, OperationToken } from "./OperationStore.js";
+
+export interface OperationForwarderOptions {
+    readonly clock: core.Clock;
+    readonly endpoint: core.PeerTransport;
+    readonly policy: OperationPolicy;
+    /** Time in ms in which the owner must answer an operation of this route. */
+    timeoutMsOf(route: core.RouteId): number;
+}
+
+/** An attempt that another VM decides about. */
+export interface OutgoingAttempt {
+    readonly owner: core.VmId;
+    /** Incarnation that a ticket names; undefined for keys. */
+    readonly incarnation: number | undefined;
+    readonly customer: core.CustomerId;
+    readonly token: OperationToken;
+    readonly request: OperationRequest;
+    /** Time in ms on this VM's clock at which the attempt arrived. */
+    readonly receivedMs: number;
+}
+
+/** Sends attempts to the VMs that own them. */
+export interface OperationForwarder {
+    forward(attempt: OutgoingAttempt): Promise<OperationOutcome>;
+}
+
+export function createOperationForwarder(options: OperationForwarderOptions): OperationForwarder {
+    const { clock, policy } = options;
+
+    const ask = async (
+        owner: core.VmId,
+        payload: Uint8Array,
+        timeoutMs: number,
+    ): Promise<Result<messages.OwnerAnswer, OperationRefusal>> => {
+        const result = await options.endpoint.call(owner, constants.sliceName, payload, timeoutMs);
+        if (result.isErr()) {
+            const verdict = policy.verdictOfPeerError(result.error);
+            return err(refusals.ownerUnreachable(owner, verdict, result.error.message));
+        }
+        const answer = messages.decodeAnswer(result.value);
+        return answer ? ok(answer) : err(refusals.ownerUnreachable(owner, "may-have-run", "malformed answer"));
+    };
+
+    // A fresh stamp per forward lets the owner judge the attempt's age on its own clock, whatever delays the forward.
+    const requestStamp = async (attempt: OutgoingAttempt): Promise<Result<messages.Stamp, OperationRefusal>> => {
+        const answer = await ask(attempt.owner, messages.encodeStampRequest(), constants.stampTimeoutMs);
+        return answer.andThen(value => {
+            if (value.kind !== "stamp") {
+                return err(refusals.ownerUnreachable(attempt.owner, "may-have-run", "unexpected answer"));
+            }
+            return attempt.incarnation === undefined || attempt.incarnation === value.stamp.incarnation
+                ? ok(value.stamp)
+                : err(refusals.restartedIssuer(attempt.owner));
+        });
+    };
+
+    const send = (attempt: OutgoingAttempt, stamp: messages.Stamp): Promise<
+        Result<messages.OwnerAnswer, OperationRefusal>
+    > => {
+        const ageMs = clock.nowMs() - attempt.receivedMs;
+        const payload = messages.encodeForward({ ...attempt, stamp, ageMs });
+        return ask(attempt.owner, payload, options.timeoutMsOf(attempt.request.route));
+    };
+
+    const forwardWithin = async (attempt: OutgoingAttempt, hopsLeft: number): Promise<OperationOutcome> => {
+        if (hopsLeft === 0) {
+            return err(refusals.unknownHistory("the VMs do not yet agree which of them owns the operation"));
+        }
+        const stamp = await requestStamp(attempt);
+        if (stamp.isErr()) {
+            return err(stamp.error);
+        }
+        const answer = await send(attempt, stamp.value);
+        if (answer.isErr()) {
+            return err(answer.error);
+        }
+        switch (answer.value.kind) {
+            case "outcome":
+                return answer.value.outcome;
+            case "redirect":
+                return forwardWithin({ ...attempt, owner: answer.value.owner }, hopsLeft - 1);
+            case "stamp":
+                return err(refusals.ownerUnreachable(attempt.owner, "may-have-run", "unexpected answer"));
+        }
+    };
+
+    return { forward: attempt => forwardWithin(attempt, constants.maxForwardHops) };
+}
--- a/packages/idempotency/src/OperationStore.ts
+++ b/packages/idempotency/src/OperationStore.ts
@@ -37,17 +37,28 @@
     readonly statusCode: number;
 }
 
+/** Tells whether an admitted operation may still be sent to an upstream. */
+export interface ExecutionGuard {
+    /** To be called directly before the first write to an upstream. When false, answer `not-run` without writing. */
+    mayStart(): boolean;
+}
+
 /**
- * Runs an operation at an upstream once. Called at most once for each operation, on the VM that owns it.
- * An error carries the verdict of the attempt; only `not-run` allows the operation to be tried again.
+ * Runs an operation at an upstream once. Called on the VM that owns the operation, and not again unless the error of the
+ * earlier call had the verdict `not-run`. Must settle within the deadline of the route's pool.
  */
 export type ExecuteOperation = (
     customer: core.CustomerId,
     request: OperationRequest,
+    guard: ExecutionGuard,
 ) => Promise<Result<OperationResponse, OperationRefusal>>;
 
-/** Runs each operation at most once over the whole fleet, and gives resends the answer of the first run. */
+/**
+ * Runs each operation at most once over the whole fleet, and gives resends the answer of the first run.
+ * The verdict of a refusal speaks of the operation as a whole: `not-run` also covers every earlier attempt.
+ */
 export interface OperationStore {
+    /** Runs an operation, or joins the earlier run of the same token. Call it as soon as the request is complete. */
     run(
         token: OperationToken,
         customer: core.CustomerId,
