idempotency: test the operation store in a disturbed fleet

Cause: the store's bounds must hold while VMs restart empty, pause, are cut off (one-way too) and hold different documents. The first run of the scenario showed that a pause under 1 s was not noticed, so an attempt that waited in a socket buffer could run after a not-run.

The pause detector now notices pauses from 250 ms on (before: 1 s).

--- a/packages/idempotency/__tests__/unit/OperationFixture.ts
+++ b/packages/idempotency/__tests__/unit/OperationFixture.ts
@@ -99,6 +99,10 @@
     readonly vms: number;
     readonly seed: number;
     readonly execute?: idempotency.ExecuteOperation;
+    /** Makes `execute` of each process from its own clock, instead of `execute`. */
+    readonly executeOn?: (vmClock: core.Clock, vm: core.VmId) => idempotency.ExecuteOperation;
+    /** Incarnation of the n-th start in the fleet; n by default. */
+    readonly incarnationOf?: (start: number) => number;
     readonly policy?: Partial<idempotency.OperationPolicy>;
     readonly maxStoredBytes?: number;
     readonly lossRatio?: number;
@@ -124,6 +128,8 @@
 
     const start = (id: core.VmId): void => {
         stores.get(id)?.dispose();
+        // Timers of the ended process never fire.
+        pausable.get(id)?.pause();
         const vmClock = testing.createPausableClock(clock);
         pausable.set(id, vmClock);
         network.resume(id);
@@ -132,14 +138,14 @@
             id,
             idempotency.createOperationStore({
                 self: id,
-                incarnation: starts,
+                incarnation: (options.incarnationOf ?? (count => count))(starts),
                 clock: vmClock,
                 randomBytes: count => Uint8Array.from({ length: count }, () => Math.floor(random() * 256)),
                 endpoint: network.attach(id),
                 ownership: owners.of(id, clock.nowMs()),
                 document: { read: () => fleetDocument },
                 secret,
-                execute: options.execute ?? recordRun,
+                execute: options.executeOn?.(vmClock, id) ?? options.execute ?? recordRun,
                 maxStoredBytes: options.maxStoredBytes ?? 8_000_000,
                 ...(options.policy ? { policy: options.policy } : {}),
             }),
--- /dev/null
+++ b/packages/idempotency/__tests__/unit/OperationScenario.ts
@@ -0,0 +1,232 @@
+import * as core from "@peridotloft/core";
+import { err, ok } from "neverthrow";
+import * as idempotency from "../../src/index.js";
+import * as fixture from "./OperationFixture.js";
+
+/** One request of a caller. */
+export interface AttemptRecord {
+    readonly token: string;
+    readonly body: string;
+    /** Time in ms at which the caller sent it. */
+    readonly sentMs: number;
+    /** Time in ms at which it counts as arrived: when it was sent, or when a process read it after a short pause. */
+    enteredMs: number;
+    endedMs?: number;
+    outcome?: fixture.Outcome;
+}
+
+/** One run at the counting upstream. */
+export interface RunRecord {
+    readonly token: string;
+    readonly body: string;
+    readonly answer: string;
+    /** Index of the attempt that was admitted. */
+    readonly attempt: number;
+    readonly timeMs: number;
+}
+
+export interface Trace {
+    readonly attempts: readonly AttemptRecord[];
+    readonly runs: readonly RunRecord[];
+}
+
+export interface ScenarioOptions extends Omit<fixture.FleetOptions, "execute" | "executeOn" | "vms"> {
+    /** Number of VMs; drawn from 3 to 9 when undefined. */
+    readonly vms?: number;
+    readonly durationMs?: number;
+}
+
+const stepMs = 100;
+const operationsPerStep = 0.6;
+
+/**
+ * Runs callers against a fleet while VMs restart empty, pause, are cut off (one-way too) and change documents.
+ * Callers keep to the contract: they resend a key only within the window, and a ticket at any time.
+ */
+export async function runScenario(options: ScenarioOptions): Promise<Trace> {
+    const attempts: AttemptRecord[] = [];
+    const runs: RunRecord[] = [];
+    const tokenOfAttempt = (request: idempotency.OperationRequest): number => Number(request.headers[0]![1]);
+
+    const delay = (clock: core.Clock, delayMs: number): Promise<void> =>
+        new Promise(resolve => clock.setTimer(delayMs, resolve));
+
+    const executeOn = (vmClock: core.Clock): idempotency.ExecuteOperation => async (_customer, request, guard) => {
+        await delay(vmClock, random() * 40);
+        if (random() < 0.15 || !guard.mayStart()) {
+            return err({ verdict: "not-run", kind: "failed", message: "no slot", statusCode: 503 });
+        }
+        // A process may pause between its last check and the write.
+        await delay(vmClock, random() * 3);
+        const attempt = tokenOfAttempt(request);
+        const { token, body } = attempts[attempt]!;
+        const answer = `answer ${runs.length} to ${body}`;
+        runs.push({ token, body, answer, attempt, timeMs: vmClock.nowMs() });
+        await delay(vmClock, random() * 60);
+        return random() < 0.1
+            ? err({ verdict: "may-have-run", kind: "failed", message: "connection lost", statusCode: 502 })
+            : ok(fixture.answerOf(answer));
+    };
+
+    const vms = options.vms ?? 3 + (options.seed % 7);
+    const fleet = fixture.createFleet({ ...options, vms, executeOn });
+    const { clock, random, ids } = fleet;
+    const pick = <T>(items: readonly T[]): T => items[Math.floor(random() * items.length)]!;
+    const pausedUntilMs = new Map<core.VmId, number>();
+    const shortPauses = new Set<core.VmId>();
+    const socketBuffers = new Map<core.VmId, (() => void)[]>();
+
+    const send = (vm: core.VmId, token: idempotency.OperationToken, body: string): void => {
+        const record: AttemptRecord = {
+            token: JSON.stringify(token),
+            body,
+            sentMs: clock.nowMs(),
+            enteredMs: clock.nowMs(),
+        };
+        const index = attempts.push(record) - 1;
+        const arrive = (): void => {
+            if (shortPauses.has(vm)) {
+                record.enteredMs = clock.nowMs();
+            }
+            void fleet.storeOf(vm).run(token, fixture.north, fixture.makeRequest(body, index)).then(outcome => {
+                record.outcome = outcome;
+                record.endedMs = clock.nowMs();
+            });
+        };
+        if (pausedUntilMs.has(vm)) {
+            socketBuffers.set(vm, [...socketBuffers.get(vm) ?? [], arrive]);
+        }
+        else {
+            arrive();
+        }
+    };
+
+    const startCaller = (index: number): void => {
+        const running = ids.filter(id => !pausedUntilMs.has(id));
+        const byTicket = random() < 0.5 && running.length > 0;
+        const token = byTicket
+            ? fixture.ticketToken(fleet.storeOf(pick(running)).issueTicket(fixture.north).ticket)
+            : fixture.keyToken(`key ${index}`);
+        const usableMs = byTicket ? 3 * fixture.windowMs : fixture.windowMs;
+        const count = 1 + Math.floor(random() * 5);
+        // Half of the resends follow shortly, as of a caller that times out; the others anywhere in the usable time.
+        Array.from({ length: count }, (_, resend) => resend === 0 ? 0 : random() * (random() < 0.5 ? 100 : usableMs))
+            .forEach(delayMs => {
+                const body = random() < 0.05 ? `other body ${index}` : `body ${index}`;
+                clock.setTimer(delayMs, () => send(pick(ids), token, body));
+            });
+    };
+
+    const resume = (vm: core.VmId): void => {
+        pausedUntilMs.delete(vm);
+        fleet.resume(vm);
+        const arrivals = socketBuffers.get(vm) ?? [];
+        socketBuffers.delete(vm);
+        arrivals.forEach(arrive => arrive());
+        shortPauses.delete(vm);
+    };
+
+    const pause = (vm: core.VmId): void => {
+        const lengthMs = random() < 0.7 ? random() * 1_000 : random() * 4 * fixture.windowMs;
+        pausedUntilMs.set(vm, clock.nowMs() + lengthMs);
+        if (lengthMs < idempotency.minPauseMs + idempotency.pauseCheckPeriodMs) {
+            shortPauses.add(vm);
+        }
+        fleet.pause(vm);
+        clock.setTimer(lengthMs, () => {
+            if ((pausedUntilMs.get(vm) ?? Infinity) <= clock.nowMs()) {
+                resume(vm);
+            }
+        });
+    };
+
+    const restart = (vm: core.VmId): void => {
+        pausedUntilMs.delete(vm);
+        shortPauses.delete(vm);
+        socketBuffers.delete(vm);
+        fleet.restart(vm);
+    };
+
+    const cut = (): void => {
+        const [from, to] = [pick(ids), pick(ids)];
+        fleet.network.cut(from, to);
+        if (random() < 0.5) {
+            fleet.network.cut(to, from);
+        }
+    };
+
+    const disturb = (): void => {
+        const vm = pick(ids);
+        const kind = random();
+        if (kind < 0.012) {
+            restart(vm);
+        }
+        else if (kind < 0.05 && !pausedUntilMs.has(vm)) {
+            pause(vm);
+        }
+        else if (kind < 0.1) {
+            cut();
+        }
+        else if (kind < 0.15) {
+            fleet.network.heal();
+        }
+        else if (kind < 0.16 && !pausedUntilMs.has(vm)) {
+            fleet.owners.adopt(vm);
+        }
+    };
+
+    await fleet.warmUp();
+    const steps = (options.durationMs ?? 60_000) / stepMs;
+    for (let step = 0; step < steps; step++) {
+        disturb();
+        if (random() < operationsPerStep) {
+            startCaller(step);
+        }
+        await clock.advance(random() * 2 * stepMs);
+    }
+    fleet.network.heal();
+    ids.filter(id => pausedUntilMs.has(id)).forEach(resume);
+    await clock.advance(3 * fixture.windowMs);
+    ids.forEach(id => fleet.storeOf(id).dispose());
+    return { attempts, runs };
+}
+
+export type ViolationKind = "ran-twice" | "untrue-not-run" | "untrue-ran" | "other-answer";
+
+export interface Violation {
+    readonly kind: ViolationKind;
+    readonly detail: string;
+}
+
+/** Checks the bounds of §4.4 over a whole trace. */
+export function findViolations(trace: Trace): Violation[] {
+    return trace.attempts
+        .flatMap(attempt => checkAttempt(trace, attempt))
+        .concat(findRepeatedRuns(trace));
+}
+
+function findRepeatedRuns({ runs }: Trace): Violation[] {
+    return runs.flatMap((run, index): Violation[] => {
+        const earlier = runs.slice(0, index).find(other => other.token === run.token);
+        return earlier ? [{ kind: "ran-twice", detail: JSON.stringify([earlier, run]) }] : [];
+    });
+}
+
+function checkAttempt(trace: Trace, attempt: AttemptRecord): Violation[] {
+    const { outcome, token, body } = attempt;
+    if (!outcome) {
+        return [];
+    }
+    const runs = trace.runs.filter(run => run.token === token && run.body === body);
+    const detail = `${fixture.summaryOf(outcome)} ${JSON.stringify({ attempt, runs })}`;
+    if (outcome.isOk()) {
+        const answered = runs.some(run => run.answer === Buffer.from(outcome.value.body).toString());
+        return answered ? [] : [{ kind: "other-answer", detail }];
+    }
+    if (outcome.error.verdict === "ran" && runs.length === 0) {
+        return [{ kind: "untrue-ran", detail }];
+    }
+    // A not-run covers every attempt that had arrived no later than the refused one.
+    const covered = runs.filter(run => trace.attempts[run.attempt]!.enteredMs <= attempt.enteredMs);
+    return outcome.error.verdict === "not-run" && covered.length > 0 ? [{ kind: "untrue-not-run", detail }] : [];
+}
--- a/packages/idempotency/src/OperationConstants.ts
+++ b/packages/idempotency/src/OperationConstants.ts
@@ -22,9 +22,12 @@
 /** Time in ms between two removals of expired operations. */
 export const sweepPeriodMs = 1_000;
 /** Time in ms between two readings of the pause detector. */
-export const pauseCheckPeriodMs = 250;
-/** Silence in ms of the pause detector's timer that counts as a pause of the process. */
-export const minPauseMs = 1_000;
+export const pauseCheckPeriodMs = 100;
+/**
+ * Silence in ms of the pause detector's timer that counts as a pause of the process.
+ * A busy event loop that counts as paused only makes attempts look this much older.
+ */
+export const minPauseMs = 250;
 /** Time in ms after a pause in which arriving requests may have waited in a socket buffer during the pause. */
 export const pauseDrainMs = 1_000;
 /** Bytes charged for an operation besides its key and its answer. */
--- a/packages/idempotency/src/OperationOwner.ts
+++ b/packages/idempotency/src/OperationOwner.ts
@@ -120,7 +120,10 @@
 
     const guardOf = (attempt: Attempt, admittedMs: number): ExecutionGuard => {
         const { identity } = attempt;
-        const latestStartMs = identity.kind === "key" ? admittedMs + windowMs() : identity.ticket.expiresMs;
+        if (identity.kind === "ticket") {
+            return { mayStart: () => !policy.isTicketExpired(identity.ticket.expiresMs, clock.nowMs()) };
+        }
+        const latestStartMs = admittedMs + windowMs();
         return { mayStart: () => clock.nowMs() < latestStartMs };
     };
 
