--- a/packages/idempotency/__tests__/unit/OperationFixture.ts
+++ b/packages/idempotency/__tests__/unit/OperationFixture.ts
@@ -1,9 +1,8 @@
 import * as core from "@peridotloft/core";
 import * as document from "@peridotloft/document";
-import type * as ownership from "@peridotloft/ownership";
+import * as ownership from "@peridotloft/ownership";
 import * as testing from "@peridotloft/testing";
 import { ok, type Result } from "neverthrow";
-import { createHash } from "node:crypto";
 import * as idempotency from "../../src/index.js";
 
 export const windowMs = 10_000;
@@ -13,12 +12,28 @@
 
 export type Outcome = Result<idempotency.OperationResponse, idempotency.OperationRefusal>;
 
-export function makeDocument(version: number): document.FleetDocument {
+/** Version 1 lacks the last VM, version 2 adds it, and version 3 retires the first VM. */
+export type DocumentVersion = 1 | 2 | 3;
+
+function makeVms(ids: readonly core.VmId[], version: DocumentVersion): document.FleetDocumentInput["vms"] {
+    const last = ids.length - 1;
+    return ids
+        .map((id, index) => ({
+            id,
+            zone: "a",
+            peerAddress: `127.0.0.1:${7101 + index}`,
+            state: version === 3 && index === 0 ? "retired" as const : "in-service" as const,
+            joinedVersion: index === last ? 2 : 1,
+        }))
+        .slice(0, version === 1 ? last : undefined);
+}
+
+export function makeDocument(ids: readonly core.VmId[], version: DocumentVersion): document.FleetDocument {
     return document.validateDocument({
         version,
         fleet: { idempotencyWindowMs: windowMs },
         zones: [{ id: "a", region: "r" }],
-        vms: [{ id: "vm-0", zone: "a", peerAddress: "127.0.0.1:7101" }],
+        vms: makeVms(ids, version),
         customers: [],
         pools: [{
             id: "holds",
@@ -46,55 +61,43 @@
     body: Buffer.from(text),
 });
 
-/**
- * Ownership among `ids` under §4.1: before a VM adopts version 2, the last VM of the list does not exist for it.
- * The last VM acts on what moves to it only after the previous owner has adopted version 2.
- */
-export interface FakeOwnership {
-    of(self: core.VmId, startedMs: number): ownership.Ownership;
-    adopt(id: core.VmId): void;
-    ownerUnder(resource: string, version: 1 | 2): core.VmId;
-}
-
-export function createFakeOwnership(ids: readonly core.VmId[], clock: core.Clock): FakeOwnership {
-    const adoptedMs = new Map<core.VmId, number>();
-    const rank = (resource: string, id: core.VmId): string =>
-        createHash("sha256").update(`${resource}\n${id}`).digest("hex");
-    const rankingOf = (resource: string, version: 1 | 2): core.VmId[] =>
-        (version === 1 ? ids.slice(0, -1) : [...ids])
-            .sort((left, right) => rank(resource, left) < rank(resource, right) ? -1 : 1);
-    const ownerUnder = (resource: string, version: 1 | 2): core.VmId => rankingOf(resource, version)[0]!;
-    const versionOf = (id: core.VmId): 1 | 2 => adoptedMs.has(id) ? 2 : 1;
-
-    const holdingOf = (self: core.VmId, startedMs: number, resource: string): ownership.Holding => {
-        const owner = ownerUnder(resource, versionOf(self));
-        if (owner !== self) {
-            return { kind: "other", owner };
-        }
-        const previousOwner = ownerUnder(resource, 1);
-        if (previousOwner === self) {
-            return { kind: "held", sinceMs: startedMs };
-        }
-        const releasedMs = adoptedMs.get(previousOwner);
-        return releasedMs === undefined
-            ? { kind: "waiting", previousOwner }
-            : { kind: "held", sinceMs: Math.max(startedMs, releasedMs, adoptedMs.get(self) ?? 0) };
-    };
-
+/** The documents that the VMs hold, and the VMs' announcements of their versions to each other. */
+function createDocuments(ids: readonly core.VmId[], clock: core.Clock, random: core.Random) {
+    const documents = ([1, 2, 3] as const).map(version => makeDocument(ids, version));
+    const cells = new Map<core.VmId, core.SnapshotCell<document.FleetDocument>>();
+    const owners = ([1, 2, 3] as const).map(version =>
+        ownership.createOwnership({
+            self: ids[0]!,
+            clock,
+            document: core.createSnapshotCell(documents[version - 1]!),
+        })
+    );
     return {
-        ownerUnder,
-        adopt: id => {
-            adoptedMs.set(id, adoptedMs.get(id) ?? clock.nowMs());
+        /** Starts the ownership of a VM, which keeps the version that it held before a restart. */
+        start(self: core.VmId, vmClock: core.Clock, endpoint: core.PeerEndpoint) {
+            const cell = core.createSnapshotCell(cells.get(self)?.read() ?? documents[0]!);
+            cells.set(self, cell);
+            const owned = ownership.createOwnership({ self, clock: vmClock, document: cell });
+            endpoint.registerSlice("version", async (from, payload) => {
+                owned.notePeerVersion(from, payload[0]!);
+                return ok(new Uint8Array());
+            });
+            core.setRepeatingTimer(vmClock, announcePeriodMs, () => {
+                const peer = ids[Math.floor(random() * ids.length)]!;
+                void endpoint.call(peer, "version", Uint8Array.of(cell.read().version), announcePeriodMs);
+            });
+            return { document: cell, ownership: owned };
+        },
+        ownerUnder: (resource: string, version: DocumentVersion) => owners[version - 1]!.ownerOf(resource),
+        /** Makes a VM adopt a version, unless it holds a later one. */
+        adopt(id: core.VmId, version: DocumentVersion) {
+            cells.get(id)!.update(current => current.version < version ? documents[version - 1]! : current);
         },
-        of: (self, startedMs) => ({
-            holdingOf: resource => holdingOf(self, startedMs, resource),
-            ownerOf: resource => ownerUnder(resource, versionOf(self)),
-            ranking: resource => rankingOf(resource, versionOf(self)),
-            notePeerVersion: () => undefined,
-        }),
     };
 }
 
+const announcePeriodMs = 200;
+
 export interface FleetOptions {
     readonly vms: number;
     readonly seed: number;
@@ -114,7 +117,7 @@
     const random = testing.createSeededRandom(options.seed);
     const network = testing.createVirtualNetwork({ clock, random, lossRatio: options.lossRatio ?? 0 });
     const ids = Array.from({ length: options.vms }, (_, index) => core.vmId(`vm-${index}`));
-    const owners = createFakeOwnership(ids, clock);
+    const documents = createDocuments(ids, clock, random);
     const stores = new Map<core.VmId, idempotency.OperationStore>();
     const pausable = new Map<core.VmId, testing.PausableClock>();
     const ran: string[] = [];
@@ -134,16 +137,16 @@
         pausable.set(id, vmClock);
         network.resume(id);
         starts += 1;
+        const endpoint = network.attach(id);
         stores.set(
             id,
             idempotency.createOperationStore({
+                ...documents.start(id, vmClock, endpoint),
                 self: id,
                 incarnation: (options.incarnationOf ?? (count => count))(starts),
                 clock: vmClock,
                 randomBytes: count => Uint8Array.from({ length: count }, () => Math.floor(random() * 256)),
-                endpoint: network.attach(id),
-                ownership: owners.of(id, clock.nowMs()),
-                document: { read: () => fleetDocument },
+                endpoint,
                 secret,
                 execute: options.executeOn?.(vmClock, id) ?? options.execute ?? recordRun,
                 maxStoredBytes: options.maxStoredBytes ?? 8_000_000,
@@ -151,7 +154,6 @@
             }),
         );
     };
-    const fleetDocument = makeDocument(1);
     ids.forEach(start);
 
     return {
@@ -159,13 +161,19 @@
         random,
         network,
         ids,
-        owners,
+        documents,
         /** Bodies that ran at the upstream, in order. */
         ran,
         storeOf: (id: core.VmId) => stores.get(id)!,
         clockOf: (id: core.VmId) => pausable.get(id)!,
         /** Ends the VM's process and starts a new one without state. */
         restart: start,
+        /** Ends the VM's process for good. */
+        terminate(id: core.VmId) {
+            stores.get(id)!.dispose();
+            pausable.get(id)!.pause();
+            network.detach(id);
+        },
         pause(id: core.VmId) {
             pausable.get(id)!.pause();
             network.pause(id);
--- a/packages/idempotency/__tests__/unit/OperationScenario.ts
+++ b/packages/idempotency/__tests__/unit/OperationScenario.ts
@@ -102,7 +102,7 @@
     };
 
     const startCaller = (index: number): void => {
-        const running = ids.filter(id => !pausedUntilMs.has(id));
+        const running = alive().filter(id => !pausedUntilMs.has(id));
         const byTicket = random() < 0.5 && running.length > 0;
         const token = byTicket
             ? fixture.ticketToken(fleet.storeOf(pick(running)).issueTicket(fixture.north).ticket)
@@ -113,7 +113,7 @@
         Array.from({ length: count }, (_, resend) => resend === 0 ? 0 : random() * (random() < 0.5 ? 100 : usableMs))
             .forEach(delayMs => {
                 const body = random() < 0.05 ? `other body ${index}` : `body ${index}`;
-                clock.setTimer(delayMs, () => send(pick(ids), token, body));
+                clock.setTimer(delayMs, () => send(pick(alive()), token, body));
             });
     };
 
@@ -155,8 +155,19 @@
         }
     };
 
+    const alive = (): core.VmId[] => publishedVersion === 3 ? ids.slice(1) : ids;
+    let publishedVersion: fixture.DocumentVersion = 2;
+
+    // A VM is retired only after its machine was terminated.
+    const retireFirst = (): void => {
+        publishedVersion = 3;
+        pausedUntilMs.delete(ids[0]!);
+        socketBuffers.delete(ids[0]!);
+        fleet.terminate(ids[0]!);
+    };
+
     const disturb = (): void => {
-        const vm = pick(ids);
+        const vm = pick(alive());
         const kind = random();
         if (kind < 0.012) {
             restart(vm);
@@ -170,14 +181,17 @@
         else if (kind < 0.15) {
             fleet.network.heal();
         }
-        else if (kind < 0.16 && !pausedUntilMs.has(vm)) {
-            fleet.owners.adopt(vm);
+        else if (kind < 0.18 && !pausedUntilMs.has(vm)) {
+            fleet.documents.adopt(vm, publishedVersion);
         }
     };
 
     await fleet.warmUp();
     const steps = (options.durationMs ?? 60_000) / stepMs;
     for (let step = 0; step < steps; step++) {
+        if (step === Math.floor(steps / 3)) {
+            retireFirst();
+        }
         disturb();
         if (random() < operationsPerStep) {
             startCaller(step);
@@ -187,7 +201,7 @@
     fleet.network.heal();
     ids.filter(id => pausedUntilMs.has(id)).forEach(resume);
     await clock.advance(3 * fixture.windowMs);
-    ids.forEach(id => fleet.storeOf(id).dispose());
+    alive().forEach(id => fleet.storeOf(id).dispose());
     return { attempts, runs };
 }
 
--- a/packages/idempotency/__tests__/unit/OperationStore.test.ts
+++ b/packages/idempotency/__tests__/unit/OperationStore.test.ts
@@ -10,7 +10,7 @@
 async function setUp(options: Partial<fixture.FleetOptions> = {}) {
     const fleet = fixture.createFleet({ vms: 4, seed: 1, ...options });
     await fleet.warmUp();
-    const owner = fleet.owners.ownerUnder("operation/north/k", 1);
+    const owner = fleet.documents.ownerUnder("operation/north/k", 1);
     const entry = fixture.entryFor(fleet.ids, owner, fleet.ids.at(-1)!);
     const other = fixture.entryFor(fleet.ids, owner, entry);
     return { ...fleet, owner, entry, other };
@@ -87,15 +87,16 @@
             const fleet = await setUp();
             const joining = fleet.ids.at(-1)!;
             const key = Array.from({ length: 200 }, (_, index) => `k${index}`)
-                .find(candidate => fleet.owners.ownerUnder(`operation/north/${candidate}`, 2) === joining)!;
-            const previous = fleet.owners.ownerUnder(`operation/north/${key}`, 1);
+                .find(candidate => fleet.documents.ownerUnder(`operation/north/${candidate}`, 2) === joining)!;
+            const previous = fleet.documents.ownerUnder(`operation/north/${key}`, 1);
             const [behind, ahead] = fleet.ids.filter(id => id !== joining && id !== previous);
-            fleet.owners.adopt(joining);
-            fleet.owners.adopt(ahead!);
+            fleet.documents.adopt(joining, 2);
+            fleet.documents.adopt(ahead!, 2);
             const first = await fleet.run(ahead!, keyToken(key), "swap");
             const second = await fleet.run(behind!, keyToken(key), "swap");
             assert.equal(summaryOf(second), summaryOf(first));
-            fleet.owners.adopt(previous);
+            fleet.documents.adopt(previous, 2);
+            await fleet.clock.advance(2_000);
             const third = await fleet.run(joining, keyToken(key), "swap");
             assert.equal(summaryOf(third), "may-have-run unknown-history 503");
             assert.equal(fleet.ran.length, 1);
@@ -217,9 +218,9 @@
                 maxStoredBytes: room,
                 execute: async () => ok(fixture.answerOf("y".repeat(60_000))),
             });
-            const keys = Array.from({ length: 12 }, (_, index) => `k${index}`);
+            const keys = Array.from({ length: 60 }, (_, index) => `k${index}`);
             const keysOfOwner = keys.filter(key =>
-                fleet.owners.ownerUnder(`operation/north/${key}`, 1) === fleet.ids[0]
+                fleet.documents.ownerUnder(`operation/north/${key}`, 1) === fleet.ids[0]
             );
             const outcomes = [];
             for (const key of keysOfOwner) {
