Add the console of forms

Cause: operators need one place that makes the whole document, so that the fleet cannot be left partly configured. Change: a stateless server with the router's own validator, a page built from the document's JSON schema, one-step actions for zones, VMs and keys. The standalone stand-ins of the router follow the new lease and guard fields.

--- /dev/null
+++ b/packages/console/src/ConsoleServer.ts
@@ -0,0 +1,184 @@
+import * as documents from "@peridotloft/document";
+import * as keys from "@peridotloft/keys";
+import { readFile } from "node:fs/promises";
+import * as http from "node:http";
+import type { AddressInfo } from "node:net";
+import * as z from "zod";
+import { applyAction, type DocumentAction } from "./DocumentActions.js";
+import { reviewDraft } from "./DraftReview.js";
+import { consolePageHtml } from "./page/PageHtml.js";
+import { fetchDocument, type PlatformAnswer, submitDocument } from "./PlatformDocument.js";
+
+export interface ConsoleOptions {
+    /** IPv4 address to listen on; the console has no log-in of its own, so it should stay on loopback. */
+    readonly host: string;
+    /** TCP port; 0 chooses a free one. */
+    readonly port: number;
+    /** Base URL of the configuration service; without one, documents are only offered for download. */
+    readonly platformUrl: string | undefined;
+}
+
+export interface ConsoleServer {
+    readonly url: string;
+    close(): Promise<void>;
+}
+
+interface Answer {
+    readonly statusCode: number;
+    readonly contentType: string;
+    readonly body: string | Buffer;
+}
+
+// A draft and the loaded document travel together.
+const maxBodyBytes = 2 * documents.maxDocumentBytes + 10_000;
+
+const actionSchema = z.discriminatedUnion("kind", [
+    z.strictObject({
+        kind: z.literal("set-zone-state"),
+        zone: z.string(),
+        state: z.enum(["in-service", "leaving", "out"]),
+    }),
+    z.strictObject({
+        kind: z.literal("set-vm-state"),
+        vm: z.string(),
+        state: z.enum(["in-service", "leaving", "out", "retired"]),
+    }),
+    z.strictObject({ kind: z.literal("add-key"), id: z.string(), customer: z.string(), sha256: z.string() }),
+    z.strictObject({ kind: z.literal("withdraw-key"), id: z.string() }),
+]);
+
+const json = (statusCode: number, value: unknown): Answer => ({
+    statusCode,
+    contentType: "application/json",
+    body: JSON.stringify(value),
+});
+
+/** Starts the console. It keeps no state: the page sends the draft and the loaded document with every request. */
+export async function startConsole(options: ConsoleOptions): Promise<ConsoleServer> {
+    const server = http.createServer((request, response) => {
+        void handle(request, options)
+            .catch((error: unknown) => json(400, { message: String(error) }))
+            .then(answer => send(response, answer));
+    });
+    await new Promise<void>((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(options.port, options.host, resolve);
+    });
+    const { port } = server.address() as AddressInfo;
+    return {
+        url: `http://${options.host}:${port}/`,
+        close: () =>
+            new Promise(resolve => {
+                server.close(() => resolve());
+                server.closeAllConnections();
+            }),
+    };
+}
+
+async function handle(request: http.IncomingMessage, options: ConsoleOptions): Promise<Answer> {
+    if (!isSameSite(request)) {
+        return json(403, { message: "The console accepts requests from its own page only." });
+    }
+    switch (`${request.method} ${request.url}`) {
+        case "GET /":
+            return { statusCode: 200, contentType: "text/html; charset=utf-8", body: consolePageHtml };
+        case "GET /ConsolePage.js":
+            return {
+                statusCode: 200,
+                contentType: "text/javascript",
+                body: await readFile(new URL("./page/ConsolePage.js", import.meta.url)),
+            };
+        case "GET /api/schema":
+            return json(200, z.toJSONSchema(documents.fleetDocumentSchema, { io: "input" }));
+        case "GET /api/document":
+            return fromPlatform(await fetchDocument(options.platformUrl));
+        case "POST /api/review": {
+            const { draft, loaded } = await readJson(request);
+            return json(200, reviewDraft(draft, loaded));
+        }
+        case "POST /api/action":
+            return applyRequestedAction(await readJson(request));
+        case "POST /api/issue-key":
+            return issueKey(await readJson(request));
+        case "POST /api/submit": {
+            const { draft, loaded } = await readJson(request);
+            const review = reviewDraft(draft, loaded);
+            return review.text === undefined
+                ? json(422, review)
+                : fromPlatform(await submitDocument(options.platformUrl, review.text));
+        }
+        default:
+            return json(404, { message: "There is no such page." });
+    }
+}
+
+function applyRequestedAction(body: Record<string, unknown>): Answer {
+    const action = actionSchema.safeParse(body["action"]);
+    if (!action.success) {
+        return json(400, { message: z.prettifyError(action.error) });
+    }
+    return answerAction(body["draft"], action.data);
+}
+
+function answerAction(draft: unknown, action: DocumentAction, extra: object = {}): Answer {
+    return applyAction(draft as documents.FleetDocumentInput, action).match(
+        changed => json(200, { draft: changed, ...extra }),
+        error => json(422, { message: `${error.path}: ${error.message}` }),
+    );
+}
+
+/** Adds a new key to the draft. The key itself is in this answer only; the draft holds its hash. */
+function issueKey(body: Record<string, unknown>): Answer {
+    const apiKey = keys.generateKey();
+    const action: DocumentAction = {
+        kind: "add-key",
+        id: String(body["id"]),
+        customer: String(body["customer"]),
+        sha256: keys.hashKey(apiKey),
+    };
+    return answerAction(body["draft"], action, { apiKey });
+}
+
+function fromPlatform(answer: PlatformAnswer): Answer {
+    return answer.match(
+        text => ({ statusCode: 200, contentType: "application/json", body: text }),
+        message => json(502, { message }),
+    );
+}
+
+/**
+ * Whether the request comes from the console's own page. A page of another site could otherwise send requests to
+ * loopback through the operator's browser.
+ */
+function isSameSite(request: http.IncomingMessage): boolean {
+    const { host = "", origin } = request.headers;
+    const isAddress = /^(127\.0\.0\.1|localhost|\d{1,3}(\.\d{1,3}){3})(:\d+)?$/.test(host);
+    return isAddress && (origin === undefined || origin === `http://${host}`);
+}
+
+async function readJson(request: http.IncomingMessage): Promise<Record<string, unknown>> {
+    const chunks: Buffer[] = [];
+    let sizeBytes = 0;
+    for await (const chunk of request) {
+        sizeBytes += (chunk as Buffer).length;
+        if (sizeBytes > maxBodyBytes) {
+            throw new Error(`the request is larger than ${maxBodyBytes} bytes`);
+        }
+        chunks.push(chunk as Buffer);
+    }
+    const value: unknown = JSON.parse(Buffer.concat(chunks).toString("utf8"));
+    if (typeof value !== "object" || !value) {
+        throw new Error("the request is not a JSON object");
+    }
+    return value as Record<string, unknown>;
+}
+
+function send(response: http.ServerResponse, answer: Answer): void {
+    response.writeHead(answer.statusCode, {
+        "content-type": answer.contentType,
+        "cache-control": "no-store",
+        "content-security-policy": "default-src 'self'; style-src 'self' 'unsafe-inline'; frame-ancestors 'none'",
+        "x-content-type-options": "nosniff",
+    });
+    response.end(answer.body);
+}
--- /dev/null
+++ b/packages/console/src/DraftReview.ts
@@ -0,0 +1,33 @@
+import * as documents from "@peridotloft/document";
+
+/** What the console shows about a draft. */
+export interface DraftReview {
+    /** Faults at their fields; empty when the draft may be submitted. */
+    readonly errors: readonly documents.DocumentError[];
+    /** Differences from the loaded document, in words; empty while the draft has errors. */
+    readonly changes: readonly string[];
+    /** The draft as it would be published; undefined while it has errors. */
+    readonly text: string | undefined;
+}
+
+/** Validates a draft with the router's own validator and compares it with the loaded document. */
+export function reviewDraft(draft: unknown, loaded: unknown): DraftReview {
+    const text = JSON.stringify(draft, undefined, 2) ?? "";
+    const parsed = documents.parseDocument(text);
+    if (parsed.isErr()) {
+        return { errors: parsed.error, changes: [], text: undefined };
+    }
+    const before = documents.validateDocument(loaded);
+    if (before.isErr()) {
+        return { errors: [], changes: ["This is the first document."], text };
+    }
+    if (parsed.value.version <= before.value.version) {
+        const message = `must be higher than the loaded document's version ${before.value.version}`;
+        return { errors: [{ path: "version", message }], changes: [], text: undefined };
+    }
+    return {
+        errors: [],
+        changes: documents.diffDocuments(before.value, parsed.value).map(documents.describeChange),
+        text,
+    };
+}
--- a/packages/console/src/index.ts
+++ b/packages/console/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./ConsoleServer.js";
+export * from "./DocumentActions.js";
+export * from "./DraftReview.js";
--- /dev/null
+++ b/packages/console/src/page/ConsolePage.ts
@@ -0,0 +1,380 @@
+/// <reference lib="dom" />
+/// <reference lib="dom.iterable" />
+
+// Runs in the browser: it imports nothing at run time, so that it needs no bundler.
+import type { DocumentAction } from "../DocumentActions.js";
+import type { DraftReview } from "../DraftReview.js";
+
+interface Schema {
+    readonly type?: string;
+    readonly description?: string;
+    readonly default?: unknown;
+    readonly enum?: readonly string[];
+    readonly properties?: Readonly<Record<string, Schema>>;
+    readonly required?: readonly string[];
+    readonly items?: Schema;
+}
+
+type Values = Record<string, unknown>;
+
+interface PageState {
+    schema: Schema;
+    /** The document as loaded; the draft is compared with it. */
+    loaded: Values | undefined;
+    draft: Values;
+}
+
+const state: PageState = { schema: {}, loaded: undefined, draft: {} };
+
+const byId = <T extends HTMLElement>(id: string): T => document.getElementById(id) as T;
+
+function element<K extends keyof HTMLElementTagNameMap>(
+    tag: K,
+    attributes: Readonly<Record<string, string>> = {},
+    ...children: readonly (Node | string)[]
+): HTMLElementTagNameMap[K] {
+    const node = document.createElement(tag);
+    Object.entries(attributes).forEach(([name, value]) => node.setAttribute(name, value));
+    node.append(...children);
+    return node;
+}
+
+function button(text: string, onClick: () => void): HTMLButtonElement {
+    const node = element("button", { type: "button" }, text);
+    node.addEventListener("click", onClick);
+    return node;
+}
+
+function showStatus(message: string): void {
+    byId("status").textContent = message;
+}
+
+async function call<T>(method: string, path: string, body?: unknown): Promise<T | undefined> {
+    const response = await fetch(path, {
+        method,
+        ...(body === undefined ? {} : { body: JSON.stringify(body) }),
+    });
+    const value = await response.json() as T & { message?: string; };
+    if (!response.ok) {
+        showStatus(value.message ?? `Failed with ${response.status}`);
+        return undefined;
+    }
+    return value;
+}
+
+function emptyValue(schema: Schema): unknown {
+    if (schema.default !== undefined) {
+        return structuredClone(schema.default);
+    }
+    switch (schema.type) {
+        case "object":
+            return Object.fromEntries(
+                Object.entries(schema.properties ?? {})
+                    .filter(([name]) => schema.required?.includes(name))
+                    .map(([name, property]) => [name, emptyValue(property)]),
+            );
+        case "array":
+            return [];
+        case "boolean":
+            return false;
+        case "string":
+            return schema.enum?.[0] ?? "";
+        default:
+            return undefined;
+    }
+}
+
+function renderField(schema: Schema, holder: Values, name: string, path: string): HTMLElement {
+    if (schema.type === "object") {
+        holder[name] ??= emptyValue(schema);
+        return renderObject(schema, holder[name] as Values, path, name);
+    }
+    if (schema.type === "array" && schema.items?.type === "object") {
+        holder[name] ??= [];
+        return renderList(schema.items, holder[name] as Values[], path, name);
+    }
+    return renderInput(schema, holder, name, path);
+}
+
+function renderObject(schema: Schema, value: Values, path: string, title: string): HTMLElement {
+    return element(
+        "fieldset",
+        { "class": "item", "data-path": path },
+        element("legend", {}, title),
+        ...Object.entries(schema.properties ?? {})
+            .map(([name, property]) => renderField(property, value, name, path === "" ? name : `${path}.${name}`)),
+    );
+}
+
+function renderList(itemSchema: Schema, items: Values[], path: string, title: string): HTMLElement {
+    const rows = items.map((item, index) => {
+        const row = renderObject(itemSchema, item, `${path}[${index}]`, `${title} ${String(item["id"] ?? index + 1)}`);
+        row.append(element(
+            "div",
+            { "class": "buttons" },
+            button(`Remove ${String(item["id"] ?? "")}`, () => {
+                items.splice(index, 1);
+                render();
+            }),
+        ));
+        return row;
+    });
+    return element(
+        "fieldset",
+        { "data-path": path },
+        element("legend", {}, title),
+        ...rows,
+        button(`Add to ${title}`, () => {
+            items.push(emptyValue(itemSchema) as Values);
+            render();
+        }),
+    );
+}
+
+function renderInput(schema: Schema, holder: Values, name: string, path: string): HTMLElement {
+    const id = `field-${path}`;
+    const input = createInput(schema, holder[name]);
+    input.id = id;
+    input.dataset["path"] = path;
+    input.setAttribute("aria-describedby", `${id}-hint`);
+    input.addEventListener("change", () => {
+        holder[name] = readInput(schema, input);
+        void review();
+    });
+    const unset = schema.default === undefined ? "" : ` Default: ${JSON.stringify(schema.default)}.`;
+    return element(
+        "div",
+        {},
+        element("label", { "for": id }, name),
+        input,
+        element("span", { "class": "hint", "id": `${id}-hint` }, `${schema.description ?? ""}${unset}`),
+    );
+}
+
+function createInput(schema: Schema, value: unknown): HTMLInputElement | HTMLSelectElement {
+    if (schema.enum) {
+        const options = schema.enum.map(option =>
+            element(
+                "option",
+                option === (value ?? schema.default) ? { value: option, selected: "" } : { value: option },
+                option,
+            )
+        );
+        return element("select", {}, ...options);
+    }
+    if (schema.type === "boolean") {
+        return element("input", { type: "checkbox", ...(value === true ? { checked: "" } : {}) });
+    }
+    const isNumber = schema.type === "integer" || schema.type === "number";
+    const text = Array.isArray(value) ? value.join(", ") : String(value ?? "");
+    return element("input", { type: isNumber ? "number" : "text", step: "any", value: text });
+}
+
+function readInput(schema: Schema, input: HTMLInputElement | HTMLSelectElement): unknown {
+    if (schema.type === "boolean") {
+        return (input as HTMLInputElement).checked;
+    }
+    const text = input.value.trim();
+    if (text === "") {
+        return undefined;
+    }
+    if (schema.type === "array") {
+        return text.split(",").map(part => part.trim()).filter(part => part !== "");
+    }
+    return schema.type === "integer" || schema.type === "number" ? Number(text) : text;
+}
+
+function renderActions(): void {
+    const zones = (state.draft["zones"] ?? []) as Values[];
+    const vms = (state.draft["vms"] ?? []) as Values[];
+    byId("actions").replaceChildren(
+        element("h3", {}, "Availability zones"),
+        ...zones.map(zone =>
+            renderSwitch("availability zone", zone, to => ({
+                kind: "set-zone-state",
+                zone: String(zone["id"]),
+                state: to,
+            }))
+        ),
+        element("h3", {}, "VMs"),
+        ...vms.filter(vm => vm["state"] !== "retired").map(vm =>
+            renderSwitch("VM", vm, to => ({
+                kind: "set-vm-state",
+                vm: String(vm["id"]),
+                state: to,
+            }))
+        ),
+        element("h3", {}, "Keys"),
+        renderKeyActions(),
+    );
+}
+
+function renderSwitch(
+    what: string,
+    item: Values,
+    actionFor: (to: "in-service" | "out") => DocumentAction,
+): HTMLElement {
+    const current = String(item["state"] ?? "in-service");
+    const [verb, to] = current === "in-service" ? ["Take out", "out" as const] : ["Return", "in-service" as const];
+    return element(
+        "div",
+        {},
+        button(`${verb} ${what} ${String(item["id"])}`, () => void applyAction(actionFor(to))),
+        ` now ${current}`,
+    );
+}
+
+function renderKeyActions(): HTMLElement {
+    const customers = (state.draft["customers"] ?? []) as Values[];
+    const keyItems = (state.draft["keys"] ?? []) as Values[];
+    const customer = element(
+        "select",
+        { id: "new-key-customer" },
+        ...customers.map(item => element("option", {}, String(item["id"]))),
+    );
+    const keyId = element("input", { id: "new-key-id", type: "text" });
+    return element(
+        "div",
+        {},
+        element("label", { "for": "new-key-customer" }, "Customer of the new key"),
+        customer,
+        element("label", { "for": "new-key-id" }, "Id of the new key"),
+        keyId,
+        button("Issue key", () => void issueKey(customer.value, keyId.value)),
+        ...keyItems.map(key =>
+            button(`Withdraw key ${String(key["id"])}`, () =>
+                void applyAction({
+                    kind: "withdraw-key",
+                    id: String(key["id"]),
+                }))
+        ),
+    );
+}
+
+async function applyAction(action: DocumentAction): Promise<void> {
+    const answer = await call<{ draft: Values; }>("POST", "/api/action", { draft: state.draft, action });
+    if (answer) {
+        await adoptDraft(answer.draft);
+    }
+}
+
+async function issueKey(customer: string, id: string): Promise<void> {
+    const answer = await call<{ draft: Values; apiKey: string; }>("POST", "/api/issue-key", {
+        draft: state.draft,
+        customer,
+        id,
+    });
+    if (answer) {
+        const notice = byId("key");
+        notice.hidden = false;
+        notice.textContent = `Key ${id}, shown only now: ${answer.apiKey}`;
+        await adoptDraft(answer.draft);
+    }
+}
+
+async function adoptDraft(draft: Values): Promise<void> {
+    state.draft = draft;
+    render();
+    await review();
+}
+
+async function review(): Promise<DraftReview | undefined> {
+    const found = await call<DraftReview>("POST", "/api/review", { draft: state.draft, loaded: state.loaded });
+    if (!found) {
+        return undefined;
+    }
+    byId("errors").replaceChildren(
+        ...found.errors.map(error => element("li", {}, `${error.path || "document"}: ${error.message}`)),
+    );
+    byId("changes").replaceChildren(...found.changes.map(change => element("li", {}, change)));
+    markErrors(found);
+    showStatus(found.errors.length > 0 ? `${found.errors.length} errors` : `${found.changes.length} changes`);
+    return found;
+}
+
+/** Shows each error at its field, or at the nearest enclosing group. */
+function markErrors(found: DraftReview): void {
+    document.querySelectorAll("[aria-invalid]").forEach(node => node.removeAttribute("aria-invalid"));
+    document.querySelectorAll("#form .error").forEach(node => node.remove());
+    found.errors.forEach(error => {
+        const place = findPlace(error.path);
+        place?.setAttribute("aria-invalid", "true");
+        const message = element("div", { "class": "error" }, error.message);
+        if (place instanceof HTMLFieldSetElement) {
+            place.append(message);
+        }
+        else {
+            place?.parentElement?.append(message);
+        }
+    });
+}
+
+function findPlace(path: string): Element | undefined {
+    const exact = document.querySelector(`[data-path="${CSS.escape(path)}"]`);
+    if (exact || path === "") {
+        return exact ?? undefined;
+    }
+    return findPlace(path.replace(/(\[\d+\]|\.?[^.[\]]+)$/, ""));
+}
+
+function render(): void {
+    const focused = document.activeElement?.id;
+    byId("form").replaceChildren(
+        ...Object.entries(state.schema.properties ?? {})
+            .map(([name, property]) => renderField(property, state.draft, name, name)),
+    );
+    renderActions();
+    if (focused) {
+        document.getElementById(focused)?.focus();
+    }
+}
+
+async function adoptLoaded(loaded: Values): Promise<void> {
+    state.loaded = loaded;
+    await adoptDraft({ ...structuredClone(loaded), version: Number(loaded["version"] ?? 0) + 1 });
+}
+
+async function submit(): Promise<void> {
+    const answer = await call<unknown>("POST", "/api/submit", { draft: state.draft, loaded: state.loaded });
+    if (answer) {
+        await adoptLoaded(state.draft);
+        showStatus("Submitted");
+    }
+}
+
+async function download(): Promise<void> {
+    const found = await review();
+    if (found?.text === undefined) {
+        return;
+    }
+    const url = URL.createObjectURL(new Blob([found.text], { type: "application/json" }));
+    element("a", { href: url, download: `document-${String(state.draft["version"])}.json` }).click();
+    URL.revokeObjectURL(url);
+}
+
+async function loadFromPlatform(): Promise<void> {
+    const loaded = await call<Values>("GET", "/api/document");
+    if (loaded) {
+        await adoptLoaded(loaded);
+    }
+}
+
+async function start(): Promise<void> {
+    state.schema = await call<Schema>("GET", "/api/schema") ?? {};
+    state.draft = emptyValue(state.schema) as Values;
+    state.draft["version"] = 1;
+    render();
+    byId("load").addEventListener("click", () => void loadFromPlatform());
+    byId("review").addEventListener("click", () => void review());
+    byId("download").addEventListener("click", () => void download());
+    byId("submit").addEventListener("click", () => void submit());
+    byId<HTMLInputElement>("open").addEventListener("change", event => {
+        const file = (event.target as HTMLInputElement).files?.[0];
+        void file?.text()
+            .then(text => adoptLoaded(JSON.parse(text) as Values))
+            .catch((error: unknown) => showStatus(`The file is not a document: ${String(error)}`));
+    });
+    await loadFromPlatform();
+}
+
+void start();
--- a/packages/router/src/standalone/StandaloneOperations.ts
+++ b/packages/router/src/standalone/StandaloneOperations.ts
@@ -40,7 +40,7 @@
                     ? known.outcome
                     : refuse("different-request", "the token was used for a different request");
             }
-            const outcome = execute(customer, request);
+            const outcome = execute(customer, request, { mayStart: () => true });
             operations.set(id, { digest, outcome });
             clock.setTimer(windowMs(), () => operations.delete(id));
             const result = await outcome;
--- a/packages/router/src/standalone/StandaloneScheduler.ts
+++ b/packages/router/src/standalone/StandaloneScheduler.ts
@@ -46,14 +46,15 @@
         const free = candidates(request)
             .filter(upstream => loadOf(upstream).inFlight < loadOf(upstream).usableSlots)
             .sort((left, right) => loadOf(left).inFlight - loadOf(right).inFlight)[0];
-        return free && createLease(free);
+        return free && createLease(free, request.deadlineMs);
     }
 
-    function createLease(upstream: documents.Upstream): scheduling.SlotLease {
+    function createLease(upstream: documents.Upstream, deadlineMs: number): scheduling.SlotLease {
         const load = loadOf(upstream);
         load.inFlight++;
         return {
             upstream,
+            deadlineMs,
             noteFirstByte: () => undefined,
             release(outcome) {
                 load.inFlight--;
