Check how one version of the document may follow another

Cause: a VM added with an old joinedVersion would act on shares before their previous owners stop, and a VM left out without being retired may still run. Neither fault shows in one document on its own. Change: checkTransition, used by the console before submission. Routers do not apply it, because one that missed versions would refuse what others adopted.

--- a/packages/console/src/DraftReview.ts
+++ b/packages/console/src/DraftReview.ts
@@ -21,9 +21,9 @@
     if (before.isErr()) {
         return { errors: [], changes: ["This is the first document."], text };
     }
-    if (parsed.value.version <= before.value.version) {
-        const message = `must be higher than the loaded document's version ${before.value.version}`;
-        return { errors: [{ path: "version", message }], changes: [], text: undefined };
+    const errors = documents.checkTransition(before.value, parsed.value);
+    if (errors.length > 0) {
+        return { errors, changes: [], text: undefined };
     }
     return {
         errors: [],
--- a/packages/console/src/page/ConsolePage.ts
+++ b/packages/console/src/page/ConsolePage.ts
@@ -125,12 +125,18 @@
         element("legend", {}, title),
         ...rows,
         button(`Add to ${title}`, () => {
-            items.push(emptyValue(itemSchema) as Values);
+            items.push(newItem(itemSchema, path));
             render();
         }),
     );
 }
 
+function newItem(schema: Schema, path: string): Values {
+    const item = emptyValue(schema) as Values;
+    // A VM that joins must wait for the VMs that owned its part; the version tells them apart.
+    return path === "vms" ? { ...item, joinedVersion: state.draft["version"] } : item;
+}
+
 function renderInput(schema: Schema, holder: Values, name: string, path: string): HTMLElement {
     const id = `field-${path}`;
     const input = createInput(schema, holder[name]);
@@ -288,7 +294,7 @@
     );
     byId("changes").replaceChildren(...found.changes.map(change => element("li", {}, change)));
     markErrors(found);
-    showStatus(found.errors.length > 0 ? `${found.errors.length} errors` : `${found.changes.length} changes`);
+    showStatus(found.errors.length > 0 ? `Errors: ${found.errors.length}` : `Changes: ${found.changes.length}`);
     return found;
 }
 
