ownership: wait for more than half of the VMs before a handover

Cause: a previous owner could confirm a version, restart empty beside a stale platform, adopt the old document again and act beside the new owner. Found by reading the handover rule against the start-up rule of the document feed. Change: the new owner also waits until more than half of the VMs hold its joinedVersion, which every restarting VM reads.

--- a/packages/ownership/__tests__/unit/Ownership.test.ts
+++ b/packages/ownership/__tests__/unit/Ownership.test.ts
@@ -216,6 +216,18 @@
             assert.equal(searchForDoubleHolder(hasty).failed, true);
         });
 
+        it("waits for more than half of the VMs, which a restarting predecessor asks (guards against its old version)", () => {
+            const fleet = fleetOf(2, [...named(5), { id: "new", joinedVersion: 2 }]);
+            const vm = startVm("new", fleet);
+            const moved = resources.find(resource => vm.ownerOf(resource) === "new")!;
+            const [, previous, ...others] = vm.ranking(moved);
+            vm.notePeerVersion(previous!, 2);
+            vm.notePeerVersion(others[0]!, 2);
+            assert.deepEqual(vm.holdingOf(moved), { kind: "waiting", previousOwner: previous });
+            vm.notePeerVersion(others[1]!, 2);
+            assert.equal(vm.holdingOf(moved).kind, "held");
+        });
+
         it("waits for every predecessor, also when the latest is itself still waiting", () => {
             const fleet = fleetOf(3, [
                 { id: "vm-0" },
--- a/packages/ownership/src/createOwnership.ts
+++ b/packages/ownership/src/createOwnership.ts
@@ -108,7 +108,22 @@
             }
             sinceMs = Math.max(sinceMs, confirmedMs);
         }
-        return { kind: "held", sinceMs };
+        const [latest] = predecessors;
+        return latest && !isConfirmedByMajority(latest.stopsAtVersion)
+            ? { kind: "waiting", previousOwner: latest.previousOwner }
+            : { kind: "held", sinceMs };
+    };
+
+    const hasConfirmed = (peer: core.VmId, documentVersion: number): boolean =>
+        peer === self || confirmed.findConfirmedMs(peer, documentVersion) !== undefined;
+
+    /**
+     * A VM that restarts reads the version of more than half of the VMs before it trusts a document. With this check,
+     * a previous owner that confirmed a version and then restarted beside a stale platform meets that version again.
+     */
+    const isConfirmedByMajority = (documentVersion: number): boolean => {
+        const count = members().filter(({ value }) => hasConfirmed(value.id, documentVersion)).length;
+        return count > members().length / 2;
     };
 
     const subscription = options.document.changes.subscribe(adopt);
@@ -117,10 +132,7 @@
         ownerOf: resource => findOwner(resource).id,
         ranking: resource => rank(resource, members()).map(({ value }) => value.id),
         notePeerVersion: (peer, documentVersion) => confirmed.note(peer, documentVersion, clock.nowMs()),
-        isConfirmedByAll: documentVersion =>
-            members().every(({ value }) =>
-                value.id === self || confirmed.findConfirmedMs(value.id, documentVersion) !== undefined
-            ),
+        isConfirmedByAll: documentVersion => members().every(({ value }) => hasConfirmed(value.id, documentVersion)),
         dispose: () => subscription.unsubscribe(),
     };
 }
