Add the rate limiter: token buckets, loans and settlement

Rates and bursts hold over the whole fleet while every VM admits on its own. Each bucket has one owner, which lends tokens for a limited time. Tokens plus outstanding loans of a bucket never exceed its burst share, and a loan ends earlier at the borrower than at the lender.

A request to an owner carries a sequence number, which is also the id of the loans it obtains, and says how many answers never arrived. Late and repeated requests lend nothing, and unreceived loans are taken back.

While a change of bucketsPerCustomer spreads, only the buckets of the smaller count act, with shares of the larger count, because shares of both counts add up to more than the rate.

--- a/packages/limits/src/RateLimiter.ts
+++ b/packages/limits/src/RateLimiter.ts
@@ -13,7 +13,7 @@
 /** Refusal of a request that exceeds its customer's rate. Its verdict is always `not-run`. */
 export interface RateRefusal {
     readonly kind: "rate-exceeded" | "unknown-customer" | "cost-exceeds-burst";
-    /** Time in ms after which the request is likely to be admitted. */
+    /** Time in ms after which the request is likely to be admitted; 0 where waiting does not help. */
     readonly retryAfterMs: number;
 }
 
--- /dev/null
+++ b/packages/limits/src/createRateLimiter.ts
@@ -0,0 +1,141 @@
+import * as core from "@peridotloft/core";
+import type * as document from "@peridotloft/document";
+import type * as ownership from "@peridotloft/ownership";
+import { err, type Result } from "neverthrow";
+import { decodeRequest, encodeAnswer } from "./BorrowMessages.js";
+import { createCostEstimate } from "./CostEstimate.js";
+import { createCustomerBudget, type CustomerBudget } from "./CustomerBudget.js";
+import { createDemandEstimate } from "./DemandEstimate.js";
+import * as constants from "./LimitsConstants.js";
+import { bucketResource, sum } from "./LimitsUtils.js";
+import { createLoanBook } from "./LoanBook.js";
+import { createOwnBuckets } from "./OwnBuckets.js";
+import { createOwnerLink, type LoanTiming, type OwnerLink } from "./OwnerLink.js";
+import type { RateLimiter, RateRefusal } from "./RateLimiter.js";
+import { createShareTable } from "./ShareTable.js";
+import { type BucketShare, createTokenBucket, type TokenBucket } from "./TokenBucket.js";
+
+export interface RateLimiterOptions {
+    readonly self: core.VmId;
+    readonly clock: core.Clock;
+    readonly random: core.Random;
+    readonly endpoint: core.PeerEndpoint;
+    readonly ownership: ownership.Ownership;
+    /** The document in force on this VM. */
+    readonly document: core.SnapshotCell<document.FleetDocument>;
+    /** Creates the buckets that this VM owns; by default {@link createTokenBucket}. */
+    readonly createBucket?: (share: BucketShare, accrueFromMs: number) => TokenBucket;
+    /** Time in ms from which a loan can no longer be spent; by default {@link expireFromSending}. */
+    readonly loanExpiryMs?: (timing: LoanTiming) => number;
+}
+
+/** A loan's lifetime starts when its request was sent, so the borrower always stops before the lender. */
+export function expireFromSending({ sentAtMs, lifetimeMs }: LoanTiming): number {
+    return sentAtMs + lifetimeMs;
+}
+
+const incarnationBits = 52;
+
+/**
+ * Creates this VM's part of the fleet's rate limiter (design page, section 4.2).
+ *
+ * Over every interval of length t, the settled cost of a customer's admitted requests, summed over all VMs, is at most
+ * rate·t + burst + E. E is the sum of |actual − estimate| over requests that were in flight, or whose settlement the
+ * owner had not received, at some moment of the interval. Passing a settlement on takes up to an eighth of a loan
+ * lifetime and one call when the owner is reachable. While two documents are in force the larger rate and burst count.
+ * A restarted owner forgets the debt of its bucket; E includes what is left of it after one loan lifetime.
+ */
+export function createRateLimiter(options: RateLimiterOptions): RateLimiter {
+    const { self, clock, random, endpoint, ownership } = options;
+    const incarnation = BigInt(Math.floor(random() * 2 ** incarnationBits));
+    const budgets = new Map<core.CustomerId, CustomerBudget>();
+    const active = new Set<core.CustomerId>();
+    const links = new Map<core.VmId, OwnerLink>();
+    const shares = createShareTable({ clock, document: options.document, ownership });
+    const buckets = createOwnBuckets({ ownership, shares, createBucket: options.createBucket ?? createTokenBucket });
+    const book = createLoanBook({
+        buckets,
+        ownDemandPerMs: (customer, nowMs) => budgets.get(customer)?.demandPerMs(nowMs) ?? 0,
+        loanLifetimeMs: shares.loanLifetimeMs,
+    });
+
+    const linkOf = (owner: core.VmId): OwnerLink => {
+        const link = links.get(owner) ?? createOwnerLink({
+            owner,
+            clock,
+            transport: endpoint,
+            incarnation,
+            loanExpiryMs: options.loanExpiryMs ?? expireFromSending,
+            onAnswer: customer => budgets.get(customer)?.serveWaiting(),
+        });
+        links.set(owner, link);
+        return link;
+    };
+
+    const budgetOf = (customer: core.CustomerId): CustomerBudget => {
+        const budget = budgets.get(customer) ?? createCustomerBudget({
+            customer,
+            clock,
+            random,
+            shares,
+            buckets,
+            demand: createDemandEstimate(constants.demandTimeConstantMs),
+            costs: createCostEstimate(),
+            findLink(index) {
+                const owner = ownership.ownerOf(bucketResource(customer, index));
+                return owner === self ? undefined : linkOf(owner);
+            },
+            onActive: () => void active.add(customer),
+        });
+        budgets.set(customer, budget);
+        return budget;
+    };
+
+    const lend = async (from: core.VmId, payload: Uint8Array): Promise<Result<Uint8Array, string>> =>
+        decodeRequest(payload).andThen(request =>
+            book.handle(from, request, clock.nowMs()).map(grants =>
+                encodeAnswer({
+                    sequence: request.sequence,
+                    lifetimeMs: shares.loanLifetimeMs(),
+                    grants: grants.map(grant => ({ ...grant })),
+                })
+            )
+        );
+
+    const review = (): void => {
+        const nowMs = clock.nowMs();
+        [...active]
+            .filter(customer => !budgets.get(customer)?.review(shares.find(customer), nowMs))
+            .forEach(customer => active.delete(customer));
+    };
+
+    const unregister = endpoint.registerSlice(constants.sliceName, lend);
+    const stopReviews = core.setRepeatingTimer(clock, shares.loanLifetimeMs() * constants.checkRatio, review);
+
+    return {
+        async admit(customer, estimatedCost) {
+            core.invariant(estimatedCost >= 0, `the estimated cost ${estimatedCost} is not negative`);
+            const limit = shares.find(customer);
+            return limit
+                ? budgetOf(customer).admit(limit, estimatedCost)
+                : err<never, RateRefusal>({ kind: "unknown-customer", retryAfterMs: 0 });
+        },
+        estimateCost: (customer, maxCost) => Math.min(budgets.get(customer)?.meanCost() ?? maxCost, maxCost),
+        status() {
+            const nowMs = clock.nowMs();
+            const customers = options.document.read().customers.map(({ id }) => ({
+                customer: id,
+                availableCost: budgetOf(id).availableCost(nowMs),
+                lentCost: sum(buckets.findAll(id, nowMs).map(({ lent }) => lent.bucket.outstanding())),
+                admitted: budgetOf(id).admitted(),
+                refused: budgetOf(id).refused(),
+            }));
+            return { customers };
+        },
+        dispose() {
+            stopReviews();
+            unregister();
+            shares.dispose();
+        },
+    };
+}
--- a/packages/limits/src/index.ts
+++ b/packages/limits/src/index.ts
@@ -1,1 +1,4 @@
+export * from "./createRateLimiter.js";
+export type { LoanTiming } from "./OwnerLink.js";
 export * from "./RateLimiter.js";
+export * from "./TokenBucket.js";
