--- a/packages/testing/src/VirtualClock.ts
+++ b/packages/testing/src/VirtualClock.ts
@@ -4,6 +4,68 @@
     readonly dueMs: number;
     readonly order: number;
     readonly callback: () => void;
+    cancelled: boolean;
+}
+
+const isBefore = (left: Timer, right: Timer): boolean =>
+    left.dueMs < right.dueMs || (left.dueMs === right.dueMs && left.order < right.order);
+
+/** A binary heap, so that fleets of hundreds of VMs need not scan thousands of timers for each step. */
+interface TimerHeap {
+    push(timer: Timer): void;
+    /** The earliest timer that was not cancelled. */
+    peek(): Timer | undefined;
+    pop(): void;
+}
+
+function createTimerHeap(): TimerHeap {
+    const heap: Timer[] = [];
+    const before = (left: number, right: number): boolean => isBefore(heap[left] as Timer, heap[right] as Timer);
+    const swap = (left: number, right: number): void => {
+        [heap[left], heap[right]] = [heap[right] as Timer, heap[left] as Timer];
+    };
+    const siftUp = (index: number): void => {
+        for (let child = index; child > 0;) {
+            const parent = (child - 1) >> 1;
+            if (!before(child, parent)) {
+                return;
+            }
+            swap(child, parent);
+            child = parent;
+        }
+    };
+    const siftDown = (): void => {
+        for (let parent = 0;;) {
+            const left = 2 * parent + 1;
+            const right = left + 1;
+            const child = right < heap.length && before(right, left) ? right : left;
+            if (child >= heap.length || !before(child, parent)) {
+                return;
+            }
+            swap(child, parent);
+            parent = child;
+        }
+    };
+    const pop = (): void => {
+        const last = heap.pop();
+        if (last && heap.length > 0) {
+            heap[0] = last;
+            siftDown();
+        }
+    };
+    return {
+        push(timer) {
+            heap.push(timer);
+            siftUp(heap.length - 1);
+        },
+        peek() {
+            while (heap[0]?.cancelled) {
+                pop();
+            }
+            return heap[0];
+        },
+        pop,
+    };
 }
 
 /** A clock that moves only when a test advances it. Promise callbacks run between timers. */
@@ -18,19 +80,11 @@
 export function createVirtualClock(startMs = 0): VirtualClock {
     let nowMs = startMs;
     let order = 0;
-    const timers = new Set<Timer>();
+    const timers = createTimerHeap();
 
     const nextDue = (limitMs: number): Timer | undefined => {
-        let best: Timer | undefined;
-        for (const timer of timers) {
-            if (timer.dueMs > limitMs) {
-                continue;
-            }
-            if (!best || timer.dueMs < best.dueMs || (timer.dueMs === best.dueMs && timer.order < best.order)) {
-                best = timer;
-            }
-        }
-        return best;
+        const timer = timers.peek();
+        return timer && timer.dueMs <= limitMs ? timer : undefined;
     };
 
     const settle = async (): Promise<void> => {
@@ -43,17 +97,17 @@
         nowMs: () => nowMs,
         wallMs: () => nowMs,
         setTimer(delayMs, callback) {
-            const timer = { dueMs: nowMs + Math.max(0, delayMs), order: order++, callback };
-            timers.add(timer);
+            const timer = { dueMs: nowMs + Math.max(0, delayMs), order: order++, callback, cancelled: false };
+            timers.push(timer);
             return () => {
-                timers.delete(timer);
+                timer.cancelled = true;
             };
         },
         async advance(durationMs) {
             const limitMs = nowMs + durationMs;
             await settle();
             for (let timer = nextDue(limitMs); timer; timer = nextDue(limitMs)) {
-                timers.delete(timer);
+                timers.pop();
                 nowMs = timer.dueMs;
                 timer.callback();
                 const following = nextDue(nowMs);
