--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./FakeEngine.js";
 export * from "./FakeGossip.js";
+export * from "./FakePlatform.js";
 export * from "./RateTrace.js";
 export * from "./SeededRandom.js";
 export * from "./VirtualClock.js";
