--- /dev/null
+++ b/spec/loansBroken.qnt
@@ -0,0 +1,4 @@
+// Broken variant: a restarted lender accrues at once, while loans of its previous incarnation can still be spent.
+module loansBroken {
+    import loansProtocol(RESTART_WAIT = 0).* from "./loans"
+}
