cli: add the peridotloft command

Change: router, console, validate, diff, status, audit and hash-key with yargs, exit codes 0 to 3, and tests that run the built command as a process.

--- /dev/null
+++ b/packages/cli/__tests__/integration/Cli.test.ts
@@ -0,0 +1,194 @@
+import * as assert from "node:assert/strict";
+import { spawn } from "node:child_process";
+import { createHash } from "node:crypto";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, before, describe, it } from "node:test";
+import { fileURLToPath } from "node:url";
+
+const entry = fileURLToPath(new URL("../../src/main.js", import.meta.url));
+const folder = mkdtempSync(join(tmpdir(), "peridotloft-cli-"));
+
+interface Exit {
+    readonly code: number | null;
+    readonly out: string;
+    readonly err: string;
+}
+
+function run(args: readonly string[], input = ""): Promise<Exit> {
+    return new Promise(resolve => {
+        const child = spawn(process.execPath, [entry, ...args]);
+        const text = { out: "", err: "" };
+        child.stdout.on("data", chunk => text.out += chunk);
+        child.stderr.on("data", chunk => text.err += chunk);
+        child.on("close", code => resolve({ code, ...text }));
+        child.stdin.end(input);
+    });
+}
+
+const fleet = (version: number) => ({
+    version,
+    zones: [{ id: "a", region: "r", state: "in-service" }, { id: "b", region: "r" }],
+    vms: [{ id: "vm-1", zone: "a", peerAddress: "127.0.0.1:7101" }, {
+        id: "vm-2",
+        zone: "b",
+        peerAddress: "127.0.0.1:7102",
+    }],
+    customers: [{ id: "north", rateCostPerS: 10, burstCost: 20 }],
+    keys: [{ id: "k1", customer: "north", sha256: "0".repeat(64) }],
+    pools: [{
+        id: "assistant",
+        kind: "engine",
+        models: ["m1"],
+        upstreams: [
+            { id: "e1", zone: "a", url: "http://127.0.0.1:8101", slots: 8, coldSlots: 1 },
+            { id: "e2", zone: "b", url: "http://127.0.0.1:8102", slots: 8, coldSlots: 1 },
+        ],
+    }],
+});
+
+function write(name: string, value: unknown): string {
+    const file = join(folder, name);
+    writeFileSync(file, typeof value === "string" ? value : JSON.stringify(value));
+    return file;
+}
+
+describe("peridotloft", () => {
+    const pages = new Map([["/status", `{"ready":true}`], ["/audit", `[{"section":"zones","id":"a"}]`]]);
+    const server = createServer((request, response) => {
+        const page = pages.get(request.url ?? "");
+        response.writeHead(page ? 200 : 404).end(page ?? "<html>");
+    });
+    let url = "";
+
+    before(async () => {
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        url = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+        pages.set("/prefix/status", "<html>");
+    });
+
+    after(() => {
+        server.close();
+        rmSync(folder, { recursive: true });
+    });
+
+    it("prints help with examples and exit codes", async () => {
+        const { code, out } = await run(["--help"]);
+        assert.equal(code, 0);
+        assert.match(out, /validate fleet\.json/);
+        assert.match(out, /Exit codes: 0 done/);
+    });
+
+    it("exits with 2 on wrong arguments", async () => {
+        const exits = await Promise.all([[], ["frob"], ["diff", "one"], ["router"]].map(args => run(args)));
+        assert.deepEqual(exits.map(({ code }) => code), [2, 2, 2, 2]);
+        assert.match(exits[3]!.err, /settings/);
+    });
+
+    describe("validate", () => {
+        it("accepts a valid document", async () => {
+            const { code, out } = await run(["validate", write("valid.json", fleet(3))]);
+            assert.deepEqual([code, out.includes("version 3 is valid")], [0, true]);
+        });
+
+        it("prints every error at its path", async () => {
+            const file = write("invalid.json", { ...fleet(3), customers: [{ id: "north", rateCostPerS: -1 }] });
+            const { code, err } = await run(["validate", file]);
+            assert.equal(code, 2);
+            assert.match(err, /customers\[0\]\.rateCostPerS: /);
+            assert.match(err, /customers\[0\]\.burstCost: /);
+        });
+
+        it("says what is wrong with a missing file and with bad JSON", async () => {
+            const [missing, bad] = await Promise.all([
+                run(["validate", join(folder, "none.json")]),
+                run(["validate", write("bad.json", "{")]),
+            ]);
+            assert.deepEqual([missing.code, bad.code], [2, 2]);
+            assert.match(missing.err, /none\.json: cannot be read: ENOENT/);
+            assert.match(bad.err, /bad\.json: is not JSON/);
+        });
+    });
+
+    describe("diff", () => {
+        it("says for whom a zone, a rate and a key change", async () => {
+            const next = fleet(4);
+            Object.assign(next.zones[0]!, { state: "leaving" });
+            Object.assign(next.customers[0]!, { rateCostPerS: 30 });
+            const { code, out } = await run([
+                "diff",
+                write("old.json", fleet(3)),
+                write("new.json", { ...next, keys: [] }),
+            ]);
+            assert.equal(code, 0);
+            assert.deepEqual(out.trim().split("\n"), [
+                "version 3 -> 4: 3 change(s)",
+                "- Availability zone a: state in-service -> leaving. Its upstreams get no new work. "
+                + "Affects upstream e1 and VM vm-1.",
+                "- Customer north: rateCostPerS 10 -> 30.",
+                "- Key k1 of customer north is withdrawn: its callers are refused with 401, and their open streams end.",
+            ]);
+        });
+
+        it("exits with 2 when the one may not follow the other", async () => {
+            const next = { ...fleet(4), vms: fleet(4).vms.slice(1) };
+            const { code, err } = await run(["diff", write("a.json", fleet(3)), write("b.json", next)]);
+            assert.equal(code, 2);
+            assert.match(err, /b\.json: vms: VM 'vm-1' must be published as retired/);
+        });
+    });
+
+    describe("status and audit", () => {
+        it("print JSON when not on a terminal", async () => {
+            const exits = await Promise.all([run(["status", url]), run(["audit", url])]);
+            assert.deepEqual(exits.map(({ out }) => JSON.parse(out)), [{ ready: true }, [{
+                section: "zones",
+                id: "a",
+            }]]);
+        });
+
+        it("print text for people with --no-json", async () => {
+            const { out } = await run(["audit", url, "--no-json"]);
+            assert.equal(out, "{ section: 'zones', id: 'a' }\n");
+        });
+
+        it("exit with 3 when the URL does not answer or not with JSON, and with 2 when it is no URL", async () => {
+            const exits = await Promise.all([
+                run(["status", "http://127.0.0.1:9"]),
+                run(["status", `${url}/prefix`]),
+                run(["audit", `${url}/prefix`]),
+                run(["status", "vm-1"]),
+            ]);
+            assert.deepEqual(exits.map(({ code }) => code), [3, 3, 3, 2]);
+            assert.match(exits[1]!.err, /did not answer with JSON/);
+            assert.match(exits[2]!.err, /answered with status 404/);
+        });
+    });
+
+    describe("hash-key", () => {
+        const sha256 = (text: string) => createHash("sha256").update(text).digest("hex");
+
+        it("hashes the key from standard input", async () => {
+            assert.equal((await run(["hash-key"], "secret-key\n")).out.trim(), sha256("secret-key"));
+        });
+
+        it("generates a key whose hash it prints", async () => {
+            const { out, err } = await run(["hash-key", "--generate"]);
+            assert.equal(out.trim(), sha256(/: (\S+)/.exec(err)?.[1] ?? ""));
+        });
+
+        it("refuses empty input", async () => {
+            assert.equal((await run(["hash-key"])).code, 2);
+        });
+    });
+
+    it("router reports every error of its settings and exits with 2", async () => {
+        const { code, err } = await run(["router", "--settings", write("settings.json", { vmId: "vm-1" })]);
+        assert.equal(code, 2);
+        assert.match(err, /peerSecret/);
+        assert.match(err, /platformUrls/);
+    });
+});
--- /dev/null
+++ b/packages/cli/src/Cli.ts
@@ -0,0 +1,108 @@
+import yargs, { type Argv } from "yargs";
+import { showAdminPage } from "./AdminCommand.js";
+import { defaultConsolePort, exitCodes } from "./CliConstants.js";
+import { fail, writeOutput } from "./CommandOutput.js";
+import { runConsole } from "./ConsoleCommand.js";
+import { diff } from "./DiffCommand.js";
+import { hashKey } from "./HashKeyCommand.js";
+import { runRouter } from "./RouterCommand.js";
+import { validate } from "./ValidateCommand.js";
+
+/** Runs the command with its arguments and sets the exit code of the process. */
+export async function runCli(args: readonly string[]): Promise<void> {
+    const parser = yargs([...args])
+        .scriptName("peridotloft")
+        .usage("$0 COMMAND")
+        .strict()
+        .demandCommand(1, "a command is missing");
+    addProcessCommands(parser);
+    addDocumentCommands(parser);
+    addAdminCommands(parser);
+    addHelp(parser);
+    try {
+        await parser.parseAsync();
+    }
+    catch (error) {
+        writeOutput(fail(exitCodes.failed, [`peridotloft: ${(error as Error).message}`]));
+    }
+}
+
+function addProcessCommands(parser: Argv): void {
+    parser.command(
+        "router",
+        "run a router process until SIGTERM",
+        command => command.option("settings", { type: "string", demandOption: true, describe: "JSON settings file" }),
+        ({ settings }) => runRouter(settings),
+    );
+    parser.command(
+        "console",
+        "serve the forms that make the document, on loopback",
+        command =>
+            command
+                .option("port", { type: "number", default: defaultConsolePort, describe: "TCP port" })
+                .option("platform", { type: "string", describe: "base URL of the configuration service" }),
+        ({ port, platform }) => runConsole(port, platform),
+    );
+}
+
+function addDocumentCommands(parser: Argv): void {
+    parser.command(
+        "validate <file>",
+        "check a document and print every error at its path",
+        command => command.positional("file", { type: "string", demandOption: true }),
+        ({ file }) => writeOutput(validate(file)),
+    );
+    parser.command(
+        "diff <old> <new>",
+        "say what changes from one document to the next, and for whom",
+        command =>
+            command
+                .positional("old", { type: "string", demandOption: true })
+                .positional("new", { type: "string", demandOption: true }),
+        argv => writeOutput(diff(argv.old, argv.new)),
+    );
+    parser.command(
+        "hash-key",
+        "read a key from standard input and print its hash for the document",
+        command => command.option("generate", { type: "boolean", default: false, describe: "make a new key instead" }),
+        async ({ generate }) => writeOutput(await hashKey(generate)),
+    );
+}
+
+function addAdminCommands(parser: Argv): void {
+    const pages = [["status", "show the state of a router"], ["audit", "show the audit trail of a router"]] as const;
+    pages.forEach(([page, description]) =>
+        parser.command(
+            `${page} <url>`,
+            description,
+            command =>
+                command
+                    .positional("url", { type: "string", demandOption: true, describe: "URL of the admin port" })
+                    .option("json", { type: "boolean", describe: "print JSON; the default when not on a terminal" }),
+            async ({ url, json }) =>
+                writeOutput(await showAdminPage({ url, page, json: json ?? !process.stdout.isTTY })),
+        )
+    );
+}
+
+function addHelp(parser: Argv): void {
+    parser
+        .example("$0 router --settings vm-1.json", "run the router of vm-1")
+        .example("$0 validate fleet.json", "check a document before it is published")
+        .example("$0 diff published.json draft.json", "see what a draft changes")
+        .example("$0 status http://127.0.0.1:7201", "is the router ready, and with which version")
+        .example("$0 audit http://127.0.0.1:7201 --json", "the last changes, for other programs")
+        .example("$0 hash-key --generate", "make a key; its hash goes into the document")
+        .epilogue(
+            "Exit codes: 0 done; 1 failed; 2 wrong arguments, missing file, bad JSON, or invalid document or settings; "
+                + "3 the URL did not answer or not as expected.",
+        )
+        .wrap(100)
+        .fail((message, error) => {
+            if (error) {
+                throw error;
+            }
+            process.stderr.write(`peridotloft: ${message}; see peridotloft --help\n`);
+            process.exit(exitCodes.invalid);
+        });
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export { runCli } from "./Cli.js";
+export { exitCodes } from "./CliConstants.js";
+export { describeChanges } from "./DiffWords.js";
