--- a/packages/document/src/FleetDocument.ts
+++ b/packages/document/src/FleetDocument.ts
@@ -30,14 +30,14 @@
 });
 
 const zoneSchema = z.strictObject({
-    id: id(core.zoneId),
-    region: z.string().min(1),
-    state: serviceState.default("in-service"),
+    id: id(core.zoneId).describe("Name of the availability zone."),
+    region: z.string().min(1).describe("Region that the availability zone is in."),
+    state: serviceState.default("in-service").describe("'leaving' and 'out': its upstreams get no new work."),
 });
 
 const vmSchema = z.strictObject({
-    id: id(core.vmId),
-    zone: id(core.zoneId),
+    id: id(core.vmId).describe("Name of the VM; it stays when the machine is replaced."),
+    zone: id(core.zoneId).describe("Availability zone that the VM is in."),
     peerAddress: hostAndPort.describe("IPv4 address and port where the VM listens for other VMs."),
     state: z.enum(["in-service", "leaving", "out", "retired"]).default("in-service")
         .describe("'retired' states that the machine has been terminated; what it owned moves to other VMs."),
@@ -45,7 +45,7 @@
 });
 
 const customerSchema = z.strictObject({
-    id: id(core.customerId),
+    id: id(core.customerId).describe("Name of the customer."),
     weight: z.number().positive().max(1_000).default(1).describe("Share of contended capacity, relative to others."),
     rateCostPerS: z.number().positive().describe("Sustained rate in cost units per second, over the whole fleet."),
     burstCost: z.number().positive().describe("Burst in cost units, over the whole fleet."),
@@ -55,23 +55,24 @@
 });
 
 const keySchema = z.strictObject({
-    id: id(core.keyId),
-    customer: id(core.customerId),
-    sha256: z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 hash in 64 lower-case hex digits"),
+    id: id(core.keyId).describe("Name of the key; not the key itself."),
+    customer: id(core.customerId).describe("Customer whose requests come with the key."),
+    sha256: z.string().regex(/^[0-9a-f]{64}$/, "must be a SHA-256 hash in 64 lower-case hex digits")
+        .describe("SHA-256 hash of the key, as `peridotloft hash-key` prints it."),
 });
 
 const upstreamSchema = z.strictObject({
-    id: id(core.upstreamId),
-    zone: id(core.zoneId),
-    url: httpUrl,
+    id: id(core.upstreamId).describe("Name of the upstream."),
+    zone: id(core.zoneId).describe("Availability zone that the upstream is in."),
+    url: httpUrl.describe("Base URL of the upstream."),
     slots: z.int().min(1).max(10_000).describe("Requests the upstream may run at once, from all VMs together."),
     coldSlots: z.int().min(1).max(10_000).describe("Requests the upstream may run at once while in cold start."),
-    state: serviceState.default("in-service"),
+    state: serviceState.default("in-service").describe("'leaving' and 'out': it gets no new work."),
 });
 
 const poolSchema = z.strictObject({
-    id: id(core.poolId),
-    kind: z.enum(["engine", "service"]),
+    id: id(core.poolId).describe("Name of the pool."),
+    kind: z.enum(["engine", "service"]).describe("Model engines, or plain services behind routes."),
     models: z.array(z.string().min(1)).default([]).describe("Model names that an engine pool serves."),
     deadlineMs: durationMs(100, 3_600_000).default(60_000).describe("Time in ms in which a request must end."),
     firstByteTimeoutMs: durationMs(50, 3_600_000).default(10_000)
@@ -82,10 +83,11 @@
 });
 
 const routeSchema = z.strictObject({
-    id: id(core.routeId),
-    method: z.enum(["GET", "POST", "PUT", "PATCH", "DELETE"]),
-    path: z.string().regex(/^\/[^?#\s]*$/, "must be an absolute path without query"),
-    pool: id(core.poolId),
+    id: id(core.routeId).describe("Name of the route."),
+    method: z.enum(["GET", "POST", "PUT", "PATCH", "DELETE"]).describe("HTTP method that callers use."),
+    path: z.string().regex(/^\/[^?#\s]*$/, "must be an absolute path without query")
+        .describe("Path that callers use."),
+    pool: id(core.poolId).describe("Pool whose upstreams answer."),
     idempotent: z.boolean().describe("Whether running a request twice has the same effect as running it once."),
     open: z.boolean().default(false).describe("Whether callers need no key."),
     cost: z.number().positive().default(1).describe("Cost units charged for each request."),
--- /dev/null
+++ b/scripts/generate-docs.mjs
@@ -0,0 +1,147 @@
+// Writes tables of docs/OPERATIONS.md between the marks of each region: the fields of document and settings from their
+// zod schemas, and the refusals from the router's rules.
+// Usage: node scripts/generate-docs.mjs [--check]   --check changes nothing and fails when the page is not current.
+import { readFileSync, writeFileSync } from "node:fs";
+import * as z from "zod";
+import { fleetDocumentSchema } from "../packages/document/dist/src/index.js";
+import { settingsSchema } from "../packages/router/dist/src/index.js";
+import { failureRules } from "../packages/router/dist/src/RequestFailure.js";
+
+const page = "docs/OPERATIONS.md";
+const schemas = { document: fleetDocumentSchema, settings: settingsSchema };
+
+// Fields of the settings whose schema says nothing about their meaning.
+const meanings = {
+    "settings.vmId": "Name of this VM, as in the document's `vms`.",
+    "settings.zone": "Availability zone that this VM is in.",
+    "settings.seedPeers[].vmId": "Name of the VM.",
+    "settings.seedPeers[].address": "Its address for other VMs.",
+    "settings.peerSecret":
+        "Secret that all VMs share; it authenticates messages between VMs and signs operation tickets.",
+    "settings.entry.maxBodyBytes": "Largest request body.",
+    "settings.entry.maxHeaderBytes": "Largest size of a request's headers.",
+    "settings.entry.headersTimeoutMs": "Time in which a caller must send the headers.",
+    "settings.entry.requestTimeoutMs": "Time in which a caller must send the whole request.",
+};
+
+const units = [
+    [/CostPerS$/, "cost units/s"],
+    [/(^c|C)ost$/, "cost units"],
+    [/Ms$/, "ms"],
+    [/Bytes$/, "bytes"],
+    [/[sS]lots$|^maxQueued$/, "requests"],
+];
+
+/** Lists the leaf fields under a JSON schema with their paths. */
+function fieldsOf(schema, path) {
+    const required = new Set(schema.required ?? []);
+    return Object.entries(schema.properties).flatMap(([name, field]) => {
+        const fieldPath = path === "" ? name : `${path}.${name}`;
+        if (field.properties) {
+            return fieldsOf(field, fieldPath);
+        }
+        if (field.items?.properties) {
+            return fieldsOf(field.items, `${fieldPath}[]`);
+        }
+        return [{ name, path: fieldPath, field, isRequired: required.has(name) }];
+    });
+}
+
+function typeOf(field) {
+    if (field.enum) {
+        return field.enum.map(value => `\`${value}\``).join(", ");
+    }
+    if (field.type === "array") {
+        return `list of ${typeOf(field.items)}`;
+    }
+    const name = field.format === "uri"
+        ? "URL"
+        : { integer: "integer", number: "number", boolean: "boolean" }[field.type];
+    return [name ?? "text", rangeOf(field)].filter(part => part !== "").join(" ");
+}
+
+function rangeOf(field) {
+    const maximum = field.maximum === Number.MAX_SAFE_INTEGER ? undefined : field.maximum;
+    if (field.exclusiveMinimum !== undefined) {
+        return maximum === undefined
+            ? `above ${field.exclusiveMinimum}`
+            : `above ${field.exclusiveMinimum}, up to ${maximum}`;
+    }
+    if (field.minimum === undefined) {
+        return "";
+    }
+    return maximum === undefined ? `from ${field.minimum}` : `${field.minimum} to ${maximum}`;
+}
+
+function defaultOf({ field, isRequired }) {
+    if (field.default !== undefined) {
+        return `\`${JSON.stringify(field.default)}\``;
+    }
+    return isRequired ? "required" : "none";
+}
+
+function meaningOf(region, { path, field }) {
+    const meaning = field.description ?? meanings[`${region}.${path}`];
+    if (meaning === undefined) {
+        throw new Error(`field ${path} of the ${region} has no meaning: add .describe() to its schema`);
+    }
+    return meaning;
+}
+
+function unitOf(name) {
+    return units.find(([pattern]) => pattern.test(name))?.[1] ?? "";
+}
+
+function fieldTableOf(region) {
+    const fields = fieldsOf(z.toJSONSchema(schemas[region], { io: "input" }), "");
+    const rows = fields.map(entry =>
+        `| ${
+            [`\`${entry.path}\``, typeOf(entry.field), unitOf(entry.name), defaultOf(entry), meaningOf(region, entry)]
+                .join(" | ")
+        } |`
+    );
+    return ["| field | type | unit | default | meaning |", "|---|---|---|---|---|", ...rows].join("\n");
+}
+
+function refusalTable() {
+    const rows = Object.entries(failureRules).map(([code, { statusCode, verdict, retryAfterMs, message }]) => {
+        const verdicts = verdict === "not-run"
+            ? "`not-run`"
+            : "`may-have-run` if any of it was written, else `not-run`";
+        return `| \`${code}\` | ${statusCode} | ${verdicts} | ${
+            retryAfterMs === undefined ? "no" : "yes"
+        } | ${message} |`;
+    });
+    return ["| code | status | verdict | `Retry-After` | meaning |", "|---|---|---|---|---|", ...rows].join("\n");
+}
+
+const tables = {
+    refusals: refusalTable,
+    document: () => fieldTableOf("document"),
+    settings: () => fieldTableOf("settings"),
+};
+
+function replaceRegion(text, region) {
+    const begin = `<!-- generated by scripts/generate-docs.mjs: ${region} -->`;
+    const end = `<!-- end: ${region} -->`;
+    const from = text.indexOf(begin);
+    const to = text.indexOf(end);
+    if (from < 0 || to < from) {
+        throw new Error(`${page} lacks the region ${region}`);
+    }
+    return `${text.slice(0, from + begin.length)}\n\n${tables[region]()}\n\n${text.slice(to)}`;
+}
+
+const current = readFileSync(page, "utf8");
+const generated = Object.keys(tables).reduce(replaceRegion, current);
+if (generated === current) {
+    console.log(`${page} is current`);
+}
+else if (process.argv.includes("--check")) {
+    console.error(`${page} is not current: run node scripts/generate-docs.mjs`);
+    process.exitCode = 1;
+}
+else {
+    writeFileSync(page, generated);
+    console.log(`${page} written`);
+}
