Test router, engine and service as real processes; stop poison requests at two

Cause: nothing had been run across processes, and a request that crashes upstreams was retried on a third one within the same call, because quarantine was checked only before the first attempt.

Quarantine is checked before each retry. The engine no longer leaves a listener behind for each wait on a slow reader.

--- a/packages/demo/src/Engine.ts
+++ b/packages/demo/src/Engine.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createEngineBatch, type EngineBatch, type EngineLoad } from "./EngineBatch.js";
 import type { EngineFaults, EngineOptions } from "./EngineOptions.js";
-import { delay, readJson, readText, sendJson, serveStandIn } from "./StandInServer.js";
+import { delay, drained, readJson, readText, sendJson, serveStandIn } from "./StandInServer.js";
 
 interface ChatRequest {
     readonly model: string;
@@ -161,10 +161,7 @@
 async function sendEvent(response: ServerResponse, event: unknown): Promise<void> {
     startEvents(response);
     if (!response.write(`data: ${JSON.stringify(event)}\n\n`) && !response.destroyed) {
-        await Promise.race([
-            new Promise(resolve => response.once("drain", resolve)),
-            new Promise(resolve => response.once("close", resolve)),
-        ]);
+        await drained(response);
     }
 }
 
--- a/packages/demo/src/StandInServer.ts
+++ b/packages/demo/src/StandInServer.ts
@@ -56,6 +56,19 @@
     response.end(body);
 }
 
+/** Resolves when the response takes more bytes, or is closed. */
+export function drained(response: ServerResponse): Promise<void> {
+    return new Promise(resolve => {
+        const done = (): void => {
+            response.removeListener("drain", done);
+            response.removeListener("close", done);
+            resolve();
+        };
+        response.on("drain", done);
+        response.on("close", done);
+    });
+}
+
 export function delay(ms: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, ms));
 }
--- /dev/null
+++ b/packages/router/__tests__/integration/Requests.test.ts
@@ -0,0 +1,271 @@
+import * as demo from "@peridotloft/demo";
+import * as assert from "node:assert/strict";
+import { once } from "node:events";
+import { connect } from "node:net";
+import { after, before, describe, it } from "node:test";
+import OpenAI from "openai";
+import { chat, chatBody, control, eventually, open, openChat, type Received, send } from "./TestClient.js";
+
+interface EngineStats {
+    readonly requests: number;
+    readonly cancelled: number;
+    readonly running: number;
+    readonly withKey: number;
+}
+
+interface Executions {
+    readonly executions: Record<string, number>;
+    readonly withKey: number;
+}
+
+const smallKey = "demo-key-small";
+// SHA-256 of `smallKey`.
+const smallKeyHash = "76ad3e4a00e92bcaf6bf2106df0c001799506b5869f183a4dbe517165d279d95";
+
+const errorOf = (received: Received) =>
+    (JSON.parse(received.text) as { error: { code: string; verdict: string; request_id: string; }; }).error;
+
+describe("requests through router and engine processes", () => {
+    let fleet: demo.Fleet;
+    let router: string;
+    let engine: string;
+    let service: string;
+
+    before(async () => {
+        fleet = await demo.startFleet({
+            zones: ["a"],
+            routers: 1,
+            engines: 1,
+            services: 1,
+            engineOptions: { startsCold: false, tokenPaceMs: 10 },
+            routerSettings: { entry: { headersTimeoutMs: 500, requestTimeoutMs: 1_000 } },
+            adjust: document => ({
+                ...document,
+                customers: [...document.customers, { id: "small", rateCostPerS: 0.001, burstCost: 100 }],
+                keys: [...document.keys ?? [], { id: "k3", customer: "small", sha256: smallKeyHash }],
+                pools: document.pools.map(pool => ({ ...pool, firstByteTimeoutMs: 1_000, idleTimeoutMs: 500 })),
+            }),
+        });
+        [router, engine, service] = [fleet.routers[0]!.listen, fleet.engines[0]!.listen, fleet.services[0]!.listen];
+    });
+
+    after(() => fleet?.stop());
+
+    describe("with the npm openai client", () => {
+        const client = () => new OpenAI({ baseURL: `http://${router}/v1`, apiKey: demo.demoKey, maxRetries: 0 });
+        const messages = [{ role: "user" as const, content: "hello" }];
+
+        it("gets a whole answer", async () => {
+            const answer = await client().chat.completions.create({ model: demo.demoModel, messages, max_tokens: 5 });
+            assert.equal(answer.choices[0]!.message.content, "echo:hello w1 w2 w3 w4");
+            assert.equal(answer.usage!.completion_tokens, 5);
+        });
+
+        it("gets a stream with its usage", async () => {
+            const stream = await client().chat.completions.create({
+                model: demo.demoModel,
+                messages,
+                max_tokens: 5,
+                stream: true,
+                stream_options: { include_usage: true },
+            });
+            const chunks = [];
+            for await (const chunk of stream) {
+                chunks.push(chunk);
+            }
+            const text = chunks.map(chunk => chunk.choices[0]?.delta.content ?? "").join("");
+            assert.equal(text, "echo:hello w1 w2 w3 w4");
+            assert.equal(chunks.at(-1)!.usage!.completion_tokens, 5);
+        });
+
+        it("lists the models", async () => {
+            assert.deepEqual((await client().models.list()).data.map(model => model.id), [demo.demoModel]);
+        });
+
+        it("sees an error, and not a short answer, when a stream is cut", async () => {
+            await control(engine, "/admin/faults", "PUT", { truncateAfter: 2, truncateBy: "end" });
+            const stream = await client().chat.completions.create({ model: demo.demoModel, messages, stream: true });
+            await assert.rejects(async () => {
+                for await (const _ of stream) {
+                    // The error must come from reading to the end.
+                }
+            }, /incomplete/);
+            await control(engine, "/admin/faults", "PUT", {});
+        });
+    });
+
+    it("gives each of many callers its own answer", async () => {
+        const names = Array.from({ length: 40 }, (_, index) => `caller-${index}`);
+        const answers = await Promise.all(names.map((name, index) => chat(router, name, { stream: index % 2 === 0 })));
+        answers.forEach((answer, index) => {
+            assert.ok(answer.complete);
+            assert.ok(answer.text.includes(`echo:${names[index]!} `) || answer.text.includes(`echo:${names[index]!}"`));
+        });
+    });
+
+    it("cancels the engine's work when the caller leaves", async () => {
+        const { cancelled } = await control<EngineStats>(engine, "/admin/stats");
+        const stream = await openChat(router, "long", 2_000);
+        await stream.contains("w1");
+        stream.request.destroy();
+        await eventually("the engine stops", async () => {
+            const stats = await control<EngineStats>(engine, "/admin/stats");
+            return stats.cancelled === cancelled + 1 && stats.running === 0;
+        });
+    });
+
+    describe("never passes off a truncated answer as complete:", () => {
+        const faults = [
+            ["a stream whose connection closes", { truncateAfter: 3, truncateBy: "close" }, true],
+            ["a stream that ends without [DONE]", { truncateAfter: 3, truncateBy: "end" }, true],
+            ["a stream that falls silent", { silentAfter: 3 }, true],
+        ] as const;
+        faults.forEach(([fault, value, stream]) =>
+            it(fault, async () => {
+                await control(engine, "/admin/faults", "PUT", value);
+                const answer = await chat(router, "cut", { stream });
+                await control(engine, "/admin/faults", "PUT", {});
+                assert.equal(answer.complete, false);
+                assert.ok(!answer.text.includes("[DONE]"));
+                assert.match(answer.text, /data: \{"error":.*"verdict":"may-have-run"/);
+            })
+        );
+
+        it("a whole answer shorter than its length", async () => {
+            await control(engine, "/admin/faults", "PUT", { truncateAfter: 3 });
+            const answer = await chat(router, "cut");
+            await control(engine, "/admin/faults", "PUT", {});
+            assert.deepEqual([answer.statusCode, errorOf(answer).verdict], [502, "may-have-run"]);
+        });
+
+        it("a silent engine", async () => {
+            await control(engine, "/admin/faults", "PUT", { silentAfter: 0 });
+            const answer = await chat(router, "silent");
+            await control(engine, "/admin/faults", "PUT", {});
+            assert.deepEqual([answer.statusCode, errorOf(answer).verdict], [504, "may-have-run"]);
+        });
+    });
+
+    describe("refuses, with verdict not-run,", () => {
+        const completions = "/v1/chat/completions";
+        const refusals: readonly [string, number, string, () => Promise<Received>][] = [
+            ["a missing key", 401, "missing-key", () => send(router, completions, { key: undefined, body: "{}" })],
+            ["an unknown key", 401, "unknown-key", () => send(router, completions, { key: "x", body: "{}" })],
+            ["an unknown path", 404, "unknown-route", () => send(router, "/nowhere")],
+            ["a wrong method", 405, "method-not-allowed", () => send(router, "/holds", { method: "DELETE" })],
+            ["an unknown model", 404, "unknown-model", () => chat(router, "x", { model: "y" })],
+            ["a body that is not JSON", 400, "invalid-request", () => send(router, completions, { body: "{" })],
+            ["a negative token limit", 400, "invalid-request", () => chat(router, "x", { max_tokens: -1 })],
+            ["a body above 1 MB", 413, "body-too-large", () => chat(router, "x".repeat(1_000_001))],
+            [
+                "a cost above the burst",
+                400,
+                "cost-exceeds-burst",
+                () => send(router, completions, { key: smallKey, body: chatBody("x", { max_tokens: 200 }) }),
+            ],
+            [
+                "an idempotency key that is too long",
+                400,
+                "invalid-request",
+                () => send(router, "/holds", { headers: { "idempotency-key": "x".repeat(257) } }),
+            ],
+            [
+                "large headers",
+                431,
+                "headers-too-large",
+                () => send(router, completions, { headers: { "x-large": "x".repeat(20_000) } }),
+            ],
+        ];
+        refusals.forEach(([what, statusCode, code, act]) =>
+            it(what, async () => {
+                const received = await act();
+                const error = errorOf(received);
+                assert.deepEqual([received.statusCode, error.code, error.verdict], [statusCode, code, "not-run"]);
+                assert.equal(received.headers["x-peridotloft-verdict"], "not-run");
+                assert.equal(received.headers["x-request-id"], error.request_id);
+            })
+        );
+
+        it("a customer above its rate, and says when to come back", async () => {
+            const act = () => send(router, completions, { key: smallKey, body: chatBody("x", { max_tokens: 60 }) });
+            assert.equal((await act()).statusCode, 200);
+            const refused = await act();
+            assert.deepEqual([refused.statusCode, errorOf(refused).verdict], [429, "not-run"]);
+            assert.ok(Number(refused.headers["retry-after"]) >= 1);
+        });
+
+        it("a caller that sends its body too slowly", async () => {
+            const socket = connect(Number(router.split(":")[1]), "127.0.0.1");
+            socket.write(
+                `POST ${completions} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${demo.demoKey}\r\n`
+                    + "content-length: 100\r\n\r\n{",
+            );
+            const [data] = await once(socket, "data") as [Buffer];
+            assert.match(data.toString(), /^HTTP\/1.1 408 .*"verdict":"not-run"/s);
+            socket.destroy();
+        });
+    });
+
+    describe("runs work that must run once", () => {
+        const executionsOf = async (body: string) =>
+            (await control<Executions>(service, "/admin/executions")).executions[body] ?? 0;
+
+        it("once for one idempotency key, and gives resends the same answer", async () => {
+            const headers = { "idempotency-key": "hold-1" };
+            const body = "{\"seat\":1}";
+            const answers = await Promise.all([1, 2, 3].map(() => send(router, "/holds", { headers, body })));
+            answers.forEach(answer => assert.equal(answer.text, answers[0]!.text));
+            assert.equal(answers[0]!.headers["x-peridotloft-verdict"], "ran");
+            assert.equal(await executionsOf(body), 1);
+        });
+
+        it("once for one ticket, and refuses the ticket for another body", async () => {
+            const issued = await send(router, "/v1/operations");
+            assert.equal(issued.statusCode, 201);
+            const { ticket } = JSON.parse(issued.text) as { ticket: string; };
+            const headers = { "operation-ticket": ticket };
+            const [first, second] = [
+                await send(router, "/holds", { headers, body: "{\"seat\":2}" }),
+                await send(router, "/holds", { headers, body: "{\"seat\":2}" }),
+            ];
+            assert.equal(first.text, second.text);
+            assert.equal(await executionsOf("{\"seat\":2}"), 1);
+            const other = await send(router, "/holds", { headers, body: "{\"seat\":3}" });
+            assert.deepEqual([other.statusCode, errorOf(other).verdict], [422, "not-run"]);
+            assert.equal(await executionsOf("{\"seat\":3}"), 0);
+        });
+
+        it("to its end although the caller left", async () => {
+            await control(service, "/admin/delay", "PUT", { delayMs: 200 });
+            const body = "{\"seat\":4}";
+            const pending = open(router, "/holds", { body, headers: { "idempotency-key": "hold-4" } });
+            await eventually("the service runs it", async () => await executionsOf(body) === 1);
+            await control(service, "/admin/delay", "PUT", { delayMs: 0 });
+            const resent = await send(router, "/holds", { body, headers: { "idempotency-key": "hold-4" } });
+            assert.equal(resent.statusCode, 201);
+            (await pending).request.destroy();
+            assert.equal(await executionsOf(body), 1);
+        });
+    });
+
+    it("serves open routes without a key", async () => {
+        assert.equal((await send(router, "/register", { method: "GET", key: undefined })).statusCode, 200);
+    });
+
+    it("has shown no upstream a key", async () => {
+        await send(router, "/register", { method: "GET" });
+        assert.equal((await control<EngineStats>(engine, "/admin/stats")).withKey, 0);
+        assert.equal((await control<Executions>(service, "/admin/executions")).withKey, 0);
+    });
+
+    it("leaves no slot and no request behind", async () => {
+        interface Status {
+            readonly requestsInFlight: number;
+            readonly scheduler: { readonly upstreams: readonly { readonly inFlight: number; }[]; };
+        }
+        await eventually("everything is idle", async () => {
+            const status = await control<Status>(fleet.routers[0]!.adminListen, "/status");
+            return status.requestsInFlight === 0 && status.scheduler.upstreams.every(({ inFlight }) => inFlight === 0);
+        });
+    });
+});
--- /dev/null
+++ b/packages/router/__tests__/integration/TestClient.ts
@@ -0,0 +1,107 @@
+import * as demo from "@peridotloft/demo";
+import { once } from "node:events";
+import { type ClientRequest, type IncomingMessage, request as httpRequest } from "node:http";
+
+/** What a client saw of an answer. */
+export interface Received {
+    readonly statusCode: number;
+    readonly headers: IncomingMessage["headers"];
+    readonly text: string;
+    /** Whether HTTP showed the answer as complete. */
+    readonly complete: boolean;
+}
+
+export interface RequestOptions {
+    readonly method?: string;
+    readonly key?: string | undefined;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: string | Buffer;
+}
+
+/** An open request whose answer has begun. */
+export interface OpenStream {
+    readonly request: ClientRequest;
+    readonly response: IncomingMessage;
+    /** Resolves when the answer ends or breaks. */
+    readonly received: Promise<Received>;
+    /** Resolves when the answer contains the text. */
+    contains(text: string): Promise<void>;
+}
+
+export function chatBody(content: string, fields: Readonly<Record<string, unknown>> = {}): string {
+    return JSON.stringify({ model: demo.demoModel, messages: [{ role: "user", content }], ...fields });
+}
+
+/** Sends a request and resolves when the head of the answer has come. */
+export async function open(listen: string, path: string, options: RequestOptions = {}): Promise<OpenStream> {
+    const key = "key" in options ? options.key : demo.demoKey;
+    const request = httpRequest(`http://${listen}${path}`, {
+        method: options.method ?? "POST",
+        agent: false,
+        headers: { ...(key === undefined ? {} : { authorization: `Bearer ${key}` }), ...options.headers },
+    });
+    request.end(options.body);
+    const [response] = await once(request, "response") as [IncomingMessage];
+    request.on("error", () => undefined);
+    let text = "";
+    const waiters = new Set<() => void>();
+    response.setEncoding("utf8");
+    response.on("data", (part: string) => {
+        text += part;
+        waiters.forEach(check => check());
+    });
+    response.on("error", () => undefined);
+    const received = new Promise<void>(resolve => response.once("close", resolve)).then(() => ({
+        statusCode: response.statusCode ?? 0,
+        headers: response.headers,
+        text,
+        complete: response.complete,
+    }));
+    const contains = (wanted: string) =>
+        new Promise<void>((resolve, reject) => {
+            const check = (): void => {
+                if (text.includes(wanted)) {
+                    waiters.delete(check);
+                    resolve();
+                }
+            };
+            waiters.add(check);
+            check();
+            void received.then(() => reject(new Error(`the answer ended without '${wanted}': ${text}`)));
+        });
+    return { request, response, received, contains };
+}
+
+export async function send(listen: string, path: string, options: RequestOptions = {}): Promise<Received> {
+    return (await open(listen, path, options)).received;
+}
+
+export function chat(listen: string, content: string, fields: Readonly<Record<string, unknown>> = {}) {
+    return send(listen, "/v1/chat/completions", { body: chatBody(content, fields) });
+}
+
+/** Opens a streamed answer of at most `maxTokens` tokens. */
+export function openChat(listen: string, content: string, maxTokens: number, key: string = demo.demoKey) {
+    const body = chatBody(content, { stream: true, max_tokens: maxTokens });
+    return open(listen, "/v1/chat/completions", { body, key });
+}
+
+/** Calls the admin path of a stand-in, or any JSON page. */
+export async function control<T = unknown>(listen: string, path: string, method = "GET", value?: unknown): Promise<T> {
+    const response = await fetch(`http://${listen}${path}`, {
+        method,
+        ...(value === undefined ? {} : { body: JSON.stringify(value) }),
+    });
+    return await response.json() as T;
+}
+
+/** Polls until `check` holds; for state of another process that sends no event. Rejects after 5 s. */
+export async function eventually(what: string, check: () => Promise<boolean>): Promise<void> {
+    const endMs = performance.now() + 5_000;
+    while (!await check()) {
+        if (performance.now() > endMs) {
+            throw new Error(`not within 5 s: ${what}`);
+        }
+        await new Promise(resolve => setTimeout(resolve, 20));
+    }
+}
--- a/packages/router/src/Attempts.ts
+++ b/packages/router/src/Attempts.ts
@@ -73,7 +73,8 @@
             return { result: ok(attempted.result.value), earlier, cost };
         }
         const failure = attempted.result.error;
-        if (!allowsRetry(plan, failure) || !context.scheduler.mayRetry()) {
+        const mayRepeat = allowsRetry(plan, failure) && !context.scheduler.isQuarantined(plan.fingerprint);
+        if (!mayRepeat || !context.scheduler.mayRetry()) {
             return { result: err(failure), earlier, cost };
         }
         context.metrics.count(metricNames.retries);
--- a/packages/router/src/RouterAssembly.ts
+++ b/packages/router/src/RouterAssembly.ts
@@ -39,6 +39,8 @@
         limiter,
         scheduler,
         operations,
+        peers: () => [],
+        start: () => feed.start(),
         dispose() {
             operations.dispose();
             scheduler.dispose();
--- a/packages/router/src/RouterContext.ts
+++ b/packages/router/src/RouterContext.ts
@@ -16,6 +16,10 @@
     readonly limiter: limits.RateLimiter;
     readonly scheduler: scheduling.Scheduler;
     readonly operations: idempotency.OperationStore;
+    /** The other VMs as this one knows them. */
+    peers(): readonly core.PeerView[];
+    /** Starts following the document and talking to other VMs. */
+    start(): void;
     /** Stops the slices that were assembled together with these. */
     dispose(): void;
 }
--- a/packages/router/src/RouterDaemon.ts
+++ b/packages/router/src/RouterDaemon.ts
@@ -41,7 +41,7 @@
         await nextStopSignal();
         logger.info("draining");
         await router.drain();
-        await router.dispose();
+        router.dispose();
         logger.info("stopped");
         process.exit(0);
     }
