--- /dev/null
+++ b/packages/demo/__tests__/unit/CallLimit.test.ts
@@ -0,0 +1,23 @@
+import * as assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createCallLimit } from "../../src/CallLimit.js";
+
+describe("CallLimit", () => {
+    it("limits calls within any second, and not per calendar second", () => {
+        let nowMs = 900;
+        const limit = createCallLimit(2, () => nowMs);
+        assert.deepEqual([limit.tryCall(), limit.tryCall(), limit.tryCall()], [true, true, false]);
+        nowMs = 1_899;
+        assert.equal(limit.tryCall(), false);
+        nowMs = 1_900;
+        assert.equal(limit.tryCall(), true);
+    });
+
+    it("counts a waiting watch as a call for as long as it waits", () => {
+        const limit = createCallLimit(1, () => 0);
+        const endWaiting = limit.addWaiting();
+        assert.equal(limit.tryCall(), false);
+        endWaiting();
+        assert.equal(limit.tryCall(), true);
+    });
+});
