router: assemble the real slices

Cause: the router ran on single-VM stand-ins of the other slices. Change: peering, membership, document feed, ownership, limiter, scheduler and operation store are wired; slices that need a document are created with the first one. The guard of an operation is asked directly before the write. The stand-ins are removed.

--- a/packages/router/__tests__/unit/RequestFailure.test.ts
+++ b/packages/router/__tests__/unit/RequestFailure.test.ts
@@ -26,6 +26,7 @@
     "queue-full": [429, "not-run", "not-run"],
     "queue-deadline": [503, "not-run", "not-run"],
     "no-upstream": [503, "not-run", "not-run"],
+    "expired": [503, "not-run", "not-run"],
     "caller-left": [499, "not-run", "may-have-run"],
     "connect-failed": [502, "not-run", "not-run"],
     "refused-before-running": [503, "not-run", "not-run"],
--- a/packages/router/src/NonIdempotentRequest.ts
+++ b/packages/router/src/NonIdempotentRequest.ts
@@ -49,7 +49,7 @@
     };
     const result = token
         ? await context.services.operations.run(token, request.customer, operation)
-        : await executeOperation(context, request.customer, operation, signal);
+        : await executeOperation(context, request.customer, operation, undefined, signal);
     return result.mapErr(refusalOfOperation);
 }
 
--- a/packages/router/src/OperationExecutor.ts
+++ b/packages/router/src/OperationExecutor.ts
@@ -15,6 +15,8 @@
 
 type Response = idempotency.OperationResponse;
 
+const unguarded: idempotency.ExecutionGuard = { mayStart: () => true };
+
 // Non-idempotent work is never cancelled once it has been sent.
 const neverAborted = new AbortController().signal;
 
@@ -22,12 +24,14 @@
  * Runs a non-idempotent request at an upstream, writing it to at most one, and returns the whole answer.
  * Another upstream is tried only after an attempt that certainly did not run.
  *
+ * @param guard is asked directly before each write.
  * @param signal ends the wait for a slot; a request that has been sent runs to its end.
  */
 export async function executeOperation(
     context: UpstreamContext,
     customer: core.CustomerId,
     request: idempotency.OperationRequest,
+    guard: idempotency.ExecutionGuard = unguarded,
     signal: AbortSignal = neverAborted,
 ): Promise<Result<Response, idempotency.OperationRefusal>> {
     const document = context.feed.inForce.read()?.document;
@@ -54,18 +58,23 @@
     const outcome = await runAttempts(
         context,
         plan,
-        lease => attemptOnce(context, request, lease, pool, deadlineMs, route.cost),
+        lease => attemptOnce(context, { request, pool, deadlineMs, cost: route.cost, guard }, lease),
     );
     return outcome.result.mapErr(failure => refuse(failure, outcome.earlier));
 }
 
+interface Execution {
+    readonly request: idempotency.OperationRequest;
+    readonly pool: documents.Pool;
+    readonly deadlineMs: number;
+    readonly cost: number;
+    readonly guard: idempotency.ExecutionGuard;
+}
+
 async function attemptOnce(
     context: UpstreamContext,
-    request: idempotency.OperationRequest,
+    { request, pool, deadlineMs, cost, guard }: Execution,
     lease: scheduling.SlotLease,
-    pool: documents.Pool,
-    deadlineMs: number,
-    cost: number,
 ): Promise<Attempted<Response>> {
     const call = {
         upstream: lease.upstream,
@@ -79,6 +88,7 @@
         deadlineMs,
         // An upstream may close an idle connection at the moment of writing, which would leave the outcome unknown.
         reuseConnection: false,
+        mayWrite: guard.mayStart,
     };
     const answer = await callUpstream(context.connections, context.clock, call, neverAborted);
     if (answer.isErr()) {
--- a/packages/router/src/RequestFailure.ts
+++ b/packages/router/src/RequestFailure.ts
@@ -72,6 +72,7 @@
     "queue-full": { ...unavailable(429, "the customer's queue is full"), type: "rate_limit_error" },
     "queue-deadline": unavailable(503, "the request cannot be run before its deadline"),
     "no-upstream": unavailable(503, "no upstream of the pool takes requests"),
+    "expired": unavailable(503, "the request was delayed until its right to run had expired"),
     "caller-left": { ...unavailable(499, "the caller closed the connection"), verdict: "if-written" },
     "connect-failed": upstream(502, "not-run", "no connection to the upstream"),
     "refused-before-running": upstream(503, "not-run", "the upstream refused the request before running it"),
--- a/packages/router/src/Router.ts
+++ b/packages/router/src/Router.ts
@@ -1,4 +1,5 @@
 import * as core from "@peridotloft/core";
+import type * as platform from "@peridotloft/platform";
 import type { Server } from "node:http";
 import { createAdminServer } from "./AdminServer.js";
 import { createAuditTrail } from "./AuditTrail.js";
@@ -54,7 +55,7 @@
         response.once("close", () => isDraining && closeIdle(entry));
         handler(request, response);
     });
-    const isReady = () => feed.isReady() && !isDraining;
+    const isReady = () => feed.isReady() && !isDraining && isInService(feed, settings);
     const admin = createAdminServer({
         isReady,
         status: () => ({
@@ -83,7 +84,7 @@
     try {
         const adminListen = await listen(admin, settings.adminListen);
         const entryListen = await listen(entry, settings.listen);
-        services.start();
+        await services.start();
         return {
             listen: entryListen,
             adminListen,
@@ -111,6 +112,14 @@
     await inFlight.whenEmpty();
 }
 
+// The load balancer sends callers elsewhere; requests that arrive all the same are served.
+function isInService(feed: platform.DocumentFeed, settings: Settings): boolean {
+    const document = feed.inForce.read()?.document;
+    const vm = document?.vms.find(candidate => candidate.id === settings.vmId);
+    const zone = document?.zones.find(candidate => candidate.id === vm?.zone);
+    return vm?.state === "in-service" && zone?.state === "in-service";
+}
+
 function describeServices({ feed, limiter, scheduler, operations, peers }: RouterServices) {
     const current = feed.inForce.read();
     return {
--- a/packages/router/src/RouterAssembly.ts
+++ b/packages/router/src/RouterAssembly.ts
@@ -1,14 +1,16 @@
-import type * as core from "@peridotloft/core";
+import * as core from "@peridotloft/core";
+import type * as documents from "@peridotloft/document";
 import type * as idempotency from "@peridotloft/idempotency";
+import * as memberships from "@peridotloft/membership";
+import * as peering from "@peridotloft/peering";
+import * as platform from "@peridotloft/platform";
+import { deferSlices } from "./DeferredSlices.js";
+import { createDocumentSlices, type DocumentSlices } from "./DocumentSlices.js";
 import type { Logger } from "./Logging.js";
 import type { Metrics } from "./Metrics.js";
 import { executeOperation } from "./OperationExecutor.js";
 import type { RouterServices, UpstreamContext } from "./RouterContext.js";
 import type { Settings } from "./Settings.js";
-import { createStandaloneFeed } from "./standalone/StandaloneFeed.js";
-import { createStandaloneLimiter } from "./standalone/StandaloneLimiter.js";
-import { createStandaloneOperations } from "./standalone/StandaloneOperations.js";
-import { createStandaloneScheduler } from "./standalone/StandaloneScheduler.js";
 import type { UpstreamConnections } from "./UpstreamConnections.js";
 
 /** What the slices are assembled from. */
@@ -24,28 +26,121 @@
 
 /** Creates the slices of one VM and connects them. Nothing is started. */
 export function assembleServices(input: AssemblyInput): RouterServices {
-    const { settings, clock, connections, metrics } = input;
-    const feed = createStandaloneFeed(settings.platformUrls, clock);
-    const limiter = createStandaloneLimiter(feed.inForce, clock);
-    const scheduler = createStandaloneScheduler(feed.inForce, clock);
-    const context: UpstreamContext = { clock, feed, scheduler, connections, metrics };
-    const execute: idempotency.ExecuteOperation = async (customer, request) => {
+    const { settings, clock, connections, metrics, logger } = input;
+    const random = Math.random;
+    const self = settings.vmId;
+    const secret = settings.peerSecret;
+    // Grows from run to run as long as the wall clock of a replacement is not behind by more than the downtime.
+    const incarnation = clock.wallMs();
+    const document = core.createSnapshotCell<documents.FleetDocument | undefined>(undefined);
+    const endpoint = peering.createPeerNode({
+        self,
+        incarnation,
+        listen: settings.peerListen,
+        secret,
+        addressOf: vm => addressOf(vm, document.read(), settings),
+        clock,
+    });
+    const membership = memberships.createMembership({
+        self,
+        incarnation,
+        clock,
+        random,
+        endpoint,
+        document,
+        onSectionFault: (section, fault) => logger.error("gossip section failed", { section, fault }),
+    });
+    const feed = platform.createDocumentFeed({
+        self,
+        clock,
+        random,
+        endpoint,
+        membership,
+        platformUrls: settings.platformUrls,
+        seedPeers: settings.seedPeers.map(peer => peer.vmId),
+    });
+
+    let slices: DocumentSlices | undefined;
+    const deferred = deferSlices(() => slices);
+    const context: UpstreamContext = { clock, feed, scheduler: deferred.scheduler, connections, metrics };
+    const execute: idempotency.ExecuteOperation = (customer, request, guard) => {
         const endTracking = input.track();
-        return executeOperation(context, customer, request).finally(endTracking);
+        return executeOperation(context, customer, request, guard).finally(endTracking);
+    };
+    const create = (first: documents.FleetDocument): DocumentSlices => {
+        const held = followDocument(document, first);
+        const created = createDocumentSlices({
+            self,
+            incarnation,
+            clock,
+            random,
+            secret,
+            endpoint,
+            membership,
+            document: held.cell,
+            execute,
+        });
+        return {
+            ...created,
+            dispose() {
+                created.dispose();
+                held.dispose();
+            },
+        };
     };
-    const operations = createStandaloneOperations(execute, feed.inForce, clock);
+    const subscription = feed.inForce.changes.subscribe(next => {
+        if (next) {
+            document.update(() => next.document);
+            slices ??= create(next.document);
+        }
+    });
+
+    let peerListen = settings.peerListen;
     return {
         feed,
-        limiter,
-        scheduler,
-        operations,
-        peers: () => [],
-        start: () => feed.start(),
+        ...deferred,
+        peers: membership.peers,
+        peerListen: () => peerListen,
+        async start() {
+            const started = await endpoint.start();
+            if (started.isErr()) {
+                throw new Error(started.error);
+            }
+            peerListen = started.value;
+            membership.start();
+            feed.start();
+        },
         dispose() {
-            operations.dispose();
-            scheduler.dispose();
-            limiter.dispose();
+            subscription.unsubscribe();
+            slices?.dispose();
             feed.dispose();
+            membership.dispose();
+            void endpoint.dispose();
         },
     };
 }
+
+/** The document's address of a VM, or the settings' address while the document does not list it. */
+function addressOf(
+    vm: core.VmId,
+    document: documents.FleetDocument | undefined,
+    settings: Settings,
+): string | undefined {
+    const listed = document?.vms.find(candidate => candidate.id === vm && candidate.state !== "retired");
+    return listed?.peerAddress ?? settings.seedPeers.find(candidate => candidate.vmId === vm)?.address;
+}
+
+interface FollowedDocument {
+    readonly cell: core.SnapshotCell<documents.FleetDocument>;
+    dispose(): void;
+}
+
+/** A cell that always holds a document and follows `source`. */
+function followDocument(
+    source: core.SnapshotCell<documents.FleetDocument | undefined>,
+    first: documents.FleetDocument,
+): FollowedDocument {
+    const cell = core.createSnapshotCell(first);
+    const subscription = source.changes.subscribe(next => cell.update(current => next ?? current));
+    return { cell, dispose: () => subscription.unsubscribe() };
+}
--- a/packages/router/src/RouterConstants.ts
+++ b/packages/router/src/RouterConstants.ts
@@ -38,3 +38,6 @@
 export const defaultRetryAfterMs = 1_000;
 /** Customer under which requests without a key on open routes are queued. */
 export const anonymousCustomer = "anonymous";
+
+/** Bytes of operations with their answers that a VM remembers; a full store refuses new operations. */
+export const maxStoredOperationBytes = 32_000_000;
--- a/packages/router/src/UpstreamCall.ts
+++ b/packages/router/src/UpstreamCall.ts
@@ -24,6 +24,8 @@
     readonly deadlineMs: number;
     /** Whether an idle connection may be used. On a new one, a refused connection proves that nothing ran. */
     readonly reuseConnection: boolean;
+    /** Asked once when the connection stands, directly before the request is written; false cancels it unwritten. */
+    mayWrite?(): boolean;
     /** Called once when the connection stands and the request is being written. */
     onWritten?(): void;
 }
@@ -78,12 +80,15 @@
 
     const onConnected = (): void => {
         timers.cancel("connect");
+        if (call.mayWrite?.() === false) {
+            return stop("expired");
+        }
         timers.set("answer", call.firstByteTimeoutMs, () => stop("first-byte-timeout"));
         writtenMs = clock.nowMs();
         call.onWritten?.();
+        request.end(call.body);
     };
     request.on("socket", socket => socket.connecting ? socket.once("connect", onConnected) : onConnected());
-    request.end(call.body);
 
     return new Promise(resolve => {
         request.on("error", error => {
@@ -157,7 +162,7 @@
     return error.code?.startsWith("HPE_") === true ? "malformed" : "connection-broken";
 }
 
-const keepsConnections: readonly FailureKind[] = ["caller-left", "key-withdrawn", "deadline"];
+const keepsConnections: readonly FailureKind[] = ["caller-left", "key-withdrawn", "deadline", "expired"];
 
 // After a timeout or a broken answer, other idle connections to the upstream may be dead as well.
 function settleConnections(
