Send callers elsewhere while a VM or its zone is out of service

Cause: a VM whose availability zone leaves stayed ready and kept its callers' connections, so that the load balancer and keep-alive clients went on using it.

Change: such a VM is not ready and closes the connection after each answer. It still serves what arrives, at upstreams that are in service. A test shows that the zone's engines receive no request after the change, one that a withdrawn key's operation runs to its end without its answer being given away.

--- a/packages/demo/src/Service.ts
+++ b/packages/demo/src/Service.ts
@@ -13,10 +13,11 @@
  * - `POST /holds` and `POST /register` execute once for each request, and repeat the body in their answer.
  * - `GET /register` lists the registrations.
  * - `PUT /admin/delay` with `{"delayMs":N}`; `GET /admin/executions` counts executions by body, so that a test sees
- *   work that ran twice.
+ *   work that ran twice. `completed` counts those whose connection still stood at their end.
  */
 export function runService(options: ServiceOptions): void {
     const executions = new Map<string, number>();
+    const completed = new Map<string, number>();
     const registrations: unknown[] = [];
     let delayMs = options.delayMs;
     let withKey = 0;
@@ -33,6 +34,9 @@
                 if (action === "POST /register") {
                     registrations.push(body);
                 }
+                if (!response.destroyed) {
+                    completed.set(body, (completed.get(body) ?? 0) + 1);
+                }
                 return sendJson(response, 201, { number: executions.size, body });
             }
             case "GET /register":
@@ -42,7 +46,11 @@
                 delayMs = (await readJson<{ delayMs: number; }>(request)).delayMs;
                 return sendJson(response, 200, { delayMs });
             case "GET /admin/executions":
-                return sendJson(response, 200, { executions: Object.fromEntries(executions), withKey });
+                return sendJson(response, 200, {
+                    executions: Object.fromEntries(executions),
+                    completed: Object.fromEntries(completed),
+                    withKey,
+                });
             default:
                 return sendJson(response, 404, { error: { message: "no such resource" } });
         }
--- a/packages/router/__tests__/integration/Fleet.test.ts
+++ b/packages/router/__tests__/integration/Fleet.test.ts
@@ -6,6 +6,7 @@
 import { chat, control, eventually, openChat } from "./TestClient.js";
 
 const withdrawalLimitMs = 5_000;
+const leaveLimitMs = 5_000;
 const warmUps = Array.from({ length: 12 }, (_, index) => `warm-up-${index}`);
 
 describe("a fleet of processes", () => {
@@ -85,6 +86,39 @@
         assert.equal(await router.exited, 0);
     });
 
+    it("sends callers elsewhere while its availability zone leaves, and gives the zone's engines no work", async () => {
+        const setZone = (state: "in-service" | "leaving") =>
+            fleet.publish(document => ({
+                ...document,
+                zones: document.zones.map(zone => zone.id === "a" ? { ...zone, state } : zone),
+            }));
+        const router = fleet.routers[0]!;
+        const isReady = async () => (await fetch(`http://${router.adminListen}/healthz/ready`)).ok;
+        const requestsInZone = async () => {
+            const stats = await Promise.all(
+                [0, 2].map(index => control<{ requests: number; }>(fleet.engines[index]!.listen, "/admin/stats")),
+            );
+            return stats.map(({ requests }) => requests);
+        };
+        assert.equal((await chat(router.listen, "before")).headers.connection, "keep-alive");
+        const stream = await openChat(router.listen, "on", 100);
+        await stream.contains("w1");
+        const startMs = performance.now();
+        await setZone("leaving");
+        await eventually("the router is not ready", async () => !await isReady());
+        assert.ok(performance.now() - startMs < leaveLimitMs);
+        const before = await requestsInZone();
+        const answers = await Promise.all(warmUps.slice(0, 4).map(name => chat(router.listen, name)));
+        answers.forEach(({ statusCode, headers }) => {
+            assert.equal(statusCode, 200);
+            assert.equal(headers.connection, "close");
+        });
+        assert.deepEqual(await requestsInZone(), before);
+        assert.ok((await stream.received).text.endsWith("data: [DONE]\n\n"));
+        await setZone("in-service");
+        await eventually("the router is ready again", isReady);
+    });
+
     it("tries another engine when one is dead", async () => {
         fleet.engines[0]!.child.kill("SIGKILL");
         await fleet.engines[0]!.exited;
--- a/packages/router/__tests__/integration/Requests.test.ts
+++ b/packages/router/__tests__/integration/Requests.test.ts
@@ -15,6 +15,7 @@
 
 interface Executions {
     readonly executions: Record<string, number>;
+    readonly completed: Record<string, number>;
     readonly withKey: number;
 }
 
@@ -235,6 +236,23 @@
             assert.equal(await executionsOf("{\"seat\":3}"), 0);
         });
 
+        it("to its end when the key is withdrawn, but does not give its answer to the caller", async () => {
+            await control(service, "/admin/delay", "PUT", { delayMs: 700 });
+            const body = "{\"seat\":5}";
+            const pending = send(router, "/holds", { body, key: demo.secondDemoKey });
+            await eventually("the service runs it", async () => await executionsOf(body) === 1);
+            await control(service, "/admin/delay", "PUT", { delayMs: 0 });
+            const keys = fleet.document().keys?.filter(({ id }) => id !== "k2") ?? [];
+            await fleet.publish(document => ({ ...document, keys }));
+            const received = await pending;
+            assert.deepEqual([received.statusCode, errorOf(received).code], [401, "key-withdrawn"]);
+            assert.equal(errorOf(received).verdict, "may-have-run");
+            await eventually(
+                "the service ends it",
+                async () => (await control<Executions>(service, "/admin/executions")).completed[body] === 1,
+            );
+        });
+
         it("to its end although the caller left", async () => {
             await control(service, "/admin/delay", "PUT", { delayMs: 200 });
             const body = "{\"seat\":4}";
--- a/packages/router/__tests__/integration/TestClient.ts
+++ b/packages/router/__tests__/integration/TestClient.ts
@@ -38,7 +38,12 @@
     const request = httpRequest(`http://${listen}${path}`, {
         method: options.method ?? "POST",
         agent: false,
-        headers: { ...(key === undefined ? {} : { authorization: `Bearer ${key}` }), ...options.headers },
+        // Without it, an agent-less request asks the router to close the connection.
+        headers: {
+            connection: "keep-alive",
+            ...(key === undefined ? {} : { authorization: `Bearer ${key}` }),
+            ...options.headers,
+        },
     });
     request.end(options.body);
     const [response] = await once(request, "response") as [IncomingMessage];
--- a/packages/router/src/CallerResponse.ts
+++ b/packages/router/src/CallerResponse.ts
@@ -30,7 +30,7 @@
     requestId: core.RequestId,
     response: ServerResponse,
     signal: AbortSignal,
-    isDraining: () => boolean,
+    closesConnections: () => boolean,
 ): CallerResponse {
     let isEventStream = false;
     response.setHeader("x-request-id", requestId);
@@ -38,7 +38,7 @@
     response.on("error", () => undefined);
 
     function begin(statusCode: number, list: headers.HeaderList): void {
-        if (isDraining()) {
+        if (closesConnections()) {
             response.setHeader("connection", "close");
         }
         Object.entries(headers.groupHeaders(list))
--- a/packages/router/src/ConfigurationWatch.ts
+++ b/packages/router/src/ConfigurationWatch.ts
@@ -1,4 +1,5 @@
 import * as core from "@peridotloft/core";
+import type * as documents from "@peridotloft/document";
 import * as keys from "@peridotloft/keys";
 import type * as platform from "@peridotloft/platform";
 import type { AuditTrail } from "./AuditTrail.js";
@@ -11,10 +12,13 @@
 export interface ConfigurationWatch {
     /** Index of the keys of the document in force; finds none before the first document. */
     keyIndex(): keys.KeyIndex;
+    /** Whether the document takes this VM, or its availability zone, out of service. */
+    isLeaving(): boolean;
     dispose(): void;
 }
 
 export function createConfigurationWatch(
+    vmId: core.VmId,
     context: UpstreamContext,
     inFlight: InFlightRequests,
     audit: AuditTrail,
@@ -42,9 +46,17 @@
     });
     return {
         keyIndex: () => keyIndex,
+        isLeaving: () => adopted !== undefined && isOutOfService(adopted.document, vmId),
         dispose() {
             stopAudit();
             subscription.unsubscribe();
         },
     };
 }
+
+// A VM that the document does not list yet serves callers, although it owns nothing.
+function isOutOfService(document: documents.FleetDocument, vmId: core.VmId): boolean {
+    const vm = document.vms.find(candidate => candidate.id === vmId);
+    const zone = document.zones.find(candidate => candidate.id === vm?.zone);
+    return vm !== undefined && (vm.state !== "in-service" || zone?.state !== "in-service");
+}
--- a/packages/router/src/RequestHandler.ts
+++ b/packages/router/src/RequestHandler.ts
@@ -64,7 +64,7 @@
         const startMs = context.clock.nowMs();
         const inFlight = context.inFlight.open(response);
         const requestId = core.requestId(randomUUID());
-        const caller = createCallerResponse(requestId, response, inFlight.signal, context.isDraining);
+        const caller = createCallerResponse(requestId, response, inFlight.signal, context.closesConnections);
         response.once("close", () => {
             inFlight.close();
             noteFinished(context, response, startMs);
--- a/packages/router/src/Router.ts
+++ b/packages/router/src/Router.ts
@@ -39,7 +39,7 @@
     const services = assemble({ settings, clock, connections, metrics, logger, track: inFlight.track });
     const { feed, scheduler } = services;
     const upstreamContext = { clock, feed, scheduler, connections, metrics };
-    const configuration = createConfigurationWatch(upstreamContext, inFlight, audit);
+    const configuration = createConfigurationWatch(settings.vmId, upstreamContext, inFlight, audit);
     const handler = createRequestHandler({
         ...upstreamContext,
         services,
@@ -47,14 +47,14 @@
         entry: settings.entry,
         logger,
         keyIndex: configuration.keyIndex,
-        isDraining: () => isDraining,
+        closesConnections: () => isDraining || configuration.isLeaving(),
     });
     const entry = createEntryServer(settings.entry, (request, response) => {
         // An answer that began before the drain has promised the caller to keep the connection.
         response.once("close", () => isDraining && closeIdle(entry));
         handler(request, response);
     });
-    const isReady = () => feed.isReady() && !isDraining;
+    const isReady = () => feed.isReady() && !isDraining && !configuration.isLeaving();
     const admin = createAdminServer({
         isReady,
         status: () => ({
@@ -62,6 +62,7 @@
             zone: settings.zone,
             ready: isReady(),
             draining: isDraining,
+            leaving: configuration.isLeaving(),
             requestsInFlight: inFlight.count(),
             ...describeServices(services),
         }),
--- a/packages/router/src/RouterContext.ts
+++ b/packages/router/src/RouterContext.ts
@@ -41,6 +41,6 @@
     readonly logger: Logger;
     /** Index of the document in force. */
     keyIndex(): keys.KeyIndex;
-    /** Whether the process is finishing its requests in order to exit. */
-    isDraining(): boolean;
+    /** Whether answers close the caller's connection, so that its next request goes to another VM. */
+    closesConnections(): boolean;
 }
