--- a/packages/demo/src/DemoFleet.ts
+++ b/packages/demo/src/DemoFleet.ts
@@ -15,6 +15,8 @@
     readonly engines: number;
     readonly services: number;
     readonly engineOptions?: Partial<EngineOptions>;
+    /** Time in ms for which idempotency keys are remembered, and after the start of which they are accepted. */
+    readonly idempotencyWindowMs?: number;
     /** Changes the first document before it is published. */
     adjust?(document: documents.FleetDocumentInput): documents.FleetDocumentInput;
     /** Further fields of the routers' settings. */
@@ -44,6 +46,10 @@
 const stopTimeoutMs = 5_000;
 const readyTimeoutMs = 20_000;
 const readyPollMs = 50;
+const loanLifetimeMs = 500;
+const defaultIdempotencyWindowMs = 1_000;
+// A restarted router issues no tokens for a loan lifetime and a margin; then its buckets fill from empty.
+const bucketFillMs = 500;
 
 const entryOf = (name: string) => fileURLToPath(new URL(`./${name}Main.js`, import.meta.url));
 const routerEntry = fileURLToPath(new URL("../../../router/dist/src/main.js", import.meta.url));
@@ -83,6 +89,7 @@
         };
         const routers = await Promise.all(numbers(options.routers).map(startRouter));
         await Promise.all(routers.map(waitUntilReady));
+        await waitUntilServing(document);
         return {
             platform,
             routers,
@@ -123,6 +130,13 @@
     throw new Error(`${router.name} is not ready after ${readyTimeoutMs} ms`);
 }
 
+/** Waits out what a fleet that starts empty refuses at first: requests beyond its rate and idempotency keys. */
+function waitUntilServing(document: documents.FleetDocumentInput): Promise<void> {
+    const { fleet = {} } = document;
+    const waitMs = Math.max((fleet.loanLifetimeMs ?? 0) + bucketFillMs, fleet.idempotencyWindowMs ?? 0);
+    return new Promise(resolve => setTimeout(resolve, waitMs));
+}
+
 function makeDocument(
     options: FleetOptions,
     peerAddresses: readonly string[],
@@ -141,6 +155,10 @@
         }));
     return {
         version: 1,
+        fleet: {
+            loanLifetimeMs,
+            idempotencyWindowMs: options.idempotencyWindowMs ?? defaultIdempotencyWindowMs,
+        },
         zones: options.zones.map(id => ({ id, region: "demo" })),
         vms: peerAddresses.map((peerAddress, index) => ({ id: `vm-${index + 1}`, zone: zoneOf(index), peerAddress })),
         customers: [
--- a/packages/router/src/Router.ts
+++ b/packages/router/src/Router.ts
@@ -1,5 +1,4 @@
 import * as core from "@peridotloft/core";
-import type * as platform from "@peridotloft/platform";
 import type { Server } from "node:http";
 import { createAdminServer } from "./AdminServer.js";
 import { createAuditTrail } from "./AuditTrail.js";
@@ -40,7 +39,7 @@
     const services = assemble({ settings, clock, connections, metrics, logger, track: inFlight.track });
     const { feed, scheduler } = services;
     const upstreamContext = { clock, feed, scheduler, connections, metrics };
-    const configuration = createConfigurationWatch(upstreamContext, inFlight, audit);
+    const configuration = createConfigurationWatch(settings.vmId, upstreamContext, inFlight, audit);
     const handler = createRequestHandler({
         ...upstreamContext,
         services,
@@ -48,14 +47,14 @@
         entry: settings.entry,
         logger,
         keyIndex: configuration.keyIndex,
-        isDraining: () => isDraining,
+        closesConnections: () => isDraining || configuration.isLeaving(),
     });
     const entry = createEntryServer(settings.entry, (request, response) => {
         // An answer that began before the drain has promised the caller to keep the connection.
         response.once("close", () => isDraining && closeIdle(entry));
         handler(request, response);
     });
-    const isReady = () => feed.isReady() && !isDraining && isInService(feed, settings);
+    const isReady = () => feed.isReady() && !isDraining && !configuration.isLeaving();
     const admin = createAdminServer({
         isReady,
         status: () => ({
@@ -63,6 +62,7 @@
             zone: settings.zone,
             ready: isReady(),
             draining: isDraining,
+            leaving: configuration.isLeaving(),
             requestsInFlight: inFlight.count(),
             ...describeServices(services),
         }),
@@ -112,14 +112,6 @@
     await inFlight.whenEmpty();
 }
 
-// The load balancer sends callers elsewhere; requests that arrive all the same are served.
-function isInService(feed: platform.DocumentFeed, settings: Settings): boolean {
-    const document = feed.inForce.read()?.document;
-    const vm = document?.vms.find(candidate => candidate.id === settings.vmId);
-    const zone = document?.zones.find(candidate => candidate.id === vm?.zone);
-    return vm?.state === "in-service" && zone?.state === "in-service";
-}
-
 function describeServices({ feed, limiter, scheduler, operations, peers }: RouterServices) {
     const current = feed.inForce.read();
     return {
