router: judge rate and quarantine of an operation where it runs

Change: requests with a token go to the operation store first; its execute function charges the customer on the owning VM. The demonstration listens on fixed ports and prints the ticket commands.

--- a/packages/demo/src/DemoFleet.ts
+++ b/packages/demo/src/DemoFleet.ts
@@ -1,4 +1,5 @@
 import type * as documents from "@peridotloft/document";
+import * as idempotency from "@peridotloft/idempotency";
 import { createHash } from "node:crypto";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { type AddressInfo, createServer } from "node:net";
@@ -8,6 +9,13 @@
 import { type StartedProcess, startProcess, stopProcesses } from "./ChildProcesses.js";
 import type { EngineOptions } from "./EngineOptions.js";
 
+/** First port of each kind of process; further ones follow. */
+export interface FleetPorts {
+    readonly platform: number;
+    readonly routers: number;
+    readonly admin: number;
+}
+
 /** How a fleet on loopback is made up. */
 export interface FleetOptions {
     readonly zones: readonly string[];
@@ -15,8 +23,12 @@
     readonly engines: number;
     readonly services: number;
     readonly engineOptions?: Partial<EngineOptions>;
-    /** Time in ms for which idempotency keys are remembered, and after the start of which they are accepted. */
+    /** Time in ms for which idempotency keys are remembered. */
     readonly idempotencyWindowMs?: number;
+    /** Whether to wait until idempotency keys are accepted, a window after the start; true by default. */
+    readonly awaitKeys?: boolean;
+    /** TCP ports; free ones are chosen by default. */
+    readonly ports?: FleetPorts;
     /** Changes the first document before it is published. */
     adjust?(document: documents.FleetDocumentInput): documents.FleetDocumentInput;
     /** Further fields of the routers' settings. */
@@ -79,7 +91,7 @@
         const peerAddresses = await findFreeAddresses(options.routers);
         const draft = makeDocument(options, peerAddresses, engines, services);
         let document = options.adjust?.(draft) ?? draft;
-        const platform = await standIn("platform", "Platform", { document });
+        const platform = await standIn("platform", "Platform", { document, port: options.ports?.platform ?? 0 });
 
         const startRouter = async (index: number): Promise<StartedProcess> => {
             const settings = makeSettings(options, peerAddresses, index, platform.listen);
@@ -89,7 +101,7 @@
         };
         const routers = await Promise.all(numbers(options.routers).map(startRouter));
         await Promise.all(routers.map(waitUntilReady));
-        await waitUntilServing(document);
+        await waitUntilServing(document, options.awaitKeys ?? true);
         return {
             platform,
             routers,
@@ -131,9 +143,10 @@
 }
 
 /** Waits out what a fleet that starts empty refuses at first: requests beyond its rate and idempotency keys. */
-function waitUntilServing(document: documents.FleetDocumentInput): Promise<void> {
+function waitUntilServing(document: documents.FleetDocumentInput, awaitKeys: boolean): Promise<void> {
     const { fleet = {} } = document;
-    const waitMs = Math.max((fleet.loanLifetimeMs ?? 0) + bucketFillMs, fleet.idempotencyWindowMs ?? 0);
+    const keysMs = awaitKeys ? (fleet.idempotencyWindowMs ?? 0) + idempotency.maxAttemptAgeMs : 0;
+    const waitMs = Math.max((fleet.loanLifetimeMs ?? 0) + bucketFillMs, keysMs);
     return new Promise(resolve => setTimeout(resolve, waitMs));
 }
 
@@ -192,9 +205,9 @@
     return {
         vmId: `vm-${index + 1}`,
         zone: options.zones[index % options.zones.length] ?? "a",
-        listen: "127.0.0.1:0",
+        listen: addressOf(options.ports?.routers, index),
         peerListen: peerAddresses[index] ?? "",
-        adminListen: "127.0.0.1:0",
+        adminListen: addressOf(options.ports?.admin, index),
         platformUrls: [`http://${platformListen}`],
         seedPeers: peerAddresses
             .map((address, peer) => ({ vmId: `vm-${peer + 1}`, address }))
@@ -204,6 +217,10 @@
     };
 }
 
+function addressOf(firstPort: number | undefined, index: number): string {
+    return `127.0.0.1:${firstPort === undefined ? 0 : firstPort + index}`;
+}
+
 /** Finds free ports on loopback. Another process may take one before it is used; then the start fails. */
 async function findFreeAddresses(count: number): Promise<string[]> {
     const servers = await Promise.all(
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -21,8 +21,10 @@
         `  curl -sN http://${entry?.listen}/v1/chat/completions ${auth} ${json} -d '${chat(true)}'`,
         "A whole answer:",
         `  curl -s http://${entry?.listen}/v1/chat/completions ${auth} ${json} -d '${chat(false)}'`,
-        "A seat hold that runs once, however often it is sent:",
-        `  curl -s http://${entry?.listen}/holds ${auth} ${json} -H 'idempotency-key: hold-1' -d '{"seat":"12A"}'`,
+        "A seat hold that runs once, however often the second command is sent:",
+        `  TICKET=$(curl -s -X POST http://${entry?.listen}/v1/operations ${auth} | sed 's/.*"ticket":"\\([^"]*\\)".*/\\1/')`,
+        `  curl -s http://${entry?.listen}/holds ${auth} ${json} -H "operation-ticket: $TICKET" -d '{"seat":"12A"}'`,
+        "(The same with -H 'idempotency-key: hold-1' works 125 s after the start: before, a key may be from an earlier run.)",
         "The document:",
         `  curl -s http://${fleet.platform.listen}/v1/document`,
         "Changes seen by a router:",
@@ -43,7 +45,15 @@
     process.on("SIGTERM", stop);
 });
 
-const fleet = await startFleet({ zones: ["a", "b"], routers: 3, engines: 4, services: 2 });
+const fleet = await startFleet({
+    zones: ["a", "b"],
+    routers: 3,
+    engines: 4,
+    services: 2,
+    idempotencyWindowMs: 120_000,
+    awaitKeys: false,
+    ports: { platform: 8070, routers: 8080, admin: 9080 },
+});
 if (!stopping) {
     process.stdout.write(describeFleet(fleet));
 }
--- a/packages/router/src/NonIdempotentRequest.ts
+++ b/packages/router/src/NonIdempotentRequest.ts
@@ -7,7 +7,8 @@
 import { notWritten, type Refusal, type RequestFailure } from "./RequestFailure.js";
 import type { RouterContext } from "./RouterContext.js";
 
-type Outcome = Result<idempotency.OperationResponse, Refusal>;
+/** The complete answer of non-idempotent work, or what to tell the caller instead. */
+export type OperationOutcome = Result<idempotency.OperationResponse, Refusal>;
 
 const maxIdempotencyKeyBytes = 256;
 
@@ -32,25 +33,37 @@
         );
 }
 
-/** Runs a request at most once: over the whole fleet with a token, and from this VM without one. */
-export async function runNonIdempotent(
+/** Runs a request with a token at most once over the whole fleet. */
+export async function runOperation(
+    context: RouterContext,
+    request: PreparedRequest,
+    route: core.RouteId,
+    token: idempotency.OperationToken,
+): Promise<OperationOutcome> {
+    const result = await context.services.operations.run(token, request.customer, operationOf(request, route));
+    return result.mapErr(refusalOfOperation);
+}
+
+/** Runs a request without a token: this VM sends it to one upstream at most. */
+export async function runUnmarked(
     context: RouterContext,
     request: PreparedRequest,
     route: core.RouteId,
-    token: idempotency.OperationToken | undefined,
     signal: AbortSignal,
-): Promise<Outcome> {
-    const operation: idempotency.OperationRequest = {
+): Promise<OperationOutcome> {
+    const operation = operationOf(request, route);
+    const result = await executeOperation(context, request.customer, operation, undefined, signal);
+    return result.mapErr(refusalOfOperation);
+}
+
+function operationOf(request: PreparedRequest, route: core.RouteId): idempotency.OperationRequest {
+    return {
         route,
         method: request.method,
         target: request.target,
         headers: headersForUpstream(request.headers),
         body: request.body,
     };
-    const result = token
-        ? await context.services.operations.run(token, request.customer, operation)
-        : await executeOperation(context, request.customer, operation, undefined, signal);
-    return result.mapErr(refusalOfOperation);
 }
 
 function refusalOfOperation(refusal: idempotency.OperationRefusal): Refusal {
--- a/packages/router/src/OperationExecutor.ts
+++ b/packages/router/src/OperationExecutor.ts
@@ -1,6 +1,7 @@
 import * as core from "@peridotloft/core";
 import * as documents from "@peridotloft/document";
 import type * as idempotency from "@peridotloft/idempotency";
+import type * as limits from "@peridotloft/limits";
 import type * as scheduling from "@peridotloft/scheduling";
 import { err, ok, type Result } from "neverthrow";
 import { randomUUID } from "node:crypto";
@@ -15,6 +16,32 @@
 
 type Response = idempotency.OperationResponse;
 
+/** Runs an operation that this VM owns: charges its customer, and refunds the charge if it did not run. */
+export async function executeCharged(
+    context: UpstreamContext,
+    limiter: limits.RateLimiter,
+    customer: core.CustomerId,
+    request: idempotency.OperationRequest,
+    guard: idempotency.ExecutionGuard,
+): Promise<Result<Response, idempotency.OperationRefusal>> {
+    if (customer === constants.anonymousCustomer) {
+        return executeOperation(context, customer, request, guard);
+    }
+    const route = context.feed.inForce.read()?.document.routes.find(candidate => candidate.id === request.route);
+    const charge = await limiter.admit(customer, route?.cost ?? 1);
+    if (charge.isErr()) {
+        return err(refuse(notWritten(charge.error.kind)));
+    }
+    const result = await executeOperation(context, customer, request, guard);
+    if (result.isErr() && result.error.verdict === "not-run") {
+        charge.value.refund();
+    }
+    else {
+        charge.value.settle(charge.value.estimatedCost);
+    }
+    return result;
+}
+
 const unguarded: idempotency.ExecutionGuard = { mayStart: () => true };
 
 // Non-idempotent work is never cancelled once it has been sent.
--- a/packages/router/src/RequestRun.ts
+++ b/packages/router/src/RequestRun.ts
@@ -1,12 +1,11 @@
 import type * as core from "@peridotloft/core";
-import type * as idempotency from "@peridotloft/idempotency";
 import type * as limits from "@peridotloft/limits";
 import { ok, type Result } from "neverthrow";
 import type { CallerResponse } from "./CallerResponse.js";
 import { runIdempotent } from "./IdempotentRequest.js";
 import { abortKind } from "./InFlightRequests.js";
 import { metricNames } from "./Metrics.js";
-import { readToken, runNonIdempotent } from "./NonIdempotentRequest.js";
+import { type OperationOutcome, readToken, runOperation, runUnmarked } from "./NonIdempotentRequest.js";
 import { maxCostOf, type PreparedRequest } from "./PreparedRequest.js";
 import { notWritten, type Refusal, refusalOf, type RequestFailure } from "./RequestFailure.js";
 import type { RouterContext } from "./RouterContext.js";
@@ -30,6 +29,13 @@
     if (token.isErr()) {
         return refuse(context, caller, refusalOf(token.error));
     }
+    const mark = token.value;
+    if (target.kind === "route" && mark) {
+        // Rate and quarantine are judged by the VM that owns the operation, and only if it has not run yet: a resend
+        // of work that ran gets its answer and never a `not-run`.
+        const run = () => runOperation(context, request, target.route.id, mark);
+        return answerWhole(context, run, caller, signal);
+    }
     if (context.scheduler.isQuarantined(request.fingerprint)) {
         return refuse(context, caller, refusalOf(notWritten("quarantined")));
     }
@@ -39,7 +45,7 @@
     }
     return isIdempotent
         ? answerIdempotent(context, request, charge.value, caller, signal)
-        : answerNonIdempotent(context, request, target.route.id, token.value, charge.value, caller, signal);
+        : answerWhole(context, () => runOnce(context, request, target.route.id, charge.value, signal), caller, signal);
 }
 
 function refuse(context: RouterContext, caller: CallerResponse, refusal: Refusal): void {
@@ -81,24 +87,30 @@
     }
 }
 
-async function answerNonIdempotent(
+/** Runs non-idempotent work without a token, which this VM sends to one upstream at most. */
+async function runOnce(
     context: RouterContext,
     request: PreparedRequest,
     route: core.RouteId,
-    token: idempotency.OperationToken | undefined,
     charge: limits.Charge,
+    signal: AbortSignal,
+): Promise<OperationOutcome> {
+    const result = await withCharge(charge, () => runUnmarked(context, request, route, signal));
+    const ran = result.isOk() || result.error.verdict !== "not-run";
+    settle(context, request, charge, ran ? charge.estimatedCost : 0);
+    return result;
+}
+
+/** Answers with the whole result of non-idempotent work. */
+async function answerWhole(
+    context: RouterContext,
+    start: () => Promise<OperationOutcome>,
     caller: CallerResponse,
     signal: AbortSignal,
 ): Promise<void> {
     // The work goes on when the caller has left, and counts as in flight until it ends.
     const endTracking = context.inFlight.track();
-    const run = withCharge(charge, () => runNonIdempotent(context, request, route, token, signal))
-        .then(result => {
-            const ran = result.isOk() || result.error.verdict !== "not-run";
-            settle(context, request, charge, ran ? charge.estimatedCost : 0);
-            return result;
-        })
-        .finally(endTracking);
+    const run = start().finally(endTracking);
     const result = await Promise.race([run, whenAborted(signal)]);
     if (result === "aborted") {
         // The refusal is sent at once; the outcome of the work is not this caller's any more.
--- a/packages/router/src/RouterAssembly.ts
+++ b/packages/router/src/RouterAssembly.ts
@@ -8,7 +8,7 @@
 import { createDocumentSlices, type DocumentSlices } from "./DocumentSlices.js";
 import type { Logger } from "./Logging.js";
 import type { Metrics } from "./Metrics.js";
-import { executeOperation } from "./OperationExecutor.js";
+import { executeCharged } from "./OperationExecutor.js";
 import type { RouterServices, UpstreamContext } from "./RouterContext.js";
 import type { Settings } from "./Settings.js";
 import type { UpstreamConnections } from "./UpstreamConnections.js";
@@ -65,7 +65,7 @@
     const context: UpstreamContext = { clock, feed, scheduler: deferred.scheduler, connections, metrics };
     const execute: idempotency.ExecuteOperation = (customer, request, guard) => {
         const endTracking = input.track();
-        return executeOperation(context, customer, request, guard).finally(endTracking);
+        return executeCharged(context, deferred.limiter, customer, request, guard).finally(endTracking);
     };
     const create = (first: documents.FleetDocument): DocumentSlices => {
         const held = followDocument(document, first);
