--- a/packages/platform/__tests__/unit/FleetHarness.ts
+++ b/packages/platform/__tests__/unit/FleetHarness.ts
@@ -15,13 +15,19 @@
     stop(): void;
 }
 
+export type Change = (id: core.VmId, options: platform.DocumentFeedOptions) => platform.DocumentFeedOptions;
+
+/** Times in ms in which a version must be in force everywhere, and in which states and keys must be. */
+export const everywhereMs = 10_000;
+export const statesAndKeysMs = 5_000;
+
 export interface FleetOptions {
     readonly size: number;
     readonly zones: number;
     readonly seed: number;
     readonly lossRatio?: number;
     /** Changes the options of each feed, so that a test can break one rule. */
-    readonly change?: (id: core.VmId, options: platform.DocumentFeedOptions) => platform.DocumentFeedOptions;
+    readonly change?: Change;
 }
 
 export interface Fleet {
--- /dev/null
+++ b/packages/platform/__tests__/unit/NeverReverts9.test.ts
@@ -0,0 +1,3 @@
+import { describeNeverReverts } from "./RevertScenarios.js";
+
+describeNeverReverts({ size: 9, zones: 3 });
--- a/packages/platform/src/PlatformConstants.ts
+++ b/packages/platform/src/PlatformConstants.ts
@@ -2,6 +2,8 @@
 export const platformSlice = "platform";
 /** VMs per availability zone that watch the configuration service. */
 export const watchersPerZone = 4;
+/** Watchers of a large fleet that read every version whole, 278 KB/s each at 24,000 changes of 1 MB a day. */
+export const fullWatchers = 2;
 /** Time in ms for which the configuration service may hold a watch without news. */
 export const watchWaitMs = 2_000;
 /**
