--- /dev/null
+++ b/packages/bench/src/benchFleet.ts
@@ -0,0 +1,146 @@
+import * as core from "@peridotloft/core";
+import type * as documents from "@peridotloft/document";
+import * as membership from "@peridotloft/membership";
+import * as platform from "@peridotloft/platform";
+import * as testing from "@peridotloft/testing";
+
+export interface BenchFleetOptions {
+    readonly size: number;
+    readonly zones: number;
+    readonly seed: number;
+    /** JSON text of a version. */
+    readonly textOf: (version: number) => string;
+    readonly createHistory: () => platform.PatchHistory;
+}
+
+/** Bytes that VMs sent to each other, with the bytes that peering adds to each message. */
+export interface SentBytes {
+    readonly gossip: number;
+    readonly documents: number;
+}
+
+/** Virtual VMs with gossip and feed on a virtual clock and network. */
+export interface BenchFleet {
+    readonly clock: testing.VirtualClock;
+    readonly service: testing.FakePlatform;
+    sent(): SentBytes;
+    calls(): number;
+    /** Share of the views of peers that are not `alive`, in [0, 1]. */
+    notAliveRatio(): number;
+    publish(version: number): void;
+    /** Time in ms from publication until the version was in force at each VM that has it, in order. */
+    adoptionsMs(version: number): readonly number[];
+}
+
+export function createBenchFleet(options: BenchFleetOptions): BenchFleet {
+    const { size, seed } = options;
+    const clock = testing.createVirtualClock();
+    const random = testing.createSeededRandom(seed);
+    const network = testing.createVirtualNetwork({ clock, random });
+    const service = testing.createFakePlatform(clock);
+    const sent = { gossip: 0, documents: 0 };
+    let calls = 0;
+    const publishedMs = new Map<number, number>();
+    const adoptions = new Map<number, number[]>();
+
+    const publish = (version: number): void => {
+        publishedMs.set(version, clock.nowMs());
+        adoptions.set(version, []);
+        service.publish(version, options.textOf(version));
+    };
+    const note = (version: number): void => {
+        adoptions.get(version)?.push(clock.nowMs() - (publishedMs.get(version) ?? 0));
+    };
+    const counting = (endpoint: core.PeerEndpoint): core.PeerEndpoint => ({
+        ...endpoint,
+        async call(to, slice, payload, timeoutMs) {
+            const kind = slice === membership.membershipSlice ? "gossip" : "documents";
+            calls++;
+            sent[kind] += payload.length + membership.heartbeatTransportBytes;
+            const answer = await endpoint.call(to, slice, payload, timeoutMs);
+            sent[kind] += (answer.isOk() ? answer.value.length : 0) + membership.ackTransportBytes;
+            return answer;
+        },
+    });
+
+    publish(1);
+    const gossips = vmIds(size).map(self => {
+        const endpoint = counting(network.attach(self));
+        const cell = core.createSnapshotCell<documents.FleetDocument | undefined>(undefined);
+        const shared = { self, clock, random, endpoint };
+        const gossip = membership.createMembership({ ...shared, incarnation: 1, document: cell });
+        const feed = platform.createDocumentFeed({
+            ...shared,
+            membership: gossip,
+            platformUrls: ["http://platform"],
+            seedPeers: [],
+            httpGet: service.getOf(self),
+            history: options.createHistory(),
+        });
+        feed.inForce.changes.subscribe(inForce => {
+            cell.update(() => inForce?.document);
+            if (inForce) {
+                note(inForce.document.version);
+            }
+        });
+        gossip.start();
+        feed.start();
+        return gossip;
+    });
+
+    return {
+        clock,
+        service,
+        sent: () => ({ ...sent }),
+        calls: () => calls,
+        notAliveRatio() {
+            const health = gossips.flatMap(gossip => gossip.peers().map(peer => peer.health));
+            return health.filter(state => state !== "alive").length / health.length;
+        },
+        publish,
+        adoptionsMs: version => adoptions.get(version) ?? [],
+    };
+}
+
+export function vmIds(size: number): readonly core.VmId[] {
+    return Array.from({ length: size }, (_, index) => core.vmId(`vm-${String(index).padStart(3, "0")}`));
+}
+
+/** Builds texts of about `bytes` bytes that differ in one customer from one version to the next. */
+export function createTexts(size: number, zones: number, bytes: number): (version: number) => string {
+    const vms = vmIds(size).map((id, index) => ({
+        id,
+        zone: `zone-${index % zones}`,
+        peerAddress: `127.0.${index >> 8}.${index & 255}:7000`,
+    }));
+    const base = {
+        zones: Array.from({ length: zones }, (_, index) => ({ id: `zone-${index}`, region: "r" })),
+        vms,
+        pools: [{
+            id: "p",
+            kind: "engine",
+            upstreams: [{ id: "u", zone: "zone-0", url: "http://127.0.0.1:1", slots: 8, coldSlots: 1 }],
+        }],
+    };
+    const keyBytes = 110;
+    const keys = Array.from({ length: Math.max(0, Math.floor((bytes - JSON.stringify(base).length) / keyBytes)) }).map(
+        (_, index) => ({ id: `k${index}`, customer: "c0", sha256: documentsHash(index) }),
+    );
+    return version =>
+        JSON.stringify({
+            version,
+            ...base,
+            customers: Array.from({ length: 10 }, (_, index) => ({
+                id: `c${index}`,
+                rateCostPerS: 100,
+                burstCost: index === version % 10 ? 1_000 + version : 1_000,
+            })),
+            keys,
+        });
+}
+
+// Random digits, because the hashes of real keys do not compress either.
+function documentsHash(index: number): string {
+    const random = testing.createSeededRandom(index);
+    return Array.from({ length: 64 }, () => Math.floor(random() * 16).toString(16)).join("");
+}
--- /dev/null
+++ b/packages/bench/src/wireOverhead.ts
@@ -0,0 +1,125 @@
+import * as core from "@peridotloft/core";
+import * as peering from "@peridotloft/peering";
+import { ok } from "neverthrow";
+import { connect, createServer, type Socket } from "node:net";
+
+export interface WireOverhead {
+    readonly payloadBytes: number;
+    /** Bytes on TCP in each direction for one call, without the payload. TCP/IP headers are not included. */
+    readonly requestBytes: number;
+    readonly replyBytes: number;
+}
+
+interface CountingRelay {
+    readonly address: string;
+    readonly sentBytes: () => number;
+    readonly receivedBytes: () => number;
+    close(): void;
+}
+
+async function startCountingRelay(target: string): Promise<CountingRelay> {
+    const sockets: Socket[] = [];
+    let sentBytes = 0;
+    let receivedBytes = 0;
+    const [host, port] = target.split(":");
+    const server = createServer(left => {
+        const right = connect(Number(port), host);
+        sockets.push(left, right);
+        left.setNoDelay(true).on("data", chunk => {
+            sentBytes += chunk.length;
+        });
+        right.setNoDelay(true).on("data", chunk => {
+            receivedBytes += chunk.length;
+        });
+        left.pipe(right).on("error", () => left.destroy());
+        right.pipe(left).on("error", () => right.destroy());
+    });
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    return {
+        address: `127.0.0.1:${(server.address() as { port: number; }).port}`,
+        sentBytes: () => sentBytes,
+        receivedBytes: () => receivedBytes,
+        close() {
+            sockets.forEach(socket => socket.destroy());
+            server.close();
+        },
+    };
+}
+
+const receiver = core.vmId("vm-002");
+const warmUpCalls = 50;
+const measuredCalls = 500;
+const timeoutMs = 2_000;
+
+async function startPair() {
+    let address = "";
+    const create = (self: core.VmId): peering.PeerNode =>
+        peering.createPeerNode({
+            self,
+            incarnation: 1,
+            listen: "127.0.0.1:0",
+            secret: "measurement",
+            addressOf: () => address,
+            clock: core.createSystemClock(),
+        });
+    const [left, right] = [create(core.vmId("vm-001")), create(receiver)];
+    right.registerSlice("membership", async () => ok(new Uint8Array(25)));
+    const bound = (await right.start())._unsafeUnwrap();
+    const setAddress = (value: string): void => {
+        address = value;
+    };
+    const dispose = async (): Promise<void> => {
+        await Promise.all([left.dispose(), right.dispose()]);
+    };
+    return { left, bound, setAddress, dispose };
+}
+
+const callTimes = async (node: peering.PeerNode, count: number, payload: Uint8Array): Promise<void> => {
+    for (let index = 0; index < count; index++) {
+        (await node.call(receiver, "membership", payload, timeoutMs))._unsafeUnwrap();
+    }
+};
+
+/** Measures the bytes that one call adds to its payload and its answer of 25 bytes, on an open connection. */
+export async function measureWireOverhead(payloadBytes: number): Promise<WireOverhead> {
+    const { left, bound, setAddress, dispose } = await startPair();
+    const relay = await startCountingRelay(bound);
+    setAddress(relay.address);
+    const payload = new Uint8Array(payloadBytes);
+    await callTimes(left, warmUpCalls, payload);
+    const [sentBefore, receivedBefore] = [relay.sentBytes(), relay.receivedBytes()];
+    await callTimes(left, measuredCalls, payload);
+    const requestBytes = (relay.sentBytes() - sentBefore) / measuredCalls - payloadBytes;
+    const replyBytes = (relay.receivedBytes() - receivedBefore) / measuredCalls - 25;
+    await dispose();
+    relay.close();
+    return { payloadBytes, requestBytes, replyBytes };
+}
+
+export interface CallRate {
+    readonly concurrency: number;
+    readonly callsPerS: number;
+    /** CPU time of one call in ms, sender and receiver in the same process. */
+    readonly cpuMsPerCall: number;
+}
+
+/** Measures calls between two nodes of this process, which share one core. */
+export async function measureCallRate(concurrency: number, durationMs: number): Promise<CallRate> {
+    const { left, bound, setAddress, dispose } = await startPair();
+    setAddress(bound);
+    const payload = new Uint8Array(100);
+    await callTimes(left, warmUpCalls, payload);
+    const cpuBefore = process.cpuUsage();
+    const startMs = performance.now();
+    let calls = 0;
+    await Promise.all(Array.from({ length: concurrency }, async () => {
+        while (performance.now() - startMs < durationMs) {
+            await callTimes(left, 1, payload);
+            calls++;
+        }
+    }));
+    const elapsedMs = performance.now() - startMs;
+    const { user, system } = process.cpuUsage(cpuBefore);
+    await dispose();
+    return { concurrency, callsPerS: calls * 1_000 / elapsedMs, cpuMsPerCall: (user + system) / 1_000 / calls };
+}
