--- /dev/null
+++ b/packages/router/src/Router.ts
@@ -0,0 +1,132 @@
+import * as core from "@peridotloft/core";
+import type * as platform from "@peridotloft/platform";
+import type { Server } from "node:http";
+import { createAdminServer } from "./AdminServer.js";
+import { createAuditTrail } from "./AuditTrail.js";
+import { createConfigurationWatch } from "./ConfigurationWatch.js";
+import { closeIdle, createEntryServer, listen, stopListening } from "./EntryServer.js";
+import { createInFlightRequests, type InFlightRequests } from "./InFlightRequests.js";
+import type { Logger } from "./Logging.js";
+import { createMetrics } from "./Metrics.js";
+import { createRequestHandler } from "./RequestHandler.js";
+import { assembleServices, type AssemblyInput } from "./RouterAssembly.js";
+import * as constants from "./RouterConstants.js";
+import type { RouterServices } from "./RouterContext.js";
+import type { Settings } from "./Settings.js";
+import { createUpstreamConnections } from "./UpstreamConnections.js";
+
+/** A running router. Addresses are those actually listened on. */
+export interface RunningRouter {
+    readonly listen: string;
+    readonly adminListen: string;
+    /** Stops taking connections and resolves when every request in flight has ended. */
+    drain(): Promise<void>;
+    /** Stops everything at once; requests in flight are cut. */
+    dispose(): void;
+}
+
+/** Starts a router. Rejects, with nothing left running, when it cannot listen on its addresses. */
+export async function runRouter(
+    settings: Settings,
+    logger: Logger,
+    assemble: (input: AssemblyInput) => RouterServices = assembleServices,
+): Promise<RunningRouter> {
+    let isDraining = false;
+    const clock = core.createSystemClock();
+    const metrics = createMetrics(settings.statsd);
+    const connections = createUpstreamConnections();
+    const inFlight = createInFlightRequests();
+    const audit = createAuditTrail(clock, logger);
+    const services = assemble({ settings, clock, connections, metrics, logger, track: inFlight.track });
+    const { feed, scheduler } = services;
+    const upstreamContext = { clock, feed, scheduler, connections, metrics };
+    const configuration = createConfigurationWatch(upstreamContext, inFlight, audit);
+    const handler = createRequestHandler({
+        ...upstreamContext,
+        services,
+        inFlight,
+        entry: settings.entry,
+        logger,
+        keyIndex: configuration.keyIndex,
+        isDraining: () => isDraining,
+    });
+    const entry = createEntryServer(settings.entry, (request, response) => {
+        // An answer that began before the drain has promised the caller to keep the connection.
+        response.once("close", () => isDraining && closeIdle(entry));
+        handler(request, response);
+    });
+    const isReady = () => feed.isReady() && !isDraining && isInService(feed, settings);
+    const admin = createAdminServer({
+        isReady,
+        status: () => ({
+            vm: settings.vmId,
+            zone: settings.zone,
+            ready: isReady(),
+            draining: isDraining,
+            requestsInFlight: inFlight.count(),
+            ...describeServices(services),
+        }),
+        audit: audit.entries,
+    });
+
+    function dispose(): void {
+        isDraining = true;
+        configuration.dispose();
+        services.dispose();
+        connections.dispose();
+        metrics.dispose();
+        [entry, admin].forEach(server => {
+            server.close();
+            server.closeAllConnections();
+        });
+    }
+
+    try {
+        const adminListen = await listen(admin, settings.adminListen);
+        const entryListen = await listen(entry, settings.listen);
+        await services.start();
+        return {
+            listen: entryListen,
+            adminListen,
+            drain() {
+                isDraining = true;
+                return finishRequests(entry, inFlight);
+            },
+            dispose,
+        };
+    }
+    catch (error) {
+        dispose();
+        throw error;
+    }
+}
+
+async function finishRequests(entry: Server, inFlight: InFlightRequests): Promise<void> {
+    const closed = stopListening(entry).then(() => true);
+    // Node checks no timeouts after `close`, so a connection without a request could stay open for ever.
+    const quiet = () => new Promise<false>(resolve => setTimeout(() => resolve(false), constants.drainQuietMs));
+    do {
+        await inFlight.whenEmpty();
+    }
+    while (!await Promise.race([closed, quiet()]) && inFlight.count() > 0);
+    await inFlight.whenEmpty();
+}
+
+// The load balancer sends callers elsewhere; requests that arrive all the same are served.
+function isInService(feed: platform.DocumentFeed, settings: Settings): boolean {
+    const document = feed.inForce.read()?.document;
+    const vm = document?.vms.find(candidate => candidate.id === settings.vmId);
+    const zone = document?.zones.find(candidate => candidate.id === vm?.zone);
+    return vm?.state === "in-service" && zone?.state === "in-service";
+}
+
+function describeServices({ feed, limiter, scheduler, operations, peers }: RouterServices) {
+    const current = feed.inForce.read();
+    return {
+        document: { version: current?.document.version, digest: current?.digest, lastRejected: feed.lastRejected() },
+        peers: peers(),
+        limiter: limiter.status(),
+        scheduler: scheduler.status(),
+        operations: operations.status(),
+    };
+}
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,4 +1,7 @@
+export * from "./FakeEngine.js";
+export * from "./FakeGossip.js";
 export * from "./FakePlatform.js";
+export * from "./RateTrace.js";
 export * from "./SeededRandom.js";
 export * from "./VirtualClock.js";
 export * from "./VirtualNetwork.js";
