platform: tell the addresses of VMs before a document is trusted

Cause: a starting VM must ask every VM that the platform's document names, but their addresses were known only from a trusted document or the seed peers. A refused document was also reported on each read, and a running watch kept the process alive after dispose. Change: createDocumentFeed has addressOf, which also answers from the newest document seen; a source that repeats a refused document is reported once; and dispose ends running calls.

--- a/packages/platform/__tests__/unit/DocumentFeed.test.ts
+++ b/packages/platform/__tests__/unit/DocumentFeed.test.ts
@@ -12,6 +12,9 @@
         fleet.platform.publish(2, fleet.textOf(2).replace("\"north\"", "\"NORTH!\""));
         await fleet.clock.advance(5_000);
         const { feed } = fleet.vm(0);
+        const first = feed.lastRejected();
+        await fleet.clock.advance(15_000);
+        assert.equal(feed.lastRejected(), first, "the same fault is reported again");
         assert.equal(fleet.versionOf(fleet.ids[0]!), 1);
         assert.deepEqual(feed.lastRejected()?.errors.map(error => error.path), ["customers[0].id"]);
         fleet.publish(3);
@@ -42,6 +45,8 @@
         fleet.ids.slice(0, 2).forEach(fleet.start);
         await fleet.clock.advance(20_000);
         assert.ok(fleet.running().every(vm => !vm.feed.isReady()));
+        // Otherwise a starting VM could not ask those that are not among its seed peers.
+        assert.equal(fleet.vm(0).feed.addressOf(fleet.ids[3]!), "127.0.0.1:7003");
         fleet.start(fleet.ids[2]!);
         assert.notEqual(await fleet.untilInForce(1, everywhereMs, fleet.ids.slice(0, 3)), undefined);
     });
--- a/packages/platform/__tests__/unit/FleetHarness.ts
+++ b/packages/platform/__tests__/unit/FleetHarness.ts
@@ -8,7 +8,7 @@
 export interface FleetVm {
     readonly id: core.VmId;
     readonly clock: testing.PausableClock;
-    readonly feed: platform.DocumentFeed;
+    readonly feed: platform.AddressingDocumentFeed;
     readonly gossip: membership.Membership;
     /** Versions in force one after the other, over all runs of the VM. */
     readonly history: number[];
--- a/packages/platform/src/DocumentFeedNode.ts
+++ b/packages/platform/src/DocumentFeedNode.ts
@@ -38,8 +38,17 @@
 const isHigher = (candidateVersion: number, currentVersion: number): boolean => candidateVersion > currentVersion;
 const moreThanHalf = (vms: number): number => Math.floor(vms / 2) + 1;
 
+/** The feed with the addresses that it learns before it trusts a document. */
+export interface AddressingDocumentFeed extends DocumentFeed {
+    /**
+     * Address and port of a VM that is not retired: in the document in force, or before there is one, in the newest
+     * document seen. A VM that starts needs it to ask the VMs that are not among its seed peers.
+     */
+    addressOf(vm: core.VmId): string | undefined;
+}
+
 /** Creates the feed of one VM. It does nothing until `start`. */
-export function createDocumentFeed(options: DocumentFeedOptions): DocumentFeed {
+export function createDocumentFeed(options: DocumentFeedOptions): AddressingDocumentFeed {
     const { self, clock, random, endpoint } = options;
     const client = createPlatformClient({
         clock,
@@ -66,7 +75,7 @@
     const cleanUps: (() => void)[] = [];
     let vmList: VmList = new Map();
 
-    const knownVersion = (): number => store.inForce.read()?.document.version ?? trust.candidateVersion();
+    const knownVersion = (): number => store.inForce.read()?.document.version ?? (trust.candidate()?.version ?? 0);
     const onText = (published: PublishedText): boolean =>
         store.parse(published).match(document => {
             const isNews = document.document.version > knownVersion();
@@ -81,7 +90,7 @@
     const roleOf = (): PlatformRole => {
         const current = store.inForce.read();
         if (current === undefined) {
-            return trust.candidateVersion() > 0 ? "watcher" : "reader";
+            return (trust.candidate()?.version ?? 0) > 0 ? "watcher" : "reader";
         }
         const role = watchingRoleOf(current.document, self, avoided());
         return role === "reader" && contact.shouldStepIn() ? "standby" : role;
@@ -121,6 +130,10 @@
 
     return {
         inForce: store.inForce,
+        addressOf(id) {
+            const newest = store.inForce.read()?.document ?? trust.candidate();
+            return newest?.vms.find(vm => vm.id === id && vm.state !== "retired")?.peerAddress;
+        },
         isReady: () => store.inForce.read() !== undefined,
         lastRejected: () => store.lastRejected(),
         start() {
@@ -139,6 +152,7 @@
                 }),
                 core.setRepeatingTimer(clock, constants.readPeriodMs, () => void readVmList()),
                 () => trust.stop(),
+                () => client.dispose(),
             );
         },
         dispose() {
--- a/packages/platform/src/DocumentStore.ts
+++ b/packages/platform/src/DocumentStore.ts
@@ -24,6 +24,8 @@
     lastRejected(): RejectedDocument | undefined;
 }
 
+const maxReported = 1_000;
+
 export interface DocumentStoreOptions {
     readonly clock: core.Clock;
     readonly history: PatchHistory;
@@ -35,8 +37,19 @@
     const inForce = core.createSnapshotCell<DocumentInForce | undefined>(undefined);
     let rejected: RejectedDocument | undefined;
 
+    // A source that repeats a refused document is reported once, and again after the next version.
+    const reported = new Map<string, RejectedDocument>();
+
     const reject = (source: string, errors: readonly documents.DocumentError[]): RejectedDocument => {
+        const key = JSON.stringify([source, errors]);
+        const known = reported.get(key);
+        if (known) {
+            return known;
+        }
         rejected = { source, errors, wallMs: clock.wallMs() };
+        if (reported.size < maxReported) {
+            reported.set(key, rejected);
+        }
         return rejected;
     };
     return {
@@ -62,6 +75,7 @@
             if (current) {
                 history.add(current, candidate, steps);
             }
+            reported.clear();
             inForce.update(() => candidate);
             onAdopted(candidate);
             return true;
--- a/packages/platform/src/PlatformClient.ts
+++ b/packages/platform/src/PlatformClient.ts
@@ -17,7 +17,8 @@
     /** Reads the document if it is newer than `after`; waits up to `waitMs` for one. Ok with undefined when none is. */
     readDocument(after: number, waitMs: number): Promise<Result<PublishedText | undefined, string>>;
     readVms(): Promise<Result<VmList, string>>;
-    callsSent(): number;
+    /** Ends running calls. */
+    dispose(): void;
 }
 
 export interface PlatformClientOptions {
@@ -28,16 +29,18 @@
 
 export function createPlatformClient({ clock, urls, httpGet }: PlatformClientOptions): PlatformClient {
     let turn = 0;
-    let calls = 0;
+    const running = new Set<AbortController>();
 
     const get = async (path: string, maxBytes: number, timeoutMs: number): Promise<Result<SourcedAnswer, string>> => {
         const url = urls[turn % Math.max(1, urls.length)];
         if (url === undefined) {
             return err("no URL of the configuration service is set");
         }
-        calls++;
         const source = `${url}${path}`;
-        const answer = await getWithin(clock, httpGet, source, maxBytes, timeoutMs);
+        const abort = new AbortController();
+        running.add(abort);
+        const answer = await getWithin(clock, abort, timeoutMs, source, httpGet(source, maxBytes, abort.signal));
+        running.delete(abort);
         const checked = answer.andThen(value => checkStatus(value, url, source));
         turn += checked.isErr() ? 1 : 0;
         return checked;
@@ -57,7 +60,7 @@
             const answer = await get("/v1/vms", constants.maxVmListBytes, constants.readTimeoutMs);
             return answer.andThen(({ body }) => parseVmList(body));
         },
-        callsSent: () => calls,
+        dispose: () => running.forEach(abort => abort.abort()),
     };
 }
 
@@ -67,21 +70,22 @@
 
 function getWithin(
     clock: core.Clock,
-    httpGet: HttpGet,
-    url: string,
-    maxBytes: number,
+    abort: AbortController,
     timeoutMs: number,
+    url: string,
+    answer: Promise<Result<HttpAnswer, string>>,
 ): Promise<Result<HttpAnswer, string>> {
-    const abort = new AbortController();
     return new Promise(resolve => {
-        const cancel = clock.setTimer(timeoutMs, () => {
-            resolve(err(`GET ${url}: no answer within ${timeoutMs} ms`));
-            abort.abort();
-        });
-        void httpGet(url, maxBytes, abort.signal).then(result => {
+        const finish = (result: Result<HttpAnswer, string>): void => {
             cancel();
             resolve(result);
+        };
+        const cancel = clock.setTimer(timeoutMs, () => {
+            finish(err(`GET ${url}: no answer within ${timeoutMs} ms`));
+            abort.abort();
         });
+        abort.signal.addEventListener("abort", () => finish(err(`GET ${url}: given up`)), { once: true });
+        void answer.then(finish);
     });
 }
 
--- a/packages/platform/src/TrustGathering.ts
+++ b/packages/platform/src/TrustGathering.ts
@@ -1,4 +1,5 @@
 import type * as core from "@peridotloft/core";
+import type * as documents from "@peridotloft/document";
 import type { DocumentExchange, PeerVersion } from "./DocumentExchange.js";
 import type { DocumentInForce } from "./DocumentFeed.js";
 import type { DocumentStore, OfferedText } from "./DocumentStore.js";
@@ -26,7 +27,8 @@
     start(): void;
     /** Takes a document of the configuration service as a candidate. */
     offer(document: DocumentInForce, offered: OfferedText): void;
-    candidateVersion(): number;
+    /** The newest document seen so far. */
+    candidate(): documents.FleetDocument | undefined;
     stop(): void;
 }
 
@@ -103,7 +105,7 @@
             }
         },
         offer,
-        candidateVersion,
+        candidate: () => candidate?.document.document,
         stop() {
             stopped = true;
             cancel();
