peering: greet a peer before the first message of a connection

Cause: a receiver that restarted has an empty replay window, so a recorded message of a sender that still runs would have been handled a second time. A sender with another secret also learned of it only from a reply that proves nothing, after its message had been sent. Change: a new connection begins with an empty greeting, whose answer names the receiver's incarnation and proves the secret; each envelope names that incarnation, and other runs refuse it. The bench measures the memory of connections, and the assumed transport cost follows the new measurement.

--- a/packages/bench/src/gossipFleet.ts
+++ b/packages/bench/src/gossipFleet.ts
@@ -3,7 +3,7 @@
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import { type BenchFleet, createBenchFleet, createTexts, vmIds } from "./benchFleet.js";
-import { measureCallRate, measureWireOverhead } from "./wireOverhead.js";
+import { measureCallRate, measureConnectionMemory, measureWireOverhead } from "./wireOverhead.js";
 
 const seed = Number(process.argv[2] ?? 20_260_801);
 const fleets = [
@@ -17,6 +17,7 @@
 const steadyMs = 10_000;
 const versionPeriodMs = 3_600; // 24,000 changes a day
 const measuredVersions = 5;
+const memoryConnections = 300;
 
 setFlagsFromString("--expose-gc");
 const collectGarbage = runInNewContext("gc") as () => void;
@@ -179,6 +180,9 @@
         ["concurrent calls", "calls/s", "CPU ms per call"],
         rates.map(row => [row.concurrency, row.callsPerS, row.cpuMsPerCall]),
     );
+    printTable("Resident memory of connections, both ends and the receiving node", ["connections", "KB each"], [
+        [memoryConnections, await measureConnectionMemory(memoryConnections)],
+    ]);
 }
 
 async function reportFleets(): Promise<void> {
@@ -253,7 +257,7 @@
     );
 }
 
-await reportWire();
 await reportFleets();
 await reportDocuments();
+await reportWire();
 console.log(`\nMeasured in ${(performance.now() / 1_000).toFixed(0)} s.`);
--- a/packages/bench/src/wireOverhead.ts
+++ b/packages/bench/src/wireOverhead.ts
@@ -123,3 +123,34 @@
     await dispose();
     return { concurrency, callsPerS: calls * 1_000 / elapsedMs, cpuMsPerCall: (user + system) / 1_000 / calls };
 }
+
+/**
+ * Measures the resident memory in KB of one open connection, both ends and an idle receiving node together, with
+ * `count` receiving nodes in this process.
+ */
+export async function measureConnectionMemory(count: number): Promise<number> {
+    const addresses = new Map<core.VmId, string>();
+    const create = (self: core.VmId): peering.PeerNode =>
+        peering.createPeerNode({
+            self,
+            incarnation: 1,
+            listen: "127.0.0.1:0",
+            secret: "measurement",
+            addressOf: vm => addresses.get(vm),
+            clock: core.createSystemClock(),
+        });
+    const before = process.memoryUsage().rss;
+    const sender = create(core.vmId("sender"));
+    const receivers = Array.from({ length: count }, (_, index) => core.vmId(`receiver-${index}`)).map(self => {
+        const node = create(self);
+        node.registerSlice("membership", async () => ok(new Uint8Array(25)));
+        return { self, node };
+    });
+    for (const { self, node } of receivers) {
+        addresses.set(self, (await node.start())._unsafeUnwrap());
+        (await sender.call(self, "membership", new Uint8Array(100), timeoutMs))._unsafeUnwrap();
+    }
+    const after = process.memoryUsage().rss;
+    await Promise.all([sender.dispose(), ...receivers.map(({ node }) => node.dispose())]);
+    return (after - before) / 1_024 / count;
+}
--- a/packages/membership/src/MembershipConstants.ts
+++ b/packages/membership/src/MembershipConstants.ts
@@ -30,5 +30,5 @@
  * Bytes that peering adds to a heartbeat and to its acknowledgement: envelope, MAC and HTTP/2 frames, measured on an
  * open connection by packages/bench/src/gossipFleet.ts. TCP/IP headers are not included.
  */
-export const heartbeatTransportBytes = 140;
+export const heartbeatTransportBytes = 149;
 export const ackTransportBytes = 73;
--- a/packages/peering/__tests__/unit/Envelope.test.ts
+++ b/packages/peering/__tests__/unit/Envelope.test.ts
@@ -17,6 +17,7 @@
     sender: fc.string({ maxLength: 20 }),
     incarnation: fc.bigInt(0n, 2n ** 64n - 1n),
     receiver: fc.string({ maxLength: 20 }),
+    receiverIncarnation: fc.bigInt(0n, 2n ** 64n - 1n),
     counter: fc.bigInt(0n, 2n ** 64n - 1n),
     slice: fc.string({ maxLength: 20 }),
     payload: fc.uint8Array({ maxLength: 200 }),
@@ -27,6 +28,7 @@
     const handled: string[] = [];
     const receive = createEnvelopeReceiver({
         self: core.vmId("b"),
+        incarnation: 9n,
         secret,
         counters,
         replayGuard,
@@ -44,6 +46,7 @@
         sender: "a",
         incarnation: 5n,
         receiver: "b",
+        receiverIncarnation: 9n,
         counter: 1n,
         slice: "echo",
         payload: new Uint8Array([1]),
@@ -118,6 +121,7 @@
             Outcome.REFUSED,
         ],
         ["an old incarnation", sealed({ incarnation: 4n }), "refusedOldIncarnation", Outcome.REPEATED],
+        ["an earlier run of itself", sealed({ receiverIncarnation: 8n }), "refusedOtherRun", Outcome.REPEATED],
         ["a repeated counter", sealed({ counter: 2_000n }), "refusedReplay", Outcome.REPEATED],
         ["a counter behind the window", sealed({ counter: 976n }), "refusedReplay", Outcome.REPEATED],
     ] as const;
@@ -154,6 +158,12 @@
         assert.equal(handled.length, 2);
     });
 
+    it("answers a greeting with its incarnation and hands nothing to a handler", async () => {
+        const { receive, handled } = createReceiver();
+        const reply = await receive(sealed({ receiverIncarnation: 0n }));
+        assert.deepEqual([reply.outcome, reply.incarnation, handled.length], [Outcome.GREETED, 9n, 0]);
+    });
+
     it("gives no reply to a copy sent elsewhere that passes for the real receiver's", async () => {
         const request = sealed({ receiver: "c" });
         const refusal = await createReceiver().receive(request);
--- a/packages/peering/src/EnvelopeCodec.ts
+++ b/packages/peering/src/EnvelopeCodec.ts
@@ -8,9 +8,9 @@
 
 export type EnvelopeFields = Pick<
     Envelope,
-    "sender" | "incarnation" | "receiver" | "counter" | "slice" | "payload"
+    "sender" | "incarnation" | "receiver" | "receiverIncarnation" | "counter" | "slice" | "payload"
 >;
-export type ReplyFields = Pick<Reply, "outcome" | "error" | "payload">;
+export type ReplyFields = Pick<Reply, "outcome" | "error" | "payload" | "incarnation">;
 
 /** Builds an envelope with its MAC. */
 export function sealEnvelope(secret: string, fields: EnvelopeFields): Envelope {
@@ -40,6 +40,7 @@
     addField(hmac, fields.sender);
     addField(hmac, fields.incarnation.toString());
     addField(hmac, fields.receiver);
+    addField(hmac, fields.receiverIncarnation.toString());
     addField(hmac, fields.counter.toString());
     addField(hmac, fields.slice);
     addField(hmac, fields.payload);
@@ -52,6 +53,7 @@
     addField(hmac, replier);
     addField(hmac, requestMac);
     addField(hmac, fields.outcome.toString());
+    addField(hmac, fields.incarnation.toString());
     addField(hmac, fields.error);
     addField(hmac, fields.payload);
     return hmac.digest();
--- a/packages/peering/src/EnvelopeReceiver.ts
+++ b/packages/peering/src/EnvelopeReceiver.ts
@@ -9,6 +9,7 @@
 
 export interface EnvelopeReceiverOptions {
     readonly self: core.VmId;
+    readonly incarnation: bigint;
     readonly secret: string;
     readonly counters: PeerCounters;
     readonly replayGuard: ReplayGuard;
@@ -29,12 +30,18 @@
         if (!isAuthenticEnvelope(secret, envelope)) {
             counters.refusedMac++;
             // Not sealed: with the MAC of another request, the reply would pass for a refusal of that request.
-            return protobuf.create(ReplySchema, refusalOf(Outcome.REFUSED, "wrong MAC"));
+            return protobuf.create(ReplySchema, withoutPayload(Outcome.REFUSED, "wrong MAC"));
         }
         const refusal = checkEnvelope(options, envelope);
         if (refusal) {
             counters[refusal.counter]++;
-            return sealReply(secret, self, envelope.mac, refusalOf(refusal.outcome, refusal.reason));
+            return sealReply(secret, self, envelope.mac, withoutPayload(refusal.outcome, refusal.reason));
+        }
+        if (envelope.receiverIncarnation === 0n) {
+            return sealReply(secret, self, envelope.mac, {
+                ...withoutPayload(Outcome.GREETED, ""),
+                incarnation: options.incarnation,
+            });
         }
         counters.handled++;
         return sealReply(secret, self, envelope.mac, await runHandler(options, envelope));
@@ -52,8 +59,8 @@
         const reason = `meant for ${envelope.receiver}, received by ${options.self}`;
         return { counter: "refusedReceiver", outcome, reason };
     }
-    const repeated = checkRepeated(options.replayGuard, envelope);
-    if (repeated) {
+    const repeated = checkRun(options.incarnation, envelope) ?? checkRepeated(options.replayGuard, envelope);
+    if (repeated || envelope.receiverIncarnation === 0n) {
         return repeated;
     }
     return options.handlerOf(envelope.slice)
@@ -61,6 +68,15 @@
         : { counter: "refusedSlice", outcome, reason: `slice '${envelope.slice}' is unknown` };
 }
 
+function checkRun(incarnation: bigint, envelope: Envelope): Refusal | undefined {
+    const meantFor = envelope.receiverIncarnation;
+    return meantFor === 0n || meantFor === incarnation ? undefined : {
+        counter: "refusedOtherRun",
+        outcome: Outcome.REPEATED,
+        reason: `meant for run ${meantFor}, received by run ${incarnation}`,
+    };
+}
+
 function checkRepeated(replayGuard: ReplayGuard, envelope: Envelope): Refusal | undefined {
     const { sender, incarnation, counter } = envelope;
     const fault = replayGuard.check(sender, incarnation, counter);
@@ -77,15 +93,15 @@
         const handler = options.handlerOf(envelope.slice);
         const result = await handler?.(vmId(envelope.sender), envelope.payload);
         return result?.match(
-            payload => ({ outcome: Outcome.OK, error: "", payload }),
-            error => refusalOf(Outcome.FAILED, error),
-        ) ?? refusalOf(Outcome.REFUSED, `slice '${envelope.slice}' is unknown`);
+            payload => ({ outcome: Outcome.OK, error: "", payload, incarnation: 0n }),
+            error => withoutPayload(Outcome.FAILED, error),
+        ) ?? withoutPayload(Outcome.REFUSED, `slice '${envelope.slice}' is unknown`);
     }
     catch (error) {
-        return refusalOf(Outcome.FAILED, `handler of slice '${envelope.slice}' threw: ${String(error)}`);
+        return withoutPayload(Outcome.FAILED, `handler of slice '${envelope.slice}' threw: ${String(error)}`);
     }
 }
 
-function refusalOf(outcome: Outcome, error: string): ReplyFields {
-    return { outcome, error, payload: new Uint8Array() };
+function withoutPayload(outcome: Outcome, error: string): ReplyFields {
+    return { outcome, error, payload: new Uint8Array(), incarnation: 0n };
 }
--- a/packages/peering/src/PeerConnection.ts
+++ b/packages/peering/src/PeerConnection.ts
@@ -16,6 +16,8 @@
 
 /** One established HTTP/2 connection to a peer. */
 export interface PeerConnection {
+    /** Run of the peer that answered the greeting; 0 before. */
+    receiverIncarnation: bigint;
     call(envelope: Envelope, timeoutMs: number): Promise<Result<Reply, ConnectionError>>;
     isUsable(): boolean;
     /** Lets running calls finish and accepts no new ones. */
@@ -89,6 +91,7 @@
     session.once("goaway", () => session.close());
     const client = createPeerClient(session, options.address, liveness);
     return {
+        receiverIncarnation: 0n,
         call: (envelope, timeoutMs) => callPeer({ client, clock, liveness, running }, envelope, timeoutMs),
         isUsable: () => isOpen(session),
         close: () => session.close(),
--- a/packages/peering/src/PeerCounters.ts
+++ b/packages/peering/src/PeerCounters.ts
@@ -13,6 +13,8 @@
     refusedMac: number;
     refusedReceiver: number;
     refusedOldIncarnation: number;
+    /** Envelopes meant for an earlier run of this VM. */
+    refusedOtherRun: number;
     refusedReplay: number;
     refusedSize: number;
     refusedSlice: number;
@@ -35,6 +37,7 @@
         refusedMac: 0,
         refusedReceiver: 0,
         refusedOldIncarnation: 0,
+        refusedOtherRun: 0,
         refusedReplay: 0,
         refusedSize: 0,
         refusedSlice: 0,
