--- a/packages/platform/__tests__/unit/FleetHarness.ts
+++ b/packages/platform/__tests__/unit/FleetHarness.ts
@@ -8,20 +8,26 @@
 export interface FleetVm {
     readonly id: core.VmId;
     readonly clock: testing.PausableClock;
-    readonly feed: platform.DocumentFeed;
+    readonly feed: platform.AddressingDocumentFeed;
     readonly gossip: membership.Membership;
     /** Versions in force one after the other, over all runs of the VM. */
     readonly history: number[];
     stop(): void;
 }
 
+export type Change = (id: core.VmId, options: platform.DocumentFeedOptions) => platform.DocumentFeedOptions;
+
+/** Times in ms in which a version must be in force everywhere, and in which states and keys must be. */
+export const everywhereMs = 10_000;
+export const statesAndKeysMs = 5_000;
+
 export interface FleetOptions {
     readonly size: number;
     readonly zones: number;
     readonly seed: number;
     readonly lossRatio?: number;
     /** Changes the options of each feed, so that a test can break one rule. */
-    readonly change?: (id: core.VmId, options: platform.DocumentFeedOptions) => platform.DocumentFeedOptions;
+    readonly change?: Change;
 }
 
 export interface Fleet {
