--- a/packages/limits/src/CustomerBudget.ts
+++ b/packages/limits/src/CustomerBudget.ts
@@ -1,4 +1,4 @@
-import type * as core from "@peridotloft/core";
+import * as core from "@peridotloft/core";
 import { err, ok, type Result } from "neverthrow";
 import type { CostEstimate } from "./CostEstimate.js";
 import type { DemandEstimate } from "./DemandEstimate.js";
@@ -9,6 +9,7 @@
 import type { OwnerLink } from "./OwnerLink.js";
 import type { Charge, RateRefusal } from "./RateLimiter.js";
 import type { CustomerLimit, ShareTable } from "./ShareTable.js";
+import type { BucketShare } from "./TokenBucket.js";
 
 /** What one customer may spend at this VM: tokens of this VM's own buckets, and loans. */
 export interface CustomerBudget {
@@ -102,12 +103,20 @@
         return [...full, ...borrowed, ...own.flatMap(takeOwn)];
     };
 
+    /** Pays a debt from tokens that are here, which needs no message, and returns the rest of it. */
+    const payHere = (debt: number): number => {
+        const nowMs = clock.nowMs();
+        const paid = Math.min(debt, availableCost(nowMs));
+        return debt - sum((draw(paid, nowMs) ?? []).map(part => part.cost));
+    };
+
     /** Settles against the bucket that gave most, because a message line concerns one bucket. */
-    const settle = (parts: readonly ChargePart[], difference: number): void => {
+    const settle = (parts: readonly ChargePart[], unsettled: number): void => {
+        const difference = unsettled < 0 ? -payHere(-unsettled) : unsettled;
         const largest = parts.reduce((best, part) => part.cost > best.cost ? part : best, { index: 0, cost: 0 });
         const own = buckets.find(customer, largest.index, clock.nowMs());
         if (!own) {
-            accountOf(largest.index).settle(difference);
+            accountOf(largest.index).settle(difference, clock.nowMs());
             options.onActive();
         }
         else if (difference < 0) {
@@ -147,15 +156,20 @@
         findSources(nowMs).filter(({ link, account }) => !link.isAvoided(nowMs) && account.dryUntilMs() <= nowMs);
 
     /**
-     * The bucket that is expected to have most tokens: a bucket that stays full loses its accrual. Of buckets that
-     * look alike a random one, so that not all VMs ask the same owner.
+     * The fewest buckets that are expected to have `cost` together, those with most tokens first: a bucket that stays
+     * full loses its accrual. Buckets that look alike come in random order, so that not all VMs ask the same owner.
      */
-    const pickOne = (sources: readonly Source[], limit: CustomerLimit, nowMs: number): Source[] => {
-        const share = shares.shareOf(limit, nowMs);
-        const scored = sources.map(source => ({ source, left: source.account.expectedLeft(nowMs, share) }));
-        const most = Math.max(...scored.map(({ left }) => left));
-        const best = scored.filter(({ left }) => left >= most).map(({ source }) => source);
-        return best.slice(Math.floor(random() * best.length)).slice(0, 1);
+    const pickSources = (sources: readonly Source[], cost: number, share: BucketShare, nowMs: number): Source[] => {
+        const scored = core.shuffle(sources, random)
+            .map(source => ({ source, left: source.account.expectedLeft(nowMs, share) }))
+            .sort((left, right) => right.left - left.left);
+        let missing = cost;
+        const isNeeded = ({ left }: (typeof scored)[number], position: number): boolean => {
+            const needed = position === 0 || missing > costTolerance;
+            missing -= left;
+            return needed;
+        };
+        return scored.filter(isNeeded).map(({ source }) => source);
     };
 
     const ask = (source: Source): Promise<void> => {
@@ -178,7 +192,10 @@
     const borrowAhead = (limit: CustomerLimit, nowMs: number): void => {
         const target = aheadTarget(nowMs);
         const available = availableCost(nowMs);
-        const [source] = borrowingAhead || available >= target / 2 ? [] : pickOne(findAskable(nowMs), limit, nowMs);
+        if (borrowingAhead || available >= target / 2) {
+            return;
+        }
+        const [source] = pickSources(findAskable(nowMs), 0, shares.shareOf(limit, nowMs), nowMs);
         if (source) {
             borrowingAhead = true;
             source.account.want(0, target - available, false);
@@ -195,19 +212,26 @@
         cancel();
     };
 
-    /** Asks one bucket first, then all that may have tokens. A cost near a bucket's share needs several at once. */
+    /**
+     * Asks the buckets that are expected to suffice, and others for what is still missing. Asking one after the other
+     * leaves less to return than asking all at once; after an attempt without an answer there is no time for that.
+     */
     const borrow = async (limit: CustomerLimit, cost: number, granted: Promise<void>, isGranted: () => boolean) => {
-        for (let attempt = 1; attempt <= constants.maxAttempts && !isGranted(); attempt++) {
+        const startMs = clock.nowMs();
+        const mayTryAgain = (attempt: number): boolean =>
+            attempt <= constants.maxAttempts || clock.nowMs() < startMs + constants.attemptTimeoutMs;
+        for (let attempt = 1; !isGranted() && mayTryAgain(attempt); attempt++) {
             const nowMs = clock.nowMs();
             const askable = findAskable(nowMs);
             if (askable.length === 0) {
                 return;
             }
             const share = shares.shareOf(limit, nowMs);
-            const asksAll = attempt > 1 || cost > share.burst / 2;
             const missing = waiters.length > 1 ? cost : cost - availableCost(nowMs);
-            const sources = asksAll ? askable : pickOne(askable, limit, nowMs);
-            const answered = askForNeed(sources, Math.min(missing, share.burst), asksAll);
+            const isLate = nowMs >= startMs + constants.attemptTimeoutMs;
+            const sources = isLate ? askable : pickSources(askable, missing, share, nowMs);
+            const partCost = missing * constants.gatherRatio / sources.length;
+            const answered = askForNeed(sources, Math.min(missing, partCost, share.burst), sources.length > 1);
             await withinAttempt(Promise.race([granted, answered]));
         }
     };
@@ -223,6 +247,18 @@
         });
     };
 
+    /** Tells owners what they need to know soon: loans that are not needed here, and settlements that are due. */
+    const returnExcess = (limit: CustomerLimit | undefined, nowMs: number): void => {
+        const burst = limit ? shares.shareOf(limit, nowMs).burst : 0;
+        const isDue = ({ account }: Source): boolean => {
+            const excessCost = availableCost(nowMs) - aheadTarget(nowMs) * constants.excessRatio;
+            return account.review(nowMs, { burst, excessCost, settlementDelayMs: shares.loanLifetimeMs() });
+        };
+        findSources(nowMs)
+            .filter(source => isDue(source) && !source.link.isAvoided(nowMs))
+            .forEach(source => void ask(source));
+    };
+
     const waitForTokens = async (limit: CustomerLimit, cost: number): Promise<readonly ChargePart[] | undefined> => {
         let parts: readonly ChargePart[] | undefined;
         let resolveGranted: () => void = () => undefined;
@@ -237,6 +273,9 @@
         waiters = [...waiters, waiter];
         await borrow(limit, cost, granted, () => parts !== undefined);
         waiters = waiters.filter(other => other !== waiter);
+        if (waiters.length === 0) {
+            returnExcess(limit, clock.nowMs());
+        }
         return parts;
     };
 
@@ -265,14 +304,7 @@
         availableCost,
         serveWaiting,
         review(limit, nowMs) {
-            const burst = limit ? shares.shareOf(limit, nowMs).burst : 0;
-            const isDue = ({ account }: Source): boolean => {
-                const excessCost = availableCost(nowMs) - aheadTarget(nowMs) * constants.excessRatio;
-                return account.review(nowMs, burst, excessCost);
-            };
-            findSources(nowMs)
-                .filter(source => isDue(source) && !source.link.isAvoided(nowMs))
-                .forEach(source => void ask(source));
+            returnExcess(limit, nowMs);
             return [...accounts.values()].some(account => account.isActive(nowMs));
         },
         demandPerMs: nowMs => demand.costPerMs(nowMs),
--- a/packages/limits/src/LimitsConstants.ts
+++ b/packages/limits/src/LimitsConstants.ts
@@ -4,7 +4,10 @@
 /** Time in ms that one borrowing attempt may take (design page, section 4.2). */
 export const attemptTimeoutMs = 50;
 
-/** Borrowing attempts per request (design page, section 4.2). */
+/**
+ * Borrowing attempts per request that may each take the whole time (design page, section 4.2). While the first of them
+ * would last, further owners are asked as soon as one has answered.
+ */
 export const maxAttempts = 2;
 
 /** Time in ms for which a brief loan can be spent: both attempts and the handling of their answers. */
@@ -35,10 +38,16 @@
 export const minRequestsAhead = 2;
 
 /** Part of a bucket's burst share in unreported spending above which a report is sent without another cause. */
-export const urgentReportRatio = 1 / 32;
+export const urgentReportRatio = 1 / 8;
 
 /** Part of a bucket's burst share in settled differences to return above which they are sent without another cause. */
-export const urgentSettlementRatio = 1 / 16;
+export const urgentSettlementRatio = 1 / 4;
+
+/** Part of a bucket's burst share below which tokens are returned to it without another cause. */
+export const lowRatio = 1 / 2;
+
+/** Multiple of a missing cost that is asked for when several buckets are asked, as some may have less than expected. */
+export const gatherRatio = 2;
 
 /** Part of the free tokens that one request may take for demand to come; the rest stays for other askers. */
 export const maxAheadShare = 1 / 2;
--- a/packages/limits/src/LoanAccount.ts
+++ b/packages/limits/src/LoanAccount.ts
@@ -35,6 +35,16 @@
     closed: boolean;
 }
 
+/** When an account has to be reported on without another cause. */
+export interface ReviewPolicy {
+    /** Burst share of the bucket in cost units. */
+    readonly burst: number;
+    /** Cost in loans that local demand does not need. */
+    readonly excessCost: number;
+    /** Longest time in ms for which a debt may wait for the next request to the lender. */
+    readonly settlementDelayMs: number;
+}
+
 /** The borrower's side: loans that this VM has from one bucket of another VM, and what it has to tell the lender. */
 export interface LoanAccount {
     /** Cost that can be spent now, less a debt that the lender does not know yet. */
@@ -42,7 +52,7 @@
     /** Spends up to `cost`, soonest expiry first, and returns how much. */
     draw(cost: number, nowMs: number): number;
     /** Notes a settled difference: positive returns tokens, negative is a debt. */
-    settle(difference: number): void;
+    settle(difference: number, nowMs: number): void;
     /** Asks for tokens with the next line. */
     want(needCost: number, aheadCost: number, gathering: boolean): void;
     /** Whether the bucket may have tokens, as far as its last answer says. */
@@ -50,10 +60,10 @@
     /** Tokens that the bucket has by its last answer and the accrual since; its burst before the first answer. */
     expectedLeft(nowMs: number, share: BucketShare): number;
     /**
-     * Closes loans that are due for return, and those that fit into `excessCost`, which local demand does not need.
-     * Returns whether the lender must be told before the next need.
+     * Closes loans that are due for return, and those that fit into the excess. Returns whether the lender must be
+     * told before the next need.
      */
-    review(nowMs: number, burst: number, excessCost: number): boolean;
+    review(nowMs: number, policy: ReviewPolicy): boolean;
     /** Whether there are loans or settlements. */
     isActive(nowMs: number): boolean;
     /** Returns what to tell the lender, or undefined when there is nothing. */
@@ -67,6 +77,7 @@
 export function createLoanAccount(): LoanAccount {
     let loans: Loan[] = [];
     let settledCost = 0;
+    let oldestDebtMs = Number.POSITIVE_INFINITY;
     let wanted = { needCost: 0, aheadCost: 0, gathering: false };
     let dryUntilMs = 0;
     let last: { readonly leftCost: number; readonly atMs: number; } | undefined;
@@ -81,6 +92,9 @@
     /** A brief loan is spent at once and expires soon, so reporting it would cost more than it frees. */
     const isNews = (loan: Loan): boolean => !loan.brief && (loan.closed || loan.spentCost > loan.reportedCost);
 
+    /** Whether the bucket needs returned tokens, as far as its last answer says. */
+    const isLow = (burst: number): boolean => last !== undefined && last.leftCost < burst * constants.lowRatio;
+
     const available = (nowMs: number): number =>
         Math.max(0, sum(usable(nowMs).map(remaining)) + Math.min(0, settledCost));
 
@@ -99,8 +113,9 @@
                 .sort((left, right) => left.expiresMs - right.expiresMs)
                 .reduce((drawn, loan) => drawn + drawFrom(loan, limit - drawn), 0);
         },
-        settle(difference) {
+        settle(difference, nowMs) {
             settledCost += difference;
+            oldestDebtMs = settledCost < 0 ? Math.min(oldestDebtMs, nowMs) : Number.POSITIVE_INFINITY;
         },
         want(needCost, aheadCost, gathering) {
             wanted = {
@@ -112,7 +127,7 @@
         dryUntilMs: () => dryUntilMs,
         expectedLeft: (nowMs, share) =>
             last ? Math.min(share.burst, last.leftCost + (nowMs - last.atMs) * share.ratePerMs) : share.burst,
-        review(nowMs, burst, excessCost) {
+        review(nowMs, { burst, excessCost, settlementDelayMs }) {
             let excess = excessCost;
             const due = usable(nowMs).filter(loan => {
                 const isDue = !loan.brief && (loan.returnAtMs <= nowMs || remaining(loan) <= excess);
@@ -122,8 +137,9 @@
             });
             const unreported = sum(loans.filter(isNews).map(loan => loan.spentCost - loan.reportedCost));
             return due.length > 0
-                || settledCost < 0
-                || settledCost > burst * constants.urgentSettlementRatio
+                || nowMs - oldestDebtMs >= settlementDelayMs
+                || Math.abs(settledCost) > burst * constants.urgentSettlementRatio
+                || (settledCost > 0 && isLow(burst))
                 || unreported > burst * constants.urgentReportRatio;
         },
         isActive: nowMs => usable(nowMs).length > 0 || loans.length > 0 || settledCost !== 0,
@@ -146,6 +162,7 @@
             };
             wanted = { needCost: 0, aheadCost: 0, gathering: false };
             settledCost = 0;
+            oldestDebtMs = Number.POSITIVE_INFINITY;
             return line;
         },
         noteAnswer(line, received, nowMs) {
@@ -163,6 +180,7 @@
         noteFailure(line, certainlyNotHandled) {
             // Unknown outcome: a debt is charged again, a credit is dropped. Either way no token is issued twice.
             settledCost += certainlyNotHandled ? line.settledCost : Math.min(0, line.settledCost);
+            oldestDebtMs = settledCost < 0 ? Number.NEGATIVE_INFINITY : Number.POSITIVE_INFINITY;
         },
     };
 }
--- a/packages/limits/src/createRateLimiter.ts
+++ b/packages/limits/src/createRateLimiter.ts
@@ -41,8 +41,8 @@
  *
  * Over every interval of length t, the settled cost of a customer's admitted requests, summed over all VMs, is at most
  * rate·t + burst + E. E is the sum of |actual − estimate| over requests that were in flight, or whose settlement the
- * owner had not received, at some moment of the interval. Passing a settlement on takes up to an eighth of a loan
- * lifetime and one call when the owner is reachable. While two documents are in force the larger rate and burst count.
+ * owner had not received, at some moment of the interval. A debt is passed on after one loan lifetime and an eighth at
+ * the latest, or sooner when it exceeds a quarter of the bucket's burst, and takes one call to a reachable owner. While two documents are in force the larger rate and burst count.
  * A restarted owner forgets the debt of its bucket; E includes what is left of it after one loan lifetime.
  */
 export function createRateLimiter(options: RateLimiterOptions): RateLimiter {
