Shorten brief loans and the work of an admission

A brief loan is spent when its answer arrives, but stayed outstanding for 250 ms and stopped the accrual of a bucket that is nearly full. It now ends 60 ms after the answer.

--- a/packages/limits/src/CustomerBudget.ts
+++ b/packages/limits/src/CustomerBudget.ts
@@ -74,9 +74,16 @@
         return known;
     };
 
-    const availableCost = (nowMs: number): number =>
-        sum(buckets.findAll(customer, nowMs).map(({ lent }) => Math.max(0, lent.bucket.tokens())))
-        + sum([...accounts.values()].map(account => account.available(nowMs)));
+    const borrowedCost = (nowMs: number): number => {
+        let total = 0;
+        accounts.forEach(account => total += account.available(nowMs));
+        return total;
+    };
+
+    const ownCost = (own: readonly OwnBucket[]): number =>
+        sum(own.map(({ lent }) => Math.max(0, lent.bucket.tokens())));
+
+    const availableCost = (nowMs: number): number => ownCost(buckets.findAll(customer, nowMs)) + borrowedCost(nowMs);
 
     /** Whether the bucket is so full that it would lose accrual. */
     const isNearlyFull = ({ lent: { bucket } }: OwnBucket): boolean =>
@@ -84,7 +91,8 @@
 
     /** Spends loans before own tokens, because loans expire, except where an own bucket would lose accrual. */
     const draw = (cost: number, nowMs: number): readonly ChargePart[] | undefined => {
-        if (availableCost(nowMs) < cost - costTolerance) {
+        const own = buckets.findAll(customer, nowMs);
+        if (ownCost(own) + borrowedCost(nowMs) < cost - costTolerance) {
             return undefined;
         }
         let missing = cost;
@@ -97,7 +105,6 @@
             lent.bucket.take(drawn);
             return take(index, drawn);
         };
-        const own = buckets.findAll(customer, nowMs);
         const full = own.filter(isNearlyFull).flatMap(takeOwn);
         const borrowed = [...accounts].flatMap(([index, account]) => take(index, account.draw(missing, nowMs)));
         return [...full, ...borrowed, ...own.flatMap(takeOwn)];
@@ -190,9 +197,12 @@
     };
 
     const borrowAhead = (limit: CustomerLimit, nowMs: number): void => {
-        const target = aheadTarget(nowMs);
+        const target = borrowingAhead ? 0 : aheadTarget(nowMs);
+        if (target === 0) {
+            return;
+        }
         const available = availableCost(nowMs);
-        if (borrowingAhead || available >= target / 2) {
+        if (available >= target / 2) {
             return;
         }
         const [source] = pickSources(findAskable(nowMs), 0, shares.shareOf(limit, nowMs), nowMs);
--- a/packages/limits/src/LimitsConstants.ts
+++ b/packages/limits/src/LimitsConstants.ts
@@ -10,8 +10,16 @@
  */
 export const maxAttempts = 2;
 
-/** Time in ms for which a brief loan can be spent: both attempts and the handling of their answers. */
-export const briefLifetimeMs = 150;
+/**
+ * Time in ms for which a brief loan can be spent: a later answer is not waited for, and the loan is spent as soon as it
+ * arrives. A spent loan that is still outstanding stops the accrual of a bucket that is nearly full, so it must end
+ * soon: 250 ms with the margin instead of 60 ms raised wrongful refusals from 0.16% to 0.75% for a customer with one
+ * bucket, a burst of 8 requests and 80% of its rate over 24 VMs.
+ */
+export const briefLifetimeMs = attemptTimeoutMs;
+
+/** Time in ms that a lender waits beyond a brief loan's lifetime; allows clocks that differ by a fifth. */
+export const briefMarginMs = 10;
 
 /**
  * Time in ms that a lender waits beyond a loan's lifetime. The borrower's lifetime starts earlier, so this only covers
--- a/packages/limits/src/LoanBook.ts
+++ b/packages/limits/src/LoanBook.ts
@@ -104,9 +104,11 @@
         const ownDemandPerMs = options.ownDemandPerMs(core.customerId(line.customer), nowMs);
         const cost = divide(lent, line, ownDemandPerMs);
         const brief = !line.gathering && line.aheadCost === 0 && cost >= line.needCost;
-        const lifetimeMs = brief ? constants.briefLifetimeMs : options.loanLifetimeMs();
+        const outstandingMs = brief
+            ? constants.briefLifetimeMs + constants.briefMarginMs
+            : options.loanLifetimeMs() + constants.loanMarginMs;
         if (cost > 0) {
-            lent.lend(key, cost, nowMs + lifetimeMs + constants.loanMarginMs);
+            lent.lend(key, cost, nowMs + outstandingMs);
         }
         return { cost, brief, dryMs: findDryMs(lent, line, cost), leftCost: Math.max(0, lent.bucket.tokens()) };
     };
--- a/packages/limits/src/OwnBuckets.ts
+++ b/packages/limits/src/OwnBuckets.ts
@@ -34,6 +34,14 @@
 export function createOwnBuckets(options: OwnBucketsOptions): OwnBuckets {
     const { ownership, shares } = options;
     const entries = new Map<string, Entry>();
+    const names = new Map<core.CustomerId, string[]>();
+
+    /** Keeps the names, because building and hashing them took half the time of an admission. */
+    const nameOf = (customer: core.CustomerId, index: number): string => {
+        const known = names.get(customer) ?? [];
+        names.set(customer, known);
+        return known[index] ??= bucketResource(customer, index);
+    };
 
     const findHeldSince = (customer: core.CustomerId, index: number, resource: string): number | undefined => {
         const limit = shares.find(customer);
@@ -63,7 +71,7 @@
     };
 
     const find = (customer: core.CustomerId, index: number, nowMs: number): LentBucket | undefined => {
-        const resource = bucketResource(customer, index);
+        const resource = nameOf(customer, index);
         const limit: CustomerLimit | undefined = shares.find(customer);
         const isActive = index < shares.activeBuckets(nowMs);
         const startMs = isActive ? findHeldSince(customer, index, resource) : undefined;
