--- a/packages/limits/src/LimitsConstants.ts
+++ b/packages/limits/src/LimitsConstants.ts
@@ -4,11 +4,22 @@
 /** Time in ms that one borrowing attempt may take (design page, section 4.2). */
 export const attemptTimeoutMs = 50;
 
-/** Borrowing attempts per request (design page, section 4.2). */
+/**
+ * Borrowing attempts per request that may each take the whole time (design page, section 4.2). While the first of them
+ * would last, further owners are asked as soon as one has answered.
+ */
 export const maxAttempts = 2;
 
-/** Time in ms for which a brief loan can be spent: both attempts and the handling of their answers. */
-export const briefLifetimeMs = 150;
+/**
+ * Time in ms for which a brief loan can be spent: a later answer is not waited for, and the loan is spent as soon as it
+ * arrives. A spent loan that is still outstanding stops the accrual of a bucket that is nearly full, so it must end
+ * soon: 250 ms with the margin instead of 60 ms raised wrongful refusals from 0.16% to 0.75% for a customer with one
+ * bucket, a burst of 8 requests and 80% of its rate over 24 VMs.
+ */
+export const briefLifetimeMs = attemptTimeoutMs;
+
+/** Time in ms that a lender waits beyond a brief loan's lifetime; allows clocks that differ by a fifth. */
+export const briefMarginMs = 10;
 
 /**
  * Time in ms that a lender waits beyond a loan's lifetime. The borrower's lifetime starts earlier, so this only covers
@@ -35,10 +46,16 @@
 export const minRequestsAhead = 2;
 
 /** Part of a bucket's burst share in unreported spending above which a report is sent without another cause. */
-export const urgentReportRatio = 1 / 32;
+export const urgentReportRatio = 1 / 8;
 
 /** Part of a bucket's burst share in settled differences to return above which they are sent without another cause. */
-export const urgentSettlementRatio = 1 / 16;
+export const urgentSettlementRatio = 1 / 4;
+
+/** Part of a bucket's burst share below which tokens are returned to it without another cause. */
+export const lowRatio = 1 / 2;
+
+/** Multiple of a missing cost that is asked for when several buckets are asked, as some may have less than expected. */
+export const gatherRatio = 2;
 
 /** Part of the free tokens that one request may take for demand to come; the rest stays for other askers. */
 export const maxAheadShare = 1 / 2;
