Measure the scheduler against a plain baseline, and compact its gossip

A heartbeat to 8 peers has room for about 80 bytes, which upstream states (32 bytes each, three times) filled during a ramp, and totals of customers that were not waiting filled later.

Totals and states now travel as numbers in the document's sorted names (about 8 and 5 bytes), and totals of backlogged customers go first.

--- /dev/null
+++ b/packages/bench/src/SchedulingBaseline.ts
@@ -0,0 +1,77 @@
+import type * as core from "@peridotloft/core";
+import * as documents from "@peridotloft/document";
+import type * as scheduling from "@peridotloft/scheduling";
+import { err, ok, type Result } from "neverthrow";
+
+export type RequestScheduler = Pick<scheduling.Scheduler, "acquire" | "mayRetry" | "dispose">;
+
+interface Waiter {
+    readonly request: scheduling.SlotRequest;
+    readonly resolve: (result: Result<scheduling.SlotLease, scheduling.QueueRefusal>) => void;
+}
+
+const maxQueued = 1_000;
+
+/** The plain alternative: every VM on its own, first in first out, least connections as far as this VM knows. */
+export function createBaselineScheduler(
+    clock: core.Clock,
+    document: core.SnapshotCell<documents.FleetDocument>,
+): RequestScheduler {
+    const inFlight = new Map<core.UpstreamId, number>();
+    const countOf = (id: core.UpstreamId): number => inFlight.get(id) ?? 0;
+    let queue: Waiter[] = [];
+    let requests = 0;
+    let retries = 0;
+
+    const leastLoaded = (): documents.Upstream | undefined =>
+        document.read().pools.flatMap(pool => pool.upstreams)
+            .filter(upstream => documents.effectiveUpstreamState(document.read(), upstream) === "in-service")
+            .filter(upstream => countOf(upstream.id) < upstream.slots)
+            .sort((left, right) => countOf(left.id) - countOf(right.id))[0];
+
+    const lease = (upstream: documents.Upstream, deadlineMs: number): scheduling.SlotLease => {
+        inFlight.set(upstream.id, countOf(upstream.id) + 1);
+        return {
+            upstream,
+            deadlineMs,
+            noteFirstByte: () => undefined,
+            release() {
+                inFlight.set(upstream.id, countOf(upstream.id) - 1);
+                pump();
+            },
+        };
+    };
+
+    const pump = (): void => {
+        for (let upstream = leastLoaded(); upstream && queue.length > 0; upstream = leastLoaded()) {
+            const waiter = queue.shift();
+            if (waiter && waiter.request.deadlineMs <= clock.nowMs()) {
+                waiter.resolve(err({ kind: "deadline", retryAfterMs: 0 }));
+            }
+            else {
+                waiter?.resolve(ok(lease(upstream, waiter.request.deadlineMs)));
+            }
+        }
+    };
+
+    return {
+        acquire: request =>
+            new Promise(resolve => {
+                requests++;
+                if (queue.length >= maxQueued) {
+                    resolve(err({ kind: "queue-full", retryAfterMs: 0 }));
+                    return;
+                }
+                queue.push({ request, resolve });
+                pump();
+            }),
+        mayRetry() {
+            const isAllowed = retries < requests * 0.1;
+            retries += isAllowed ? 1 : 0;
+            return isAllowed;
+        },
+        dispose() {
+            queue = [];
+        },
+    };
+}
--- /dev/null
+++ b/packages/bench/src/TracedFleet.ts
@@ -0,0 +1,216 @@
+import * as core from "@peridotloft/core";
+import type * as documents from "@peridotloft/document";
+import * as ownership from "@peridotloft/ownership";
+import * as scheduling from "@peridotloft/scheduling";
+import * as testing from "@peridotloft/testing";
+import { createBaselineScheduler, type RequestScheduler } from "./SchedulingBaseline.js";
+import {
+    type Arrival,
+    createSiteDocument,
+    customerName,
+    deadlineMs,
+    meanCost,
+    pool,
+    type Site,
+} from "./SchedulingSites.js";
+import { createServingEngine, type ServingEngine } from "./ServingEngine.js";
+
+export type Design = "exchange" | "baseline";
+
+/** What became of one arrival. */
+export interface Served {
+    readonly arrival: Arrival;
+    /** Time of the first start at an upstream, in ms. */
+    startedMs: number | undefined;
+    /** Time of the complete answer, in ms. */
+    endedMs: number | undefined;
+}
+
+/** Control traffic of one fleet. */
+export interface Traffic {
+    calls: number;
+    callBytes: number;
+    gossipBytes: number;
+}
+
+export interface TracedFleet {
+    readonly clock: testing.VirtualClock;
+    readonly served: readonly Served[];
+    readonly engines: ReadonlyMap<core.UpstreamId, ServingEngine>;
+    readonly traffic: Traffic;
+    play(arrivals: readonly Arrival[], untilMs: number): Promise<void>;
+    publish(change: (document: documents.FleetDocument) => Partial<documents.FleetDocument>): void;
+    restart(vm: number): void;
+    busyMs(): number;
+    dispose(): void;
+}
+
+interface Node {
+    readonly scheduler: RequestScheduler;
+    readonly document: core.SnapshotCell<documents.FleetDocument>;
+    readonly cancels: Set<() => void>;
+    readonly dispose: () => void;
+}
+
+/** Longest time in ms until a VM adopts a published document. */
+const adoptionMs = 500;
+
+/** Counts the calls of a VM, requests and answers. */
+function countTraffic(endpoint: core.PeerEndpoint, traffic: Traffic): core.PeerEndpoint {
+    return {
+        registerSlice: (slice, handler) => endpoint.registerSlice(slice, handler),
+        async call(to, slice, payload, timeoutMs) {
+            traffic.calls++;
+            traffic.callBytes += payload.length;
+            const result = await endpoint.call(to, slice, payload, timeoutMs);
+            traffic.callBytes += result.isOk() ? result.value.length : 0;
+            return result;
+        },
+    };
+}
+
+export function createTracedFleet(site: Site, design: Design, seed: number): TracedFleet {
+    const clock = testing.createVirtualClock();
+    const random = testing.createSeededRandom(seed);
+    const network = testing.createVirtualNetwork({ clock, random, oneWayDelayMs: site.oneWayDelayMs });
+    const traffic: Traffic = { calls: 0, callBytes: 0, gossipBytes: 0 };
+    const served: Served[] = [];
+    const nodes: Node[] = [];
+    const incarnations: number[] = [];
+    let published = createSiteDocument(site);
+    const engines = new Map(
+        published.pools.flatMap(each => each.upstreams).map(({ id, slots, coldSlots }) => [
+            id,
+            createServingEngine(clock, slots, coldSlots),
+        ]),
+    );
+
+    const createExchange = (
+        id: core.VmId,
+        index: number,
+        document: Node["document"],
+    ): [RequestScheduler, () => void] => {
+        const endpoint = network.attach(id);
+        const self = { id, incarnation: incarnations[index] = (incarnations[index] ?? 0) + 1 };
+        const others = published.vms.map(vm => vm.id).filter(vm => vm !== id);
+        const gossip = testing.createFakeGossip({ clock, random, endpoint, self, others: () => others });
+        const owners = ownership.createOwnership({ self: id, clock, document });
+        const scheduler = scheduling.createScheduler({
+            self,
+            clock,
+            random,
+            endpoint: countTraffic(endpoint, traffic),
+            gossip,
+            peers: gossip.peers,
+            ownership: owners,
+            document,
+        });
+        return [scheduler, () => {
+            scheduler.dispose();
+            traffic.gossipBytes += gossip.bytesSent();
+            gossip.dispose();
+            owners.dispose();
+        }];
+    };
+
+    const start = (index: number): void => {
+        const document = core.createSnapshotCell(published);
+        const [scheduler, dispose] = design === "exchange"
+            ? createExchange(core.vmId(`vm-${index}`), index, document)
+            : [createBaselineScheduler(clock, document), () => undefined];
+        nodes[index] = { scheduler, document, dispose, cancels: new Set() };
+    };
+
+    const run = (node: Node, lease: scheduling.SlotLease, arrival: Arrival): Promise<scheduling.UpstreamOutcome> =>
+        new Promise(resolve => {
+            const end = (outcome: scheduling.UpstreamOutcome): void => {
+                node.cancels.delete(cancelRun);
+                cancelDeadline();
+                lease.release(outcome, arrival.cost);
+                resolve(outcome);
+            };
+            const cancelRun = engines.get(lease.upstream.id)?.run({
+                workMs: arrival.workMs,
+                onFirstByte: delayMs => lease.noteFirstByte(delayMs),
+                onEnd: end,
+            }) ?? (() => undefined);
+            const cancelDeadline = clock.setTimer(lease.deadlineMs - clock.nowMs(), () => {
+                cancelRun();
+                end("cancelled");
+            });
+            node.cancels.add(cancelRun);
+        });
+
+    const handle = async (arrival: Arrival): Promise<void> => {
+        const record: Served = { arrival, startedMs: undefined, endedMs: undefined };
+        served.push(record);
+        const node = nodes[arrival.vm];
+        const exclude: core.UpstreamId[] = [];
+        for (let attempt = 0; node && attempt < 3; attempt++) {
+            const result = await node.scheduler.acquire({
+                customer: customerName(arrival.customer),
+                pool,
+                estimatedCost: meanCost,
+                deadlineMs: arrival.atMs + deadlineMs,
+                exclude,
+            }, new AbortController().signal);
+            if (result.isErr()) {
+                return;
+            }
+            record.startedMs ??= clock.nowMs();
+            const outcome = await run(node, result.value, arrival);
+            if (outcome === "completed") {
+                record.endedMs = clock.nowMs();
+                return;
+            }
+            exclude.push(result.value.upstream.id);
+            if (outcome === "cancelled" || !node.scheduler.mayRetry()) {
+                return;
+            }
+        }
+    };
+
+    /** The load balancer sends callers only to VMs in service. */
+    const redirect = (arrival: Arrival): Arrival => {
+        const open = published.zones.filter(zone => zone.state === "in-service").map(zone => zone.id);
+        const zoneOf = published.vms[arrival.vm]?.zone;
+        if (zoneOf && open.includes(zoneOf)) {
+            return arrival;
+        }
+        const targets = published.vms.flatMap((vm, index) => open.includes(vm.zone) ? [index] : []);
+        return { ...arrival, vm: targets[arrival.vm % targets.length] ?? arrival.vm };
+    };
+
+    Array.from({ length: site.vms }, (_, index) => start(index));
+    return {
+        clock,
+        served,
+        engines,
+        traffic,
+        async play(arrivals, untilMs) {
+            const due = arrivals.filter(({ atMs }) => atMs >= clock.nowMs() && atMs < untilMs);
+            for (const arrival of due) {
+                await clock.advance(arrival.atMs - clock.nowMs());
+                void handle(redirect(arrival));
+            }
+            await clock.advance(untilMs - clock.nowMs());
+        },
+        publish(change) {
+            published = { ...published, ...change(published), version: published.version + 1 };
+            const next = published;
+            nodes.forEach(({ document }) =>
+                clock.setTimer(
+                    random() * adoptionMs,
+                    () => document.update(held => next.version > held.version ? next : held),
+                )
+            );
+        },
+        restart(vm) {
+            nodes[vm]?.cancels.forEach(cancel => cancel());
+            nodes[vm]?.dispose();
+            start(vm);
+        },
+        busyMs: () => [...engines.values()].reduce((sum, engine) => sum + engine.busyMs(), 0),
+        dispose: () => nodes.forEach(node => node.dispose()),
+    };
+}
--- a/packages/scheduling/__tests__/unit/Fairness.test.ts
+++ b/packages/scheduling/__tests__/unit/Fairness.test.ts
@@ -1,7 +1,7 @@
 import * as assert from "node:assert/strict";
 import { describe } from "node:test";
 import type * as scheduling from "../../src/index.js";
-import { createFleet, type Fleet } from "../support/Fleet.js";
+import { createFleet, type Fleet, type FleetOptions } from "../support/Fleet.js";
 import { largestGap, percentile, waitsOf } from "../support/Measures.js";
 import { itFindsFault, itWithSeeds } from "../support/Seeds.js";
 
@@ -25,8 +25,13 @@
 };
 
 /** Customer a enters by one VM, b by all and c by two; all are backlogged. */
-async function runBacklog(seed: number, policy: Partial<scheduling.SchedulingPolicy>, durationMs: number) {
-    const fleet = createFleet({ seed, customers, policy });
+async function runBacklog(
+    seed: number,
+    policy: Partial<scheduling.SchedulingPolicy>,
+    durationMs: number,
+    size: Partial<FleetOptions> = {},
+) {
+    const fleet = createFleet({ seed, customers, policy, ...size });
     fleet.keepBusy(0, "a", 60, durationMs, work(fleet));
     [0, 1, 2, 3, 4, 5].forEach(vm => fleet.keepBusy(vm, "b", 40, durationMs, work(fleet)));
     [3, 4].forEach(vm => fleet.keepBusy(vm, "c", 60, durationMs, work(fleet)));
@@ -50,6 +55,14 @@
         });
     });
 
+    // With entries of 32 bytes for each upstream state, gossip had no room for totals until the ramp was over.
+    itWithSeeds(file, [1, 2], "stays below the bound after the ramp of 13 upstreams with 9 VMs", async seed => {
+        const fleet = await runBacklog(seed, {}, 15_000, { vms: 9, engines: 13 });
+        const bound = gapBound(fleet, warmMs, 15_000);
+        const gaps = pairs.map(([left, right]) => largestGap(fleet, left, right, 3_000, 15_000));
+        assert.ok(Math.max(...gaps) <= bound, `gaps ${gaps.join()}, bound ${bound}`);
+    });
+
     itFindsFault("is found to exceed the bound when the longest wait goes first", async seed => {
         const fleet = await runBacklog(seed, { priority: (_, sinceMs) => sinceMs }, 25_000);
         assert.ok(Math.max(...gapsOver(fleet, 25_000)) > gapBound(fleet, warmMs, 25_000));
--- a/packages/scheduling/__tests__/unit/Faults.test.ts
+++ b/packages/scheduling/__tests__/unit/Faults.test.ts
@@ -106,8 +106,9 @@
         itWithSeeds(file, [2], pair.join(" with "), async seed => check(await runFaults(seed, pair)))
     );
 
+    // The second fault hits VM 3, which owns warm slots of three engines; VM 1 owns a single slot.
     itFindsFault("slots given twice are found when they are taken over after half a second", async seed => {
-        const findings = await runFaults(seed, ["pause and late wake"], { takeoverSilenceMs: 500 });
+        const findings = await runFaults(seed, ["flood", "pause and late wake"], { takeoverSilenceMs: 500 });
         assert.ok(findings.largestInFlight > slots);
     });
 });
--- a/packages/scheduling/src/DocumentView.ts
+++ b/packages/scheduling/src/DocumentView.ts
@@ -1,7 +1,7 @@
 import type * as core from "@peridotloft/core";
 import type * as documents from "@peridotloft/document";
+import { createGossipKeys, type GossipKeys } from "./GossipKeys.js";
 import type { SchedulingPolicy } from "./SchedulingPolicy.js";
-import { createTotalKeys, type TotalKeys } from "./TotalKeys.js";
 
 export interface UpstreamView {
     readonly upstream: documents.Upstream;
@@ -16,7 +16,7 @@
     readonly pools: ReadonlyMap<core.PoolId, documents.Pool>;
     readonly customers: ReadonlyMap<core.CustomerId, documents.Customer>;
     readonly zones: ReadonlyMap<core.VmId, core.ZoneId>;
-    readonly totalKeys: TotalKeys;
+    readonly gossipKeys: GossipKeys;
     /** VMs that are not retired. */
     readonly vms: readonly core.VmId[];
 }
@@ -35,7 +35,7 @@
         pools: new Map(document.pools.map(pool => [pool.id, pool])),
         customers: new Map(document.customers.map(customer => [customer.id, customer])),
         zones: new Map(document.vms.map(vm => [vm.id, vm.zone])),
-        totalKeys: createTotalKeys(document),
+        gossipKeys: createGossipKeys(document),
         vms: document.vms.filter(vm => vm.state !== "retired").map(vm => vm.id),
     };
 }
--- a/packages/scheduling/src/SchedulingConstants.ts
+++ b/packages/scheduling/src/SchedulingConstants.ts
@@ -58,6 +58,10 @@
 export const gossipRepeats = 3;
 /** Time in ms after which unchanged totals and states are gossiped again; a peer that was silent causes it at once. */
 export const gossipRefreshMs = 10_000;
+/** Age in ms after which a changed total is gossiped before all others. */
+export const oldNewsMs = 2_000;
+/** Weight of a backlogged customer's changes against those of the others. */
+export const backloggedUrgency = 8;
 /** Silence of a peer in ms after which it is told everything again. */
 export const gossipGapMs = 1_000;
 /** Time in ms between two repetitions of an unchanged hint about free slots. */
--- a/packages/scheduling/src/SchedulingSection.ts
+++ b/packages/scheduling/src/SchedulingSection.ts
@@ -1,21 +1,21 @@
 import { create, toBinary } from "@bufbuild/protobuf";
 import * as core from "@peridotloft/core";
 import * as gen from "./gen/scheduling_pb.js";
+import type { GossipKeys } from "./GossipKeys.js";
 import type { Quarantine } from "./Quarantine.js";
 import * as constants from "./SchedulingConstants.js";
 import { decode } from "./SchedulingMessages.js";
 import type { CustomerTotal, ServiceTotals } from "./ServiceTotals.js";
-import type { TotalKeys } from "./TotalKeys.js";
 import type { PhaseState, PhaseTable } from "./UpstreamPhase.js";
 
 // Upper estimates in bytes of one encoded entry.
-const totalBytes = 14;
-const liftBytes = 10;
+const totalBytes = 10;
+const liftBytes = 7;
 const idBytes = 16;
-const stateBytes = 16 + idBytes;
+const stateBytes = 8;
 const suspectBytes = 64 + idBytes;
-/** Tags and lengths of the packed lists. */
-const framingBytes = 16;
+/** Tags and lengths of the packed lists, and the digest. */
+const framingBytes = 27;
 
 export interface PoolHint {
     readonly pool: core.PoolId;
@@ -27,9 +27,11 @@
     readonly totals: ServiceTotals;
     readonly phases: PhaseTable;
     readonly quarantine: Quarantine;
-    readonly keys: () => TotalKeys;
+    readonly keys: () => GossipKeys;
     readonly hints: () => readonly PoolHint[];
     readonly onState: (state: PhaseState) => void;
+    /** Called when a peer may have missed earlier messages. */
+    readonly onReadable: () => void;
     /** Called before anything of a message is applied. */
     readonly onMessage: (from: core.VmId) => void;
     readonly onHint: (from: core.VmId, pool: core.PoolId, free: number) => void;
@@ -65,20 +67,22 @@
     };
 }
 
-// Totals travel in sixteenths, so that a cheap request of a customer with a large weight still counts.
-const fractions = 16;
+// Totals travel in eighths, so that a cheap request of a customer with a large weight still counts.
+const fractions = 8;
 const encodeAmount = (value: number): number => Math.max(0, Math.round(value * fractions));
 const decodeAmount = (value: bigint | number | undefined): number => Number(value ?? 0) / fractions;
 
 /** What the scheduler exchanges by gossip: suspects and upstream states first, then service totals. */
 export function createSchedulingSection(options: SchedulingSectionOptions): core.GossipSection {
     const { totals, phases, quarantine, keys, onState, onHint } = options;
+    /** Peers that hold a document with other names; they could not read what this VM said either. */
+    const unreadable = new Set<core.VmId>();
     const hintNews = createHintNews(options.clock, options.hints);
 
     const encodeTotals = (section: gen.SchedulingSection, limitBytes: number): void => {
         let leftBytes = limitBytes;
         totals.takeLifts(Math.max(0, Math.floor(leftBytes / 2 / liftBytes))).forEach(({ pool, customer, lift }) => {
-            const key = keys().keyOf(pool, customer);
+            const key = keys().keyOfTotal(pool, customer);
             if (key !== undefined) {
                 section.liftKeys.push(key);
                 section.lifts.push(BigInt(encodeAmount(lift)));
@@ -86,7 +90,7 @@
             }
         });
         totals.takeNews(Math.max(0, Math.floor(leftBytes / totalBytes))).forEach(total => {
-            const key = keys().keyOf(total.pool, total.customer);
+            const key = keys().keyOfTotal(total.pool, total.customer);
             if (key !== undefined) {
                 section.keys.push(key);
                 section.settled.push(BigInt(encodeAmount(total.settled)));
@@ -95,15 +99,40 @@
         });
     };
 
+    const encodeStates = (section: gen.SchedulingSection, states: readonly PhaseState[]): void =>
+        states.forEach(({ upstream, epoch, usableSlots, coldEpoch }) => {
+            const key = keys().keyOfUpstream(upstream);
+            if (key !== undefined) {
+                section.stateKeys.push(key);
+                section.epochs.push(epoch);
+                section.usableSlots.push(usableSlots);
+                section.coldEpochs.push(coldEpoch);
+            }
+        });
+
+    const applyStates = (section: gen.SchedulingSection): void =>
+        section.stateKeys.forEach((key, index) => {
+            const upstream = keys().findUpstream(key);
+            const { epochs, usableSlots, coldEpochs } = section;
+            if (upstream && epochs[index] !== undefined) {
+                onState({
+                    upstream,
+                    epoch: epochs[index],
+                    usableSlots: usableSlots[index] ?? 0,
+                    coldEpoch: coldEpochs[index] ?? 0,
+                });
+            }
+        });
+
     const applyTotals = (from: core.VmId, incarnation: number, section: gen.SchedulingSection): void => {
         section.liftKeys.forEach((key, index) => {
-            const name = keys().find(key);
+            const name = keys().findTotal(key);
             if (name) {
                 totals.applyLift(name.pool, name.customer, decodeAmount(section.lifts[index]));
             }
         });
         section.keys.forEach((key, index) => {
-            const name = keys().find(key);
+            const name = keys().findTotal(key);
             const packed = section.pendingAndWaiting[index] ?? 0;
             if (name) {
                 const settled = decodeAmount(section.settled[index]);
@@ -129,13 +158,14 @@
                 return taken;
             };
             const suspects = take(suspectBytes, quarantine.takeNews);
-            const states = take(stateBytes, phases.takeNews);
+            const states = take(stateBytes, limit => phases.takeNews(Math.ceil(limit / 2)));
             const hints = leftBytes < 4 * idBytes ? [] : take(idBytes, hintNews);
             const section = create(gen.SchedulingSectionSchema, {
                 suspects: suspects.map(suspect => create(gen.SuspectSchema, suspect)),
-                upstreams: states.map(state => create(gen.UpstreamStateSchema, state)),
                 hints: hints.map(hint => create(gen.PoolHintSchema, hint)),
+                namesDigest: keys().digest,
             });
+            encodeStates(section, states);
             encodeTotals(section, leftBytes);
             const payload = toBinary(gen.SchedulingSectionSchema, section);
             return payload.length <= limitBytes ? payload : new Uint8Array();
@@ -143,8 +173,17 @@
         apply(from, incarnation, payload) {
             options.onMessage(from);
             decode(gen.SchedulingSectionSchema, payload).map(section => {
-                applyTotals(from, incarnation, section);
-                section.upstreams.forEach(state => onState(stateFrom(state)));
+                const isReadable = section.namesDigest === keys().digest;
+                if (isReadable && unreadable.delete(from)) {
+                    options.onReadable();
+                }
+                if (isReadable) {
+                    applyTotals(from, incarnation, section);
+                    applyStates(section);
+                }
+                else {
+                    unreadable.add(from);
+                }
                 section.suspects.forEach(({ fingerprint, upstream, ageMs }) =>
                     quarantine.note({ fingerprint, upstream: core.upstreamId(upstream), ageMs })
                 );
--- a/packages/scheduling/src/ServiceTotals.ts
+++ b/packages/scheduling/src/ServiceTotals.ts
@@ -26,7 +26,7 @@
     notePeerWaiting(from: core.VmId, pool: core.PoolId, customer: core.CustomerId, waiting: number): void;
     virtualTime(pool: core.PoolId, customer: core.CustomerId): number;
     apply(from: core.VmId, incarnation: number, total: CustomerTotal): void;
-    /** Changed totals first, then the ones that were told longest ago. */
+    /** The totals that peers most need to learn. */
     takeNews(limit: number): readonly CustomerTotal[];
     /** Lifts that peers should learn. */
     takeLifts(limit: number): readonly CustomerTotal[];
@@ -64,6 +64,7 @@
     repeats: number;
     liftRepeats: number;
     toldMs: number;
+    toldService: number;
 }
 
 export interface ServiceTotalsOptions {
@@ -106,6 +107,7 @@
             repeats: 0,
             liftRepeats: 0,
             toldMs: 0,
+            toldService: 0,
         };
         customers.set(customer, record);
         return record;
@@ -205,6 +207,15 @@
         waiting,
     });
 
+    /** Untold service counts most where customers wait, as it decides who is next; old news come first in any case. */
+    const urgencyOf = (record: Record): number => {
+        if (record.repeats > 0 && clock.nowMs() - record.toldMs > constants.oldNewsMs) {
+            return Infinity;
+        }
+        const untold = Math.abs(record.settled + record.pending - record.toldService);
+        return isBacklogged(record) ? untold * constants.backloggedUrgency : untold;
+    };
+
     const records = (): Record[] => [...pools.values()].flatMap(customers => [...customers.values()]);
 
     const applyLift = (record: Record, lift: number): void => {
@@ -256,11 +267,13 @@
             const nowMs = clock.nowMs();
             return records()
                 .filter(record => record.repeats > 0 || nowMs - record.toldMs > constants.gossipRefreshMs)
-                .sort((left, right) => Math.sign(right.repeats) - Math.sign(left.repeats) || left.toldMs - right.toldMs)
+                .map(record => ({ record, urgency: urgencyOf(record) }))
+                .sort((left, right) => right.urgency - left.urgency)
                 .slice(0, limit)
-                .map(record => {
+                .map(({ record }) => {
                     record.repeats = Math.max(0, record.repeats - 1);
                     record.toldMs = nowMs;
+                    record.toldService = record.settled + record.pending;
                     return totalOf(record);
                 });
         },
--- a/packages/scheduling/src/createScheduler.ts
+++ b/packages/scheduling/src/createScheduler.ts
@@ -230,10 +230,14 @@
             dispatcher.pump(request.pool);
         });
 
+    const tellAgain = (): void => {
+        phases.tellAgain();
+        totals.tellAgain();
+    };
+
     const noteHeard = (from: core.VmId): void => {
         if (silence.noteHeard(from) > constants.gossipGapMs) {
-            phases.tellAgain();
-            totals.tellAgain();
+            tellAgain();
         }
     };
 
@@ -259,8 +263,9 @@
         ),
         gossip.registerSection(createSchedulingSection({
             clock,
-            keys: () => view.totalKeys,
+            keys: () => view.gossipKeys,
             onMessage: noteHeard,
+            onReadable: tellAgain,
             totals,
             phases,
             quarantine,
