--- a/packages/scheduling/src/ServiceTotals.ts
+++ b/packages/scheduling/src/ServiceTotals.ts
@@ -26,11 +26,13 @@
     notePeerWaiting(from: core.VmId, pool: core.PoolId, customer: core.CustomerId, waiting: number): void;
     virtualTime(pool: core.PoolId, customer: core.CustomerId): number;
     apply(from: core.VmId, incarnation: number, total: CustomerTotal): void;
-    /** Changed totals first, then the ones that were told longest ago. */
+    /** The totals that peers most need to learn. */
     takeNews(limit: number): readonly CustomerTotal[];
     /** Lifts that peers should learn. */
     takeLifts(limit: number): readonly CustomerTotal[];
     applyLift(pool: core.PoolId, customer: core.CustomerId, lift: number): void;
+    /** Notes the level of the backlogged customers; to be called on every tick. */
+    sample(): void;
     /** Marks everything as news, for a peer that may have missed some. */
     tellAgain(): void;
     /** This VM's totals and the fleet's service, for a VM that has restarted. */
@@ -62,11 +64,14 @@
     repeats: number;
     liftRepeats: number;
     toldMs: number;
+    toldService: number;
 }
 
 export interface ServiceTotalsOptions {
     readonly clock: core.Clock;
     readonly weightOf: (customer: core.CustomerId) => number;
+    /** Time in ms by which another VM's view of the totals may be behind. */
+    readonly stalenessMs: () => number;
     /** Chooses the virtual time that a newly backlogged customer is raised to. */
     readonly raiseTo?: (backlogged: readonly number[], all: readonly number[]) => number;
 }
@@ -78,6 +83,7 @@
 export function createServiceTotals(options: ServiceTotalsOptions): ServiceTotals {
     const { clock, weightOf, raiseTo = minimumOfBacklogged } = options;
     const pools = new Map<core.PoolId, Map<core.CustomerId, Record>>();
+    const levels = new Map<core.PoolId, readonly { readonly atMs: number; readonly level: number; }[]>();
 
     const recordOf = (pool: core.PoolId, customer: core.CustomerId): Record => {
         const customers = pools.get(pool) ?? new Map<core.CustomerId, Record>();
@@ -101,6 +107,7 @@
             repeats: 0,
             liftRepeats: 0,
             toldMs: 0,
+            toldService: 0,
         };
         customers.set(customer, record);
         return record;
@@ -121,10 +128,33 @@
         return [...record.backlogs.values()].some(heardMs => heardMs >= oldestMs);
     };
 
+    const levelOf = (pool: core.PoolId, except?: Record): number => {
+        const all = [...pools.get(pool)?.values() ?? []].filter(other => other !== except);
+        return raiseTo(all.filter(isBacklogged).map(virtualTime), all.map(virtualTime));
+    };
+
+    const samplePool = (customers: Map<core.CustomerId, Record>, pool: core.PoolId): void => {
+        const nowMs = clock.nowMs();
+        const history = levels.get(pool) ?? [];
+        if (![...customers.values()].some(isBacklogged)) {
+            levels.delete(pool);
+        }
+        else if (nowMs - (history.at(-1)?.atMs ?? -Infinity) >= constants.levelSampleMs) {
+            const oldestMs = nowMs - options.stalenessMs() - constants.levelSampleMs;
+            levels.set(pool, [...history.filter(({ atMs }) => atMs >= oldestMs), {
+                atMs: nowMs,
+                level: levelOf(pool),
+            }]);
+        }
+    };
+
+    /**
+     * A customer is raised to the level of one exchange period ago. Other VMs know the level only that well; raised to
+     * the present level, a customer with little work would wait behind a flood until their totals catch up.
+     */
     const raise = (record: Record): void => {
-        const all = [...pools.get(record.pool)?.values() ?? []].filter(other => other !== record);
-        const level = raiseTo(all.filter(isBacklogged).map(virtualTime), all.map(virtualTime));
-        const missing = level - virtualTime(record);
+        const earlier = levels.get(record.pool)?.[0]?.level ?? Infinity;
+        const missing = Math.min(earlier, levelOf(record.pool, record)) - virtualTime(record);
         if (missing > 0) {
             record.lift += missing;
             record.liftRepeats = constants.gossipRepeats;
@@ -177,6 +207,15 @@
         waiting,
     });
 
+    /** Untold service counts most where customers wait, as it decides who is next; old news come first in any case. */
+    const urgencyOf = (record: Record): number => {
+        if (record.repeats > 0 && clock.nowMs() - record.toldMs > constants.oldNewsMs) {
+            return Infinity;
+        }
+        const untold = Math.abs(record.settled + record.pending - record.toldService);
+        return isBacklogged(record) ? untold * constants.backloggedUrgency : untold;
+    };
+
     const records = (): Record[] => [...pools.values()].flatMap(customers => [...customers.values()]);
 
     const applyLift = (record: Record, lift: number): void => {
@@ -228,11 +267,13 @@
             const nowMs = clock.nowMs();
             return records()
                 .filter(record => record.repeats > 0 || nowMs - record.toldMs > constants.gossipRefreshMs)
-                .sort((left, right) => Math.sign(right.repeats) - Math.sign(left.repeats) || left.toldMs - right.toldMs)
+                .map(record => ({ record, urgency: urgencyOf(record) }))
+                .sort((left, right) => right.urgency - left.urgency)
                 .slice(0, limit)
-                .map(record => {
+                .map(({ record }) => {
                     record.repeats = Math.max(0, record.repeats - 1);
                     record.toldMs = nowMs;
+                    record.toldService = record.settled + record.pending;
                     return totalOf(record);
                 });
         },
@@ -243,6 +284,7 @@
             });
         },
         applyLift: (pool, customer, lift) => applyLift(recordOf(pool, customer), lift),
+        sample: () => pools.forEach(samplePool),
         tellAgain() {
             records().forEach(record => {
                 record.repeats = Math.max(1, record.repeats);
