idempotency: keep one customer from filling the store

Cause: a flood of new keys by one customer could fill the store, so that the operations of all others were refused, and each refusal for lack of room also refused the others' requests that were on their way.

Change: the operations of one customer use at most half of a store, and a refusal for lack of room counts for its customer only.

--- a/packages/idempotency/__tests__/unit/OperationFixture.ts
+++ b/packages/idempotency/__tests__/unit/OperationFixture.ts
@@ -108,6 +108,7 @@
     readonly incarnationOf?: (start: number) => number;
     readonly policy?: Partial<idempotency.OperationPolicy>;
     readonly maxStoredBytes?: number;
+    readonly maxCustomerShare?: number;
     readonly lossRatio?: number;
 }
 
@@ -150,6 +151,7 @@
                 secret,
                 execute: options.executeOn?.(vmClock, id) ?? options.execute ?? recordRun,
                 maxStoredBytes: options.maxStoredBytes ?? 8_000_000,
+                ...(options.maxCustomerShare ? { maxCustomerShare: options.maxCustomerShare } : {}),
                 ...(options.policy ? { policy: options.policy } : {}),
             }),
         );
--- a/packages/idempotency/src/OperationConstants.ts
+++ b/packages/idempotency/src/OperationConstants.ts
@@ -30,6 +30,8 @@
 export const minPauseMs = 250;
 /** Time in ms after a pause in which arriving requests may have waited in a socket buffer during the pause. */
 export const pauseDrainMs = 1_000;
+/** Share of a store that the operations of one customer may use. */
+export const maxCustomerShare = 0.5;
 /** Bytes charged for an operation besides its key and its answer. */
 export const entryOverheadBytes = 512;
 /** Bytes reserved for the answer of a running operation. A larger answer is kept if there is room. */
--- a/packages/idempotency/src/OperationLedger.ts
+++ b/packages/idempotency/src/OperationLedger.ts
@@ -7,6 +7,7 @@
 
 /** An operation that this VM knows. */
 export interface LedgerEntry {
+    readonly customer: core.CustomerId;
     readonly fingerprint: Uint8Array;
     /** Settles when the operation ends; resends wait for it or read it. */
     readonly outcome: Promise<OperationOutcome>;
@@ -20,12 +21,28 @@
     readonly bytes: number;
 }
 
+/** What is known of an operation when it is admitted. */
+export interface AdmittedOperation {
+    readonly id: string;
+    readonly customer: core.CustomerId;
+    readonly fingerprint: Uint8Array;
+    readonly outcome: Promise<OperationOutcome>;
+}
+
+export interface LedgerBounds {
+    /** Bytes of all operations with their answers. */
+    readonly maxStoredBytes: number;
+    /** Bytes of the operations of one customer, so that its flood leaves room for others. */
+    readonly maxCustomerBytes: number;
+}
+
 /** The operations of one VM, bounded in bytes. Never forgets an operation before its expiry. */
 export interface OperationLedger {
     find(id: string, nowMs: number): LedgerEntry | undefined;
-    /** Records a running operation in place of a refused one; false when there is no room for its answer. */
-    admit(id: string, fingerprint: Uint8Array, outcome: Promise<OperationOutcome>, nowMs: number): boolean;
-    hasRoom(id: string, nowMs: number): boolean;
+    /** Whether an operation and an answer of the reserved size fit. Room becomes free when expired operations are dropped. */
+    hasRoom(id: string, customer: core.CustomerId): boolean;
+    /** Records a running operation, if necessary in place of a refused one. There must be room for it. */
+    admit(operation: AdmittedOperation, nowMs: number): void;
     /**
      * Keeps the outcome of a running operation until `expiresMs`.
      * Returns false, and keeps the outcome that `substitute` makes, when the answer does not fit.
@@ -37,13 +54,29 @@
     status(): { readonly operations: number; readonly storedBytes: number; };
 }
 
-export function createOperationLedger(maxStoredBytes: number): OperationLedger {
+export function createOperationLedger(bounds: LedgerBounds): OperationLedger {
     const entries = new Map<string, LedgerEntry>();
+    const bytesByCustomer = new Map<core.CustomerId, number>();
     let storedBytes = 0;
 
+    const charge = (customer: core.CustomerId, bytes: number): void => {
+        const customerBytes = (bytesByCustomer.get(customer) ?? 0) + bytes;
+        storedBytes += bytes;
+        if (customerBytes === 0) {
+            bytesByCustomer.delete(customer);
+        }
+        else {
+            bytesByCustomer.set(customer, customerBytes);
+        }
+    };
+
     const replace = (id: string, entry: LedgerEntry | undefined): void => {
-        storedBytes += (entry?.bytes ?? 0) - (entries.get(id)?.bytes ?? 0);
+        const old = entries.get(id);
+        if (old) {
+            charge(old.customer, -old.bytes);
+        }
         if (entry) {
+            charge(entry.customer, entry.bytes);
             entries.set(id, entry);
         }
         else {
@@ -51,20 +84,18 @@
         }
     };
 
-    const fits = (id: string, bytes: number): boolean =>
-        storedBytes - (entries.get(id)?.bytes ?? 0) + bytes <= maxStoredBytes;
+    const fits = (id: string, customer: core.CustomerId, bytes: number): boolean => {
+        const addedBytes = bytes - (entries.get(id)?.bytes ?? 0);
+        return storedBytes + addedBytes <= bounds.maxStoredBytes
+            && (bytesByCustomer.get(customer) ?? 0) + addedBytes <= bounds.maxCustomerBytes;
+    };
 
     const dropExpired = (nowMs: number): void => {
         [...entries].filter(([, entry]) => nowMs > entry.expiresMs).forEach(([id]) => replace(id, undefined));
     };
 
-    const hasRoom = (id: string, nowMs: number): boolean => {
-        const bytes = overheadOf(id) + constants.reservedAnswerBytes;
-        if (!fits(id, bytes)) {
-            dropExpired(nowMs);
-        }
-        return fits(id, bytes);
-    };
+    const hasRoom = (id: string, customer: core.CustomerId): boolean =>
+        fits(id, customer, overheadOf(id) + constants.reservedAnswerBytes);
 
     return {
         find(id, nowMs) {
@@ -72,19 +103,16 @@
             return entry && nowMs <= entry.expiresMs ? entry : undefined;
         },
         hasRoom,
-        admit(id, fingerprint, outcome, nowMs) {
+        admit({ id, ...operation }, nowMs) {
             core.invariant(entries.get(id)?.state !== "running", "a running operation is not admitted again");
-            if (!hasRoom(id, nowMs)) {
-                return false;
-            }
+            core.invariant(hasRoom(id, operation.customer), "an admitted operation has room");
             const bytes = overheadOf(id) + constants.reservedAnswerBytes;
-            replace(id, { fingerprint, outcome, state: "running", changedMs: nowMs, expiresMs: Infinity, bytes });
-            return true;
+            replace(id, { ...operation, state: "running", changedMs: nowMs, expiresMs: Infinity, bytes });
         },
         end(id, outcome, expiresMs, substitute) {
             const entry = runningEntry(entries, id);
             const wantedBytes = overheadOf(id) + sizeOf(outcome);
-            const stored = fits(id, wantedBytes);
+            const stored = fits(id, entry.customer, wantedBytes);
             const kept = stored ? outcome : substitute();
             const bytes = overheadOf(id) + sizeOf(kept);
             replace(id, { ...entry, outcome: Promise.resolve(kept), state: "ended", expiresMs, bytes });
--- a/packages/idempotency/src/OperationOwner.ts
+++ b/packages/idempotency/src/OperationOwner.ts
@@ -47,8 +47,8 @@
 
 export function createOperationOwner(options: OperationOwnerOptions): OperationOwner {
     const { clock, ledger, policy } = options;
-    // A refusal for lack of room leaves no entry, so its time stands for all operations.
-    let lastFullMs = Number.NEGATIVE_INFINITY;
+    // A refusal for lack of room leaves no entry, so its time stands for all operations of the customer.
+    const lastFullMs = new Map<core.CustomerId, number>();
 
     const windowMs = (): number => options.document.read().fleet.idempotencyWindowMs;
 
@@ -154,15 +154,15 @@
 
     const start = (attempt: Attempt, fingerprint: Uint8Array, nowMs: number): OwnerDecision => {
         const { identity, customer, request } = attempt;
-        if (!ledger.hasRoom(identity.id, nowMs)) {
-            lastFullMs = nowMs;
+        if (!ledger.hasRoom(identity.id, customer)) {
+            lastFullMs.set(customer, nowMs);
             return refuse(refusals.storeFull("not-run"));
         }
         let finish: (outcome: OperationOutcome) => void = () => undefined;
         const outcome = new Promise<OperationOutcome>(resolve => {
             finish = resolve;
         });
-        ledger.admit(identity.id, fingerprint, outcome, nowMs);
+        ledger.admit({ id: identity.id, customer, fingerprint, outcome }, nowMs);
         void executeSafely(options.execute, customer, request, guardOf(attempt, nowMs))
             .then(result => finish(settle(attempt, nowMs, result)));
         return { kind: "outcome", outcome };
@@ -192,7 +192,10 @@
             if (refusal) {
                 return refuse(refusal);
             }
-            return policy.precedesRefusal(attempt.enteredMs, lastFullMs)
+            return policy.precedesRefusal(
+                    attempt.enteredMs,
+                    lastFullMs.get(attempt.customer) ?? Number.NEGATIVE_INFINITY,
+                )
                 ? refuse(refusals.storeFull("may-have-run"))
                 : start(attempt, fingerprint, nowMs);
         },
--- a/packages/idempotency/src/createOperationStore.ts
+++ b/packages/idempotency/src/createOperationStore.ts
@@ -30,6 +30,8 @@
     readonly execute: ExecuteOperation;
     /** Bound in bytes of all operations with their answers. */
     readonly maxStoredBytes: number;
+    /** Share of the bound that one customer may use, in (0, 1]; 0.5 by default. */
+    readonly maxCustomerShare?: number;
     /** Replaces single rules; for tests. */
     readonly policy?: Partial<OperationPolicy>;
 }
@@ -38,7 +40,10 @@
 export function createOperationStore(options: OperationStoreOptions): OperationStore {
     const { self, incarnation, clock, secret } = options;
     const policy = { ...defaultPolicy, ...options.policy };
-    const ledger = createOperationLedger(options.maxStoredBytes);
+    const ledger = createOperationLedger({
+        maxStoredBytes: options.maxStoredBytes,
+        maxCustomerBytes: options.maxStoredBytes * (options.maxCustomerShare ?? constants.maxCustomerShare),
+    });
     const pauses = createPauseDetector(clock);
     const owner = createOperationOwner({ ...options, policy, ledger });
     const forwarder = createOperationForwarder({
