scheduling: send the first want on a clock that moves

Cause: requests that needed a slot of another VM waited until their deadline in real processes: an owner that had not been told yet was due 'now', read after the time it was compared with. On a virtual clock both readings are equal, so no fleet test saw it. Ruled out by traces: recovery, lending, ownership. Change: an owner that was not told is due in the past; a test uses a clock that moves with each reading.

--- /dev/null
+++ b/packages/scheduling/__tests__/unit/WantSender.test.ts
@@ -0,0 +1,46 @@
+import * as core from "@peridotloft/core";
+import { err } from "neverthrow";
+import * as assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createFairQueue } from "../../src/FairQueue.js";
+import { createWantSender } from "../../src/WantSender.js";
+
+const pool = core.poolId("assistant");
+const owner = core.vmId("vm-2");
+
+/** The system clock reads a later time on each call, unlike a virtual clock. */
+function createMovingClock(): core.Clock {
+    let nowMs = 0;
+    return { nowMs: () => nowMs += 0.01, wallMs: () => nowMs, setTimer: () => () => undefined };
+}
+
+describe("WantSender", () => {
+    it("tells an owner at once on a clock that moves between two readings (guards against waiting for ever)", () => {
+        const told: core.VmId[] = [];
+        const clock = createMovingClock();
+        const wants = createWantSender({
+            clock,
+            random: () => 0.5,
+            sender: {
+                call: async to => {
+                    told.push(to);
+                    return err({ kind: "timeout", message: "not answered" });
+                },
+            },
+            deciders: () => [owner],
+            isNear: () => true,
+            maxOwners: 24,
+            wantLifetimeMs: 2_500,
+        });
+        const queue = createFairQueue({ virtualTime: () => 0, onLength: () => undefined });
+        queue.add({
+            request: { customer: core.customerId("north"), pool, estimatedCost: 1, deadlineMs: 60_000, exclude: [] },
+            enqueuedMs: clock.nowMs(),
+            deadlineMs: 60_000,
+            resolve: () => undefined,
+        });
+        wants.update(pool, queue);
+        assert.deepEqual(told, [owner]);
+        wants.dispose();
+    });
+});
--- a/packages/scheduling/src/WantSender.ts
+++ b/packages/scheduling/src/WantSender.ts
@@ -120,10 +120,10 @@
         return [...perOwner].map(([owner, customers]) => ({ owner, customers }));
     };
 
-    /** Time at which the owner should be told, in ms. */
+    /** Time at which the owner should be told, in ms; the past when it must be told at once. */
     const dueMs = (told: Told | undefined, queue: FairQueue, customers: readonly core.CustomerId[]): number => {
         if (!told) {
-            return clock.nowMs();
+            return Number.NEGATIVE_INFINITY;
         }
         const leftOf = (customer: core.CustomerId): number => told.left.get(customer) ?? 0;
         if (customers.some(customer => leftOf(customer) === 0)) {
