--- a/packages/limits/src/createRateLimiter.ts
+++ b/packages/limits/src/createRateLimiter.ts
@@ -109,6 +109,12 @@
             .forEach(customer => active.delete(customer));
     };
 
+    const forgetRemoved = (): void => {
+        [...budgets.keys()].filter(customer => !shares.find(customer)).forEach(customer => budgets.delete(customer));
+    };
+
+    // The share table has subscribed before and knows the new document already.
+    const subscription = options.document.changes.subscribe(forgetRemoved);
     const unregister = endpoint.registerSlice(constants.sliceName, lend);
     const stopReviews = core.setRepeatingTimer(clock, shares.loanLifetimeMs() * constants.checkRatio, review);
 
@@ -123,18 +129,23 @@
         estimateCost: (customer, maxCost) => Math.min(budgets.get(customer)?.meanCost() ?? maxCost, maxCost),
         status() {
             const nowMs = clock.nowMs();
-            const customers = options.document.read().customers.map(({ id }) => ({
-                customer: id,
-                availableCost: budgetOf(id).availableCost(nowMs),
-                lentCost: sum(buckets.findAll(id, nowMs).map(({ lent }) => lent.bucket.outstanding())),
-                admitted: budgetOf(id).admitted(),
-                refused: budgetOf(id).refused(),
-            }));
+            const customers = options.document.read().customers.map(({ id }) => {
+                const own = buckets.findAll(id, nowMs).map(({ lent }) => lent.bucket);
+                const budget = budgets.get(id);
+                return {
+                    customer: id,
+                    availableCost: budget?.availableCost(nowMs) ?? sum(own.map(bucket => Math.max(0, bucket.tokens()))),
+                    lentCost: sum(own.map(bucket => bucket.outstanding())),
+                    admitted: budget?.admitted() ?? 0,
+                    refused: budget?.refused() ?? 0,
+                };
+            });
             return { customers };
         },
         dispose() {
             stopReviews();
             unregister();
+            subscription.unsubscribe();
             shares.dispose();
         },
     };
