--- a/packages/bench/src/SchedulingMeasures.ts
+++ b/packages/bench/src/SchedulingMeasures.ts
@@ -167,11 +167,12 @@
         arrival.customer !== flooder && arrival.atMs > warmMs && arrival.atMs < untilMs - deadlineMs
     );
     const perVmS = site.vms * untilMs / 1_000;
+    const traffic = fleet.traffic();
     return {
         p99Ms: percentile(others.map(({ arrival, endedMs = Infinity }) => endedMs - arrival.atMs), 0.99),
-        callBytesPerS: fleet.traffic.callBytes / perVmS,
-        callsPerS: fleet.traffic.calls / perVmS,
-        gossipBytesPerS: fleet.traffic.gossipBytes / perVmS,
+        callBytesPerS: traffic.callBytes / perVmS,
+        callsPerS: traffic.calls / perVmS,
+        gossipBytesPerS: traffic.gossipBytes / perVmS,
     };
 }
 
--- a/packages/bench/src/SchedulingSlopes.ts
+++ b/packages/bench/src/SchedulingSlopes.ts
@@ -19,29 +19,42 @@
 v8.setFlagsFromString("--expose-gc");
 const collectGarbage = vm.runInNewContext("gc") as () => void;
 
-const durationMs = 4_000;
+/** Time in ms in which the upstreams ramp, before the measurement. */
+const warmMs = 6_000;
+const durationMs = 5_000;
 /** Load in requests per second and VM, so that the load grows with the fleet. */
 const perVmPerS = 22;
 
+/** Heap in bytes after timers and promises of an earlier run have been dropped. */
+async function measureHeap(): Promise<number> {
+    for (let round = 0; round < 3; round++) {
+        await new Promise<void>(resolve => setTimeout(resolve, 20));
+        collectGarbage();
+    }
+    return process.memoryUsage().heapUsed;
+}
+
 async function measureSlope(site: Site, seed: number): Promise<Slope> {
-    collectGarbage();
-    const heapBefore = process.memoryUsage().heapUsed;
+    const heapBefore = await measureHeap();
     const fleet = createTracedFleet(site, "exchange", seed);
     const load = Math.min(0.8, perVmPerS * site.vms / capacityPerS(site));
-    const trace = createTrace(site, nominalLoads(site, load), durationMs, testing.createSeededRandom(seed));
+    const untilMs = warmMs + durationMs;
+    const trace = createTrace(site, nominalLoads(site, load), untilMs, testing.createSeededRandom(seed));
+    await fleet.play(trace, warmMs);
+    const before = fleet.traffic();
     const cpuBefore = process.cpuUsage();
-    await fleet.play(trace, durationMs);
+    await fleet.play(trace, untilMs);
     const { user, system } = process.cpuUsage(cpuBefore);
-    collectGarbage();
-    const heapAfter = process.memoryUsage().heapUsed;
+    const after = fleet.traffic();
+    const heapAfter = await measureHeap();
     fleet.dispose();
     const perVmS = site.vms * durationMs / 1_000;
     return {
         site,
-        requestsPerS: trace.length / perVmS,
-        callBytesPerS: fleet.traffic.callBytes / perVmS,
-        callsPerS: fleet.traffic.calls / perVmS,
-        gossipBytesPerS: fleet.traffic.gossipBytes / perVmS,
+        requestsPerS: trace.filter(({ atMs }) => atMs > warmMs).length / perVmS,
+        callBytesPerS: (after.callBytes - before.callBytes) / perVmS,
+        callsPerS: (after.calls - before.calls) / perVmS,
+        gossipBytesPerS: (after.gossipBytes - before.gossipBytes) / perVmS,
         cpuMsPerS: (user + system) / 1_000 / perVmS,
         heapKb: (heapAfter - heapBefore) / 1_024 / site.vms,
     };
--- a/packages/bench/src/TracedFleet.ts
+++ b/packages/bench/src/TracedFleet.ts
@@ -37,7 +37,8 @@
     readonly clock: testing.VirtualClock;
     readonly served: readonly Served[];
     readonly engines: ReadonlyMap<core.UpstreamId, ServingEngine>;
-    readonly traffic: Traffic;
+    /** What all VMs have sent so far. */
+    traffic(): Traffic;
     play(arrivals: readonly Arrival[], untilMs: number): Promise<void>;
     publish(change: (document: documents.FleetDocument) => Partial<documents.FleetDocument>): void;
     restart(vm: number): void;
@@ -49,6 +50,8 @@
     readonly scheduler: RequestScheduler;
     readonly document: core.SnapshotCell<documents.FleetDocument>;
     readonly cancels: Set<() => void>;
+    /** Bytes of gossip sent by the present run of the VM. */
+    readonly gossipBytes: () => number;
     readonly dispose: () => void;
 }
 
@@ -85,11 +88,7 @@
         ]),
     );
 
-    const createExchange = (
-        id: core.VmId,
-        index: number,
-        document: Node["document"],
-    ): [RequestScheduler, () => void] => {
+    const createExchange = (id: core.VmId, index: number, document: Node["document"]): Node => {
         const endpoint = network.attach(id);
         const self = { id, incarnation: incarnations[index] = (incarnations[index] ?? 0) + 1 };
         const others = published.vms.map(vm => vm.id).filter(vm => vm !== id);
@@ -105,20 +104,26 @@
             ownership: owners,
             document,
         });
-        return [scheduler, () => {
+        const dispose = (): void => {
             scheduler.dispose();
-            traffic.gossipBytes += gossip.bytesSent();
             gossip.dispose();
             owners.dispose();
-        }];
+        };
+        return { scheduler, document, cancels: new Set(), gossipBytes: gossip.bytesSent, dispose };
     };
 
+    const createAlone = (document: Node["document"]): Node => ({
+        scheduler: createBaselineScheduler(clock, document),
+        document,
+        cancels: new Set(),
+        gossipBytes: () => 0,
+        dispose: () => undefined,
+    });
+
     const start = (index: number): void => {
         const document = core.createSnapshotCell(published);
-        const [scheduler, dispose] = design === "exchange"
-            ? createExchange(core.vmId(`vm-${index}`), index, document)
-            : [createBaselineScheduler(clock, document), () => undefined];
-        nodes[index] = { scheduler, document, dispose, cancels: new Set() };
+        const id = core.vmId(`vm-${index}`);
+        nodes[index] = design === "exchange" ? createExchange(id, index, document) : createAlone(document);
     };
 
     const run = (node: Node, lease: scheduling.SlotLease, arrival: Arrival): Promise<scheduling.UpstreamOutcome> =>
@@ -186,7 +191,10 @@
         clock,
         served,
         engines,
-        traffic,
+        traffic: () => ({
+            ...traffic,
+            gossipBytes: traffic.gossipBytes + nodes.reduce((sum, node) => sum + node.gossipBytes(), 0),
+        }),
         async play(arrivals, untilMs) {
             const due = arrivals.filter(({ atMs }) => atMs >= clock.nowMs() && atMs < untilMs);
             for (const arrival of due) {
@@ -207,6 +215,7 @@
         },
         restart(vm) {
             nodes[vm]?.cancels.forEach(cancel => cancel());
+            traffic.gossipBytes += nodes[vm]?.gossipBytes() ?? 0;
             nodes[vm]?.dispose();
             start(vm);
         },
--- a/packages/scheduling/src/SchedulingConstants.ts
+++ b/packages/scheduling/src/SchedulingConstants.ts
@@ -26,6 +26,8 @@
  * want; when all owners were told, a flood moved the p99 of the other customers by 12 to 20%.
  */
 export const ownersPerRequest = 3;
+/** Time in ms for which a request is told to one owner with free slots before it is told to more. */
+export const wantEscalationMs = 15;
 /** Largest number of owners that hold wants of this VM for one pool: bounds control traffic in large fleets. */
 export const maxWantOwners = 24;
 /** Margin in ms for differences in clock speed between lender and borrower: 1000 ms covers 1.6% of 60 s. */
--- a/packages/scheduling/src/SchedulingHandler.ts
+++ b/packages/scheduling/src/SchedulingHandler.ts
@@ -60,16 +60,21 @@
             }),
         );
 
-    const run = (from: core.VmId, incarnation: number, grant: gen.Grant): BorrowedLease | undefined => {
+    const run = (
+        from: core.VmId,
+        incarnation: number,
+        grant: gen.Grant,
+        pool: core.PoolId | undefined,
+    ): BorrowedLease | undefined => {
         const sentMs = options.wantSender.sentMs(grant.wantSequence);
-        if (sentMs === undefined) {
+        if (sentMs === undefined || pool === undefined) {
             return undefined;
         }
         return dispatcher.runBorrowed({
             lender: from,
             lenderIncarnation: incarnation,
             lease: grant.lease,
-            pool: core.poolId(grant.pool),
+            pool,
             upstream: core.upstreamId(grant.upstream),
             index: grant.slot,
             customer: core.customerId(grant.customer),
@@ -78,19 +83,34 @@
         });
     };
 
+    const decline = (
+        from: core.VmId,
+        incarnation: number,
+        lease: number,
+        pool: core.PoolId | undefined,
+        customer: core.CustomerId,
+    ): Uint8Array => {
+        const othersWaiting = pool !== undefined && dispatcher.queueOf(pool).size > 0;
+        if (pool) {
+            options.wantSender.noteDeclined(pool, from, othersWaiting ? customer : undefined);
+        }
+        borrower.noteDeclined(from, incarnation, lease);
+        return toBinary(gen.GrantAnswerSchema, create(gen.GrantAnswerSchema, { othersWaiting }));
+    };
+
     const onGrant = (from: core.VmId, incarnation: number, grant: gen.Grant): Uint8Array => {
         const known = borrower.check(from, incarnation, grant.lease);
         if (known !== "new") {
             return known === "ended" ? empty : accepted(known);
         }
-        const pool = core.poolId(grant.pool);
-        options.wantSender.noteGrant(pool, from, core.customerId(grant.customer));
-        const lease = run(from, incarnation, grant);
+        const pool = view().upstreams.get(core.upstreamId(grant.upstream))?.pool.id;
+        const customer = core.customerId(grant.customer);
+        if (pool) {
+            options.wantSender.noteGrant(pool, from, customer);
+        }
+        const lease = run(from, incarnation, grant, pool);
         if (!lease) {
-            const othersWaiting = dispatcher.queueOf(pool).size > 0;
-            options.wantSender.noteDeclined(pool, from, othersWaiting ? core.customerId(grant.customer) : undefined);
-            borrower.noteDeclined(from, incarnation, grant.lease);
-            return toBinary(gen.GrantAnswerSchema, create(gen.GrantAnswerSchema, { othersWaiting }));
+            return decline(from, incarnation, grant.lease, pool, customer);
         }
         return accepted(lease);
     };
--- a/packages/scheduling/src/SlotLender.ts
+++ b/packages/scheduling/src/SlotLender.ts
@@ -131,7 +131,6 @@
             totals.charge(pool, waiter.customer, waiter.estimatedCost);
             const message = create(gen.GrantSchema, {
                 lease,
-                pool,
                 upstream: slot.upstream,
                 slot: slot.index,
                 customer: waiter.customer,
--- a/packages/scheduling/src/WantSender.ts
+++ b/packages/scheduling/src/WantSender.ts
@@ -90,33 +90,66 @@
         void sender.call(owner, { case: "want", value: create(gen.WantSchema, { sequence, pool, entries }) });
     };
 
-    /** Owners in the order in which they should be asked: those that could lend, then those that know of the customer. */
-    const ordered = (state: PoolWants, owners: readonly core.VmId[], customer: core.CustomerId): core.VmId[] => {
-        const rank = (owner: core.VmId): number => {
-            if ((state.hints.get(owner) ?? 0) > 0) {
-                return 0;
-            }
-            return (state.told.get(owner)?.left.get(customer) ?? 0) > 0 ? 1 : 2;
-        };
-        const isNear = options.isNear;
-        return core.shuffle(owners, random).sort((left, right) =>
-            rank(left) - rank(right) || Number(isNear(right)) - Number(isNear(left))
-        );
+    const hasFree = (state: PoolWants, owner: core.VmId): boolean => (state.hints.get(owner) ?? 0) > 0;
+
+    /** Owners in the order in which they should be asked: those that could lend, then those nearby, then by chance. */
+    const ordered = (state: PoolWants, owners: readonly core.VmId[]): readonly core.VmId[] => {
+        const shuffled = core.shuffle(owners, random);
+        const near = new Set(shuffled.filter(options.isNear));
+        const inZoneFirst = [...near, ...shuffled.filter(owner => !near.has(owner))];
+        return [
+            ...inZoneFirst.filter(owner => hasFree(state, owner)),
+            ...inZoneFirst.filter(owner => !hasFree(state, owner)),
+        ];
+    };
+
+    /** Owners that know of the customer come first among those without free slots, so that few owners hold its wants. */
+    const firstOf = (
+        state: PoolWants,
+        order: readonly core.VmId[],
+        customer: core.CustomerId,
+        count: number,
+    ): readonly core.VmId[] => {
+        if (count >= order.length) {
+            return order;
+        }
+        const isLikely = (owner: core.VmId): boolean =>
+            hasFree(state, owner) || (state.told.get(owner)?.left.get(customer) ?? 0) > 0;
+        const likely = order.filter(isLikely);
+        const missing = count - likely.length;
+        return missing <= 0
+            ? likely.slice(0, count)
+            : [...likely, ...order.filter(owner => !isLikely(owner)).slice(0, missing)];
     };
 
     /**
-     * Each waiting request is told to a few owners only. An owner that still believes in a request which another owner
-     * has served would hold a slot for it, and a customer with little work would wait behind such wants.
+     * Each waiting request is told to a few owners only. An owner that still believes in a request which another one
+     * has served would hold a slot for it, and a customer with little work would wait behind such wants. While owners
+     * are known to have free slots, one of them is asked first.
      */
+    const ownersFor = (
+        state: PoolWants,
+        order: readonly core.VmId[],
+        free: number,
+        queue: FairQueue,
+        customer: core.CustomerId,
+    ): readonly core.VmId[] => {
+        const waiting = queue.lengthOf(customer);
+        const waitedMs = clock.nowMs() - (queue.oldest(customer)?.enqueuedMs ?? 0);
+        const isEarly = free >= waiting && waitedMs < constants.wantEscalationMs;
+        const wanted = isEarly ? waiting : waiting * constants.ownersPerRequest;
+        return firstOf(state, order, customer, Math.min(options.maxOwners, wanted));
+    };
+
     const targets = (pool: core.PoolId, state: PoolWants, queue: FairQueue): Target[] => {
-        const owners = options.deciders(pool);
+        const order = ordered(state, options.deciders(pool));
+        const free = order.reduce((sum, owner) => sum + (state.hints.get(owner) ?? 0), 0);
         const perOwner = new Map<core.VmId, core.CustomerId[]>();
-        queue.customers().forEach(customer => {
-            const wanted = Math.min(options.maxOwners, queue.lengthOf(customer) * constants.ownersPerRequest);
-            ordered(state, owners, customer).slice(0, wanted).forEach(owner => {
+        queue.customers().forEach(customer =>
+            ownersFor(state, order, free, queue, customer).forEach(owner => {
                 perOwner.set(owner, [...perOwner.get(owner) ?? [], customer]);
-            });
-        });
+            })
+        );
         return [...perOwner].map(([owner, customers]) => ({ owner, customers }));
     };
 
@@ -147,7 +180,9 @@
             atMs: dueMs(state.told.get(target.owner), queue, target.customers),
         }));
         due.filter(({ atMs }) => atMs <= nowMs).forEach(({ target }) => send(pool, state, queue, target));
-        const next = Math.min(...due.map(({ atMs }) => atMs).filter(atMs => atMs > nowMs));
+        const escalations = queue.customers()
+            .map(customer => (queue.oldest(customer)?.enqueuedMs ?? 0) + constants.wantEscalationMs);
+        const next = Math.min(...[...due.map(({ atMs }) => atMs), ...escalations].filter(atMs => atMs > nowMs));
         if (next < nowMs + constants.tickMs) {
             state.cancelUpdate = clock.setTimer(next - nowMs, () => update(pool, queue));
         }
