Name excluded upstreams in wants, and check cold starts exactly

A retried request was offered slots of the upstream that it excludes again and again; wants now name these upstreams. In fleets of more than 12 VMs a peer counts as silent only when relayed word of it stops too, and it is told everything again after 3 s instead of 1 s, because heartbeats reach each peer only every few seconds there. The fake gossip relays ages accordingly.

The check for late cold-start violations assumed a fixed time of detection, which is wrong when the upstream is idle at that moment. It is replaced by one that counts, from the first late answer plus one exchange period and one call, every request that exceeds the cold slots.

--- a/packages/scheduling/__tests__/support/Fleet.ts
+++ b/packages/scheduling/__tests__/support/Fleet.ts
@@ -33,7 +33,10 @@
     readonly askedMs: number;
     readonly cost: number;
     startedMs?: number;
+    /** Time of the complete answer. */
     endedMs?: number;
+    /** Time at which the upstream stopped working on it, for whatever reason. */
+    stoppedMs?: number;
     upstream?: core.UpstreamId;
     refusal?: string;
 }
@@ -43,7 +46,7 @@
     readonly clock: testing.PausableClock;
     readonly owners: ownership.Ownership;
     readonly cell: core.SnapshotCell<documents.FleetDocument>;
-    readonly runs: Set<testing.EngineRun>;
+    readonly runs: Map<testing.EngineRun, Trace>;
     readonly stop: () => void;
     isDown: boolean;
 }
@@ -135,7 +138,7 @@
             gossip.dispose();
             owners.dispose();
         };
-        nodes.set(index, { scheduler, clock: vmClock, owners, cell, runs: new Set(), stop, isDown: false });
+        nodes.set(index, { scheduler, clock: vmClock, owners, cell, runs: new Map(), stop, isDown: false });
     };
 
     const node = (index: number): Node => {
@@ -151,6 +154,7 @@
             const end = (outcome: scheduling.UpstreamOutcome): void => {
                 if (vm.runs.delete(run)) {
                     cancelDeadline();
+                    trace.stoppedMs = clock.nowMs();
                     trace.endedMs = outcome === "completed" ? clock.nowMs() : undefined;
                     lease.release(outcome, work.cost);
                     resolve();
@@ -165,7 +169,7 @@
                 onFirstByte: delayMs => later(() => vm.runs.has(run) && lease.noteFirstByte(delayMs)),
                 onEnd: () => later(() => end("completed")),
             });
-            vm.runs.add(run);
+            vm.runs.set(run, trace);
         });
 
     const submit = async (index: number, customer: string, work: Work): Promise<Trace> => {
@@ -219,7 +223,10 @@
         kill(index: number) {
             const vm = node(index);
             vm.isDown = true;
-            vm.runs.forEach(run => run.cancel());
+            vm.runs.forEach((trace, run) => {
+                trace.stoppedMs = clock.nowMs();
+                run.cancel();
+            });
             vm.runs.clear();
             network.detach(idOf(index));
             vm.stop();
--- a/packages/scheduling/__tests__/support/Measures.ts
+++ b/packages/scheduling/__tests__/support/Measures.ts
@@ -1,3 +1,4 @@
+import type * as core from "@peridotloft/core";
 import type { Fleet, Trace } from "./Fleet.js";
 
 /** Cost of the customer's requests that started in (fromMs, toMs], divided by its weight. */
@@ -37,3 +38,28 @@
 
 export const waitsOf = (traces: readonly Trace[]): number[] =>
     traces.flatMap(trace => trace.startedMs === undefined ? [] : [trace.startedMs - trace.askedMs]);
+
+/** Time in ms until every VM knows of a fall-back: one exchange period, the smallest gap between messages, one call. */
+const knownAfterMs = 200 + 20 + 5;
+
+/**
+ * Requests that an upstream got beyond its cold slots after every VM could know of its last cold start. Requests that
+ * started before may continue.
+ *
+ * @param connectedMs Time since which all VMs hear each other.
+ */
+export function coldExcess(fleet: Fleet, upstream: core.UpstreamId, coldSlots: number, connectedMs: number): number {
+    const span = fleet.engines.get(upstream)?.coldSpans.at(-1);
+    if (!span || span.firstByteMs === undefined) {
+        return 0;
+    }
+    const knownMs = Math.max(span.firstByteMs, connectedMs) + knownAfterMs;
+    const started = fleet.traces.filter(trace =>
+        trace.upstream === upstream && (trace.startedMs ?? 0) > knownMs
+        && (trace.startedMs ?? 0) < (span.endMs ?? Infinity)
+    );
+    return started.filter(({ startedMs = 0 }) =>
+        started.filter(other => (other.startedMs ?? 0) <= startedMs && (other.stoppedMs ?? Infinity) > startedMs).length
+            > coldSlots
+    ).length;
+}
--- a/packages/scheduling/__tests__/unit/ColdStart.test.ts
+++ b/packages/scheduling/__tests__/unit/ColdStart.test.ts
@@ -2,6 +2,7 @@
 import { describe } from "node:test";
 import type * as scheduling from "../../src/index.js";
 import { createFleet, type Fleet, type Trace } from "../support/Fleet.js";
+import { coldExcess } from "../support/Measures.js";
 import { itFindsFault, itWithSeeds } from "../support/Seeds.js";
 
 const file = "ColdStart.test.js";
@@ -11,8 +12,8 @@
         ["a", "b"].forEach(customer => fleet.keepBusy(vm, customer, 20, untilMs, work(fleet)))
     );
 
-const violations = (fleet: Fleet, afterMs = 0): number[] =>
-    [...fleet.engines.values()].flatMap(engine => engine.coldViolationsMs.filter(atMs => atMs > afterMs));
+const violations = (fleet: Fleet): readonly number[] =>
+    [...fleet.engines.values()].flatMap(engine => engine.coldViolationsMs);
 
 /**
  * Doubling after a full set of answers means that u usable slots need u - coldSlots completed requests. Returns how far
@@ -47,32 +48,29 @@
     });
 });
 
-/** Violations later than one exchange period and one call after the first slow answer. */
-async function lateViolations(seed: number, policy: Partial<scheduling.SchedulingPolicy>) {
+/** One engine falls back at 7 s, under load. */
+async function runSilentColdStart(seed: number, policy: Partial<scheduling.SchedulingPolicy>) {
     const fleet = createFleet({ seed, policy });
     keepAllBusy(fleet, 16_000);
     await fleet.clock.advance(7_000);
     const [id, engine] = [...fleet.engines][0]!;
     engine.coldStart(24);
     await fleet.clock.advance(9_000);
-    const firstByteMs = 400;
-    const longestRunMs = 300;
-    const knownMs = 7_000 + firstByteMs + longestRunMs + 200 + 5;
     const phase = fleet.scheduler(0).status().upstreams.find(({ upstream }) => upstream === id)?.phase;
     fleet.dispose();
-    return { late: violations(fleet, knownMs), phase };
+    return { excess: coldExcess(fleet, id, 1, 0), phase };
 }
 
 describe("a silent cold start", () => {
     itWithSeeds(file, [1, 2, 3], "is noticed from the first slow answer and ends in a ramp", async seed => {
-        const { late, phase } = await lateViolations(seed, {});
-        assert.deepEqual(late, []);
+        const { excess, phase } = await runSilentColdStart(seed, {});
+        assert.equal(excess, 0);
         assert.equal(phase, "warm");
     });
 
     itFindsFault("is found to overload the upstream when slow answers are ignored", async seed => {
-        const { late } = await lateViolations(seed, { slowFirstByteFactor: Infinity });
-        assert.ok(late.length > 0);
+        const { excess } = await runSilentColdStart(seed, { slowFirstByteFactor: Infinity });
+        assert.ok(excess > 0);
     });
 });
 
--- a/packages/scheduling/__tests__/unit/Faults.test.ts
+++ b/packages/scheduling/__tests__/unit/Faults.test.ts
@@ -2,6 +2,7 @@
 import { describe } from "node:test";
 import type * as scheduling from "../../src/index.js";
 import { createFleet, type Fleet } from "../support/Fleet.js";
+import { coldExcess } from "../support/Measures.js";
 import { itFindsFault, itWithSeeds } from "../support/Seeds.js";
 
 const file = "Faults.test.js";
@@ -51,7 +52,7 @@
 
 interface Findings {
     readonly largestInFlight: number;
-    readonly lateColdViolations: number;
+    readonly coldExcess: number;
     readonly utilisation: number;
     readonly unsettled: number;
     readonly leaked: number;
@@ -69,8 +70,7 @@
     await fleet.clock.advance(faultMs - 700 * names.length);
     ends.forEach(end => end());
     const fromMs = 15_000;
-    // A VM that comes back knows of a cold start after one exchange period and one call.
-    const knownMs = 5_000 + faultMs + 200 + 10;
+    const connectedMs = 5_000 + faultMs;
     await fleet.clock.advance(fromMs - fleet.clock.nowMs());
     const busyMs = fleet.busyMs();
     await fleet.clock.advance(untilMs - fromMs);
@@ -79,10 +79,12 @@
     const engines = [...fleet.engines.values()];
     const findings: Findings = {
         largestInFlight: Math.max(...engines.map(({ maxInFlight }) => maxInFlight)),
-        lateColdViolations: engines.flatMap(engine => engine.coldViolationsMs.filter(atMs => atMs > knownMs)).length,
+        coldExcess: [...fleet.engines.keys()]
+            .filter(id => fleet.engines.get(id)!.coldSpans.length > 1)
+            .reduce((sum, id) => sum + coldExcess(fleet, id, 1, connectedMs), 0),
         utilisation,
         unsettled:
-            fleet.traces.filter(trace => !trace.refusal && trace.startedMs === undefined && trace.askedMs > knownMs)
+            fleet.traces.filter(trace => !trace.refusal && trace.startedMs === undefined && trace.askedMs > connectedMs)
                 .length,
         leaked: vms.flatMap(vm => fleet.scheduler(vm).status().upstreams)
             .reduce((sum, { ownedSlotsInUse }) => sum + ownedSlotsInUse, 0),
@@ -93,7 +95,7 @@
 
 function check(findings: Findings): void {
     const { utilisation, ...counts } = findings;
-    assert.deepEqual(counts, { largestInFlight: slots, lateColdViolations: 0, unsettled: 0, leaked: 0 });
+    assert.deepEqual(counts, { largestInFlight: slots, coldExcess: 0, unsettled: 0, leaked: 0 });
     assert.ok(utilisation >= 0.95, `utilisation after the fault was ${utilisation}`);
 }
 
--- a/packages/scheduling/__tests__/unit/Slots.test.ts
+++ b/packages/scheduling/__tests__/unit/Slots.test.ts
@@ -140,4 +140,19 @@
         assert.deepEqual(refusals, ["cancelled", "deadline", "queue-full"]);
         assert.equal(refusedLater, 0);
     });
+
+    itWithSeeds(file, [1], "are refused at once when their deadline cannot be met", async seed => {
+        const customers = [{ id: "a", weight: 1, maxQueued: 100 }];
+        const fleet = createFleet({ seed, vms: 2, engines: 1, slots: 2, customers });
+        fleet.keepBusy(0, "a", 40, 15_000, () => ({ workMs: 200, cost: 1 }));
+        await fleet.clock.advance(10_000);
+        const hopeless = fleet.submit(0, "a", { workMs: 200, cost: 1, deadlineMs: 2_000 });
+        const feasible = fleet.submit(0, "a", { workMs: 200, cost: 1, deadlineMs: 8_000 });
+        await fleet.clock.advance(1);
+        assert.equal((await hopeless).refusal, "deadline");
+        await fleet.clock.advance(9_000);
+        assert.equal((await feasible).refusal, undefined);
+        assert.ok((await feasible).endedMs);
+        fleet.dispose();
+    });
 });
--- a/packages/scheduling/src/Dispatcher.ts
+++ b/packages/scheduling/src/Dispatcher.ts
@@ -173,7 +173,7 @@
 
     const giveTo = (pool: core.PoolId, candidate: Candidate, free: readonly SlotChoice[]): boolean => {
         const { local, remote } = candidate;
-        const excluded = local?.request.exclude ?? [];
+        const excluded = local?.request.exclude ?? remote?.excluded ?? [];
         const vm = remote?.from ?? self;
         const fitting = free.filter(choice => !excluded.includes(choice.upstream));
         const slot = pickUpstream(fitting, view().zones.get(vm), random)?.slot;
--- a/packages/scheduling/src/SchedulingConstants.ts
+++ b/packages/scheduling/src/SchedulingConstants.ts
@@ -66,6 +66,10 @@
 export const backloggedUrgency = 8;
 /** Silence of a peer in ms after which it is told everything again. */
 export const gossipGapMs = 1_000;
+/** The same in fleets where heartbeats go to some peers only, and word of a peer takes several periods. */
+export const relayedGossipGapMs = 3_000;
+/** Largest fleet in which every heartbeat goes to all peers. */
+export const allPeersUpTo = 12;
 /** Time in ms between two repetitions of an unchanged hint about free slots. */
 export const hintRefreshMs = 1_000;
 /** Queue bound for customers that the document does not name, such as callers of open routes. */
--- a/packages/scheduling/src/SchedulingHandler.ts
+++ b/packages/scheduling/src/SchedulingHandler.ts
@@ -41,7 +41,11 @@
 
     const onWant = (from: core.VmId, incarnation: number, want: gen.Want): Uint8Array => {
         const pool = core.poolId(want.pool);
-        const entries = want.entries.map(entry => ({ ...entry, customer: core.customerId(entry.customer) }));
+        const entries = want.entries.map(entry => ({
+            ...entry,
+            customer: core.customerId(entry.customer),
+            excluded: entry.excluded.map(core.upstreamId),
+        }));
         if (options.wants.put(from, incarnation, pool, want.sequence, entries)) {
             entries.forEach(entry => totals.notePeerWaiting(from, pool, entry.customer, entry.waiting));
             dispatcher.pump(pool);
--- a/packages/scheduling/src/WantBook.ts
+++ b/packages/scheduling/src/WantBook.ts
@@ -6,6 +6,8 @@
     readonly waiting: number;
     readonly estimatedCost: number;
     readonly oldestWaitMs: number;
+    /** Upstreams at which the oldest request has failed. */
+    readonly excluded: readonly core.UpstreamId[];
 }
 
 /** A customer that waits on another VM. */
@@ -17,6 +19,7 @@
     readonly sequence: number;
     /** Time on this VM's clock at which its oldest request began to wait, in ms. */
     readonly sinceMs: number;
+    readonly excluded: readonly core.UpstreamId[];
 }
 
 /** What other VMs are waiting for, as they last said. */
@@ -60,10 +63,12 @@
                 return false;
             }
             const receivedMs = clock.nowMs();
-            const left = new Map(entries.map(({ customer, waiting, estimatedCost, oldestWaitMs }) => [customer, {
-                waiting,
-                waiter: { from, customer, estimatedCost, sequence, sinceMs: receivedMs - oldestWaitMs },
-            }]));
+            const left = new Map(
+                entries.map(({ customer, waiting, estimatedCost, oldestWaitMs, excluded }) => [customer, {
+                    waiting,
+                    waiter: { from, customer, estimatedCost, sequence, sinceMs: receivedMs - oldestWaitMs, excluded },
+                }]),
+            );
             book.set(from, { incarnation, sequence, receivedMs, left });
             return true;
         },
--- a/packages/scheduling/src/WantSender.ts
+++ b/packages/scheduling/src/WantSender.ts
@@ -85,6 +85,7 @@
                 waiting: queue.lengthOf(customer),
                 estimatedCost: oldest?.request.estimatedCost ?? 0,
                 oldestWaitMs: Math.round(nowMs - (oldest?.enqueuedMs ?? nowMs)),
+                excluded: [...oldest?.request.exclude ?? []],
             });
         });
         void sender.call(owner, { case: "want", value: create(gen.WantSchema, { sequence, pool, entries }) });
--- a/packages/scheduling/src/createScheduler.ts
+++ b/packages/scheduling/src/createScheduler.ts
@@ -236,7 +236,8 @@
     };
 
     const noteHeard = (from: core.VmId): void => {
-        if (silence.noteHeard(from) > constants.gossipGapMs) {
+        const isSmall = view.vms.length <= constants.allPeersUpTo;
+        if (silence.noteHeard(from) > (isSmall ? constants.gossipGapMs : constants.relayedGossipGapMs)) {
             tellAgain();
         }
     };
--- a/packages/testing/src/FakeEngine.ts
+++ b/packages/testing/src/FakeEngine.ts
@@ -14,6 +14,14 @@
     cancel(): void;
 }
 
+/** One cold start, in ms. */
+export interface ColdSpan {
+    readonly startMs: number;
+    /** First byte that came late; undefined while there was none. */
+    firstByteMs: number | undefined;
+    endMs: number | undefined;
+}
+
 export interface EngineCallbacks {
     onFirstByte(delayMs: number): void;
     onEnd(): void;
@@ -29,6 +37,8 @@
     readonly maxInFlight: number;
     /** Times in ms at which a request arrived at the cold engine while it ran `coldSlots` or more. */
     readonly coldViolationsMs: readonly number[];
+    /** The cold starts so far. */
+    readonly coldSpans: readonly ColdSpan[];
     /** Integral of the requests in flight over time, in request ms. */
     busyMs(): number;
 }
@@ -36,6 +46,7 @@
 export function createFakeEngine(options: FakeEngineOptions): FakeEngine {
     const { clock, coldSlots, requestsUntilWarm = coldSlots, warmFirstByteMs = 20, coldFirstByteMs = 400 } = options;
     const coldViolationsMs: number[] = [];
+    const coldSpans: ColdSpan[] = [{ startMs: clock.nowMs(), firstByteMs: undefined, endMs: undefined }];
     let isCold = true;
     let leftUntilWarm = requestsUntilWarm;
     let inFlight = 0;
@@ -52,7 +63,18 @@
 
     const noteCompleted = (): void => {
         leftUntilWarm--;
-        isCold &&= leftUntilWarm > 0;
+        const span = coldSpans.at(-1);
+        if (isCold && leftUntilWarm <= 0 && span) {
+            isCold = false;
+            span.endMs = clock.nowMs();
+        }
+    };
+
+    const noteColdByte = (): void => {
+        const span = coldSpans.at(-1);
+        if (span) {
+            span.firstByteMs ??= clock.nowMs();
+        }
     };
 
     return {
@@ -61,8 +83,14 @@
                 coldViolationsMs.push(clock.nowMs());
             }
             count(1);
-            const firstByteMs = isCold ? coldFirstByteMs : warmFirstByteMs;
-            const cancelFirst = clock.setTimer(firstByteMs, () => onFirstByte(firstByteMs));
+            const isLate = isCold;
+            const firstByteMs = isLate ? coldFirstByteMs : warmFirstByteMs;
+            const cancelFirst = clock.setTimer(firstByteMs, () => {
+                if (isLate) {
+                    noteColdByte();
+                }
+                onFirstByte(firstByteMs);
+            });
             const cancelEnd = clock.setTimer(firstByteMs + workMs, () => {
                 count(-1);
                 isRunning = false;
@@ -84,6 +112,7 @@
         coldStart(requests = requestsUntilWarm) {
             isCold = true;
             leftUntilWarm = requests;
+            coldSpans.push({ startMs: clock.nowMs(), firstByteMs: undefined, endMs: undefined });
         },
         get isCold() {
             return isCold;
@@ -95,6 +124,7 @@
             return maxInFlight;
         },
         coldViolationsMs,
+        coldSpans,
         busyMs() {
             count(0);
             return busyMs;
--- a/packages/testing/src/FakeGossip.ts
+++ b/packages/testing/src/FakeGossip.ts
@@ -23,7 +23,10 @@
 }
 
 const slice = "fake-gossip";
-const headerBytes = 8;
+const headerBytes = 9;
+/** In larger fleets a heartbeat says how long ago its sender heard of each VM, in units of this many ms. */
+const ageUnitMs = 50;
+const unknownAge = 255;
 /** Size of a heartbeat with its envelope in the real protocol. */
 const heartbeatBytes = 60;
 const allPeersUpTo = 12;
@@ -32,7 +35,7 @@
 
 export function createFakeGossip(options: FakeGossipOptions): FakeGossip {
     const { clock, random, endpoint, self, others, periodMs = 200, bytesPerS = 4_096, fanout = 2 } = options;
-    const heard = new Map<core.VmId, { incarnation: number; lastHeardMs: number; }>();
+    const heard = new Map<core.VmId, { incarnation: number | undefined; lastHeardMs: number; }>();
     let sections: core.GossipSection[] = [];
     let balance = bytesPerS;
     let refilledMs = clock.nowMs();
@@ -44,19 +47,40 @@
         refilledMs = clock.nowMs();
     };
 
+    /** All VMs in an order that every VM agrees on; empty in small fleets, where all hear each other. */
+    const relayed = (): readonly core.VmId[] => others().length < allPeersUpTo ? [] : [...others(), self.id].sort();
+
+    const ageOf = (id: core.VmId): number => {
+        const lastMs = id === self.id ? clock.nowMs() : heard.get(id)?.lastHeardMs ?? -Infinity;
+        return Math.min(unknownAge, Math.ceil((clock.nowMs() - lastMs) / ageUnitMs));
+    };
+
     const encode = (limitBytes: number): Uint8Array => {
+        const ages = relayed().map(ageOf);
         const body = sections[0]?.encode(limitBytes) ?? new Uint8Array();
-        const message = new Uint8Array(headerBytes + body.length);
+        const message = new Uint8Array(headerBytes + ages.length + body.length);
         new DataView(message.buffer).setFloat64(0, self.incarnation);
-        message.set(body, headerBytes);
+        message[headerBytes - 1] = ages.length;
+        message.set(ages, headerBytes);
+        message.set(body, headerBytes + ages.length);
         return message;
     };
 
+    const applyAges = (ages: Uint8Array): void =>
+        relayed().forEach((id, index) => {
+            const age = ages[index] ?? unknownAge;
+            const known = heard.get(id);
+            const heardMs = clock.nowMs() - age * ageUnitMs;
+            if (age < unknownAge && id !== self.id && heardMs > (known?.lastHeardMs ?? -Infinity)) {
+                heard.set(id, { incarnation: known?.incarnation, lastHeardMs: heardMs });
+            }
+        });
+
     const exchange = (): void => {
         refill();
         const ids = others();
         const targets = ids.length < allPeersUpTo ? ids : core.shuffle(ids, random).slice(0, fanout);
-        const room = Math.floor(balance / Math.max(1, targets.length)) - heartbeatBytes;
+        const room = Math.floor(balance / Math.max(1, targets.length)) - heartbeatBytes - relayed().length;
         if (targets.length === 0 || room < minSectionBytes) {
             return;
         }
@@ -71,7 +95,9 @@
         endpoint.registerSlice(slice, (from, payload) => {
             const incarnation = new DataView(payload.buffer, payload.byteOffset).getFloat64(0);
             heard.set(from, { incarnation, lastHeardMs: clock.nowMs() });
-            sections.forEach(section => section.apply(from, incarnation, payload.subarray(headerBytes)));
+            const bodyStart = headerBytes + (payload[headerBytes - 1] ?? 0);
+            applyAges(payload.subarray(headerBytes, bodyStart));
+            sections.forEach(section => section.apply(from, incarnation, payload.subarray(bodyStart)));
             return Promise.resolve(ok(new Uint8Array()));
         }),
         // A random first exchange keeps the VMs from sending all at the same moment.
