--- a/packages/scheduling/src/FairQueue.ts
+++ b/packages/scheduling/src/FairQueue.ts
@@ -74,7 +74,7 @@
         oldest: customer => queues.get(customer)?.[0],
         firstFor: (customer, upstream) =>
             queues.get(customer)?.find(waiter => !waiter.request.exclude.includes(upstream)),
-        expired: nowMs => size === 0 ? [] : waiters().filter(waiter => waiter.deadlineMs <= nowMs),
+        expired: nowMs => [...queues.values()].flatMap(queue => queue.filter(waiter => waiter.deadlineMs <= nowMs)),
         waiters,
     };
 }
--- a/packages/scheduling/src/createScheduler.ts
+++ b/packages/scheduling/src/createScheduler.ts
@@ -196,7 +196,9 @@
         recovering.tick();
         lender.tick();
         borrower.tick();
-        refuseWhere("deadline", waiter => waiter.deadlineMs <= nowMs);
+        dispatcher.queues().forEach(queue =>
+            queue.expired(nowMs).forEach(waiter => dispatcher.refuse(waiter, "deadline"))
+        );
         dispatcher.pumpAll();
     };
 
