Test slots that move to a joining VM, and look at waiting slots less often

While a slot waits for its previous owner, the roles of all slots were recomputed every 25 ms; 200 ms suffice, as versions arrive once per exchange period.

--- a/packages/scheduling/__tests__/support/Fleet.ts
+++ b/packages/scheduling/__tests__/support/Fleet.ts
@@ -2,6 +2,7 @@
 import * as documents from "@peridotloft/document";
 import * as ownership from "@peridotloft/ownership";
 import * as testing from "@peridotloft/testing";
+import { ok } from "neverthrow";
 import * as scheduling from "../../src/index.js";
 
 export interface FleetOptions {
@@ -133,7 +134,17 @@
             document: cell,
             policy: options.policy,
         });
+        // Stands for the document version in the heartbeats of the membership package.
+        endpoint.registerSlice("version", (from, payload) => {
+            owners.notePeerVersion(from, payload[0] ?? 0);
+            return Promise.resolve(ok(new Uint8Array()));
+        });
+        const stopVersions = core.setRepeatingTimer(vmClock, 200, () => {
+            const version = Uint8Array.of(cell.read().version);
+            others().forEach(peer => void endpoint.call(peer, "version", version, 100));
+        });
         const stop = (): void => {
+            stopVersions();
             scheduler.dispose();
             gossip.dispose();
             owners.dispose();
--- a/packages/scheduling/__tests__/unit/Slots.test.ts
+++ b/packages/scheduling/__tests__/unit/Slots.test.ts
@@ -42,6 +42,35 @@
     });
 });
 
+/** A seventh VM joins while requests of two VMs hold most slots. */
+async function runJoin(seed: number, policy: Partial<scheduling.SchedulingPolicy>) {
+    const fleet = createFleet({ seed, policy, slots });
+    const work = () => ({ workMs: 500 + fleet.random() * 3_000, cost: 100 });
+    [0, 1].forEach(vm => ["a", "b"].forEach(customer => fleet.keepBusy(vm, customer, 60, 30_000, work)));
+    await fleet.clock.advance(15_000);
+    fleet.publish(({ vms: known, version }) => ({
+        vms: [...known, { ...known[0]!, id: fleet.idOf(6), peerAddress: "127.0.0.1:7006", joinedVersion: version + 1 }],
+    }));
+    fleet.start(6);
+    await fleet.clock.advance(10_000);
+    const usedByNew = slotsInUse(fleet, [6]);
+    fleet.dispose();
+    return { largest: largestInFlight(fleet), usedByNew };
+}
+
+describe("slots that move to a VM that joins", () => {
+    itWithSeeds(file, [1, 2], "are given by it only when nobody holds them any more", async seed => {
+        const { largest, usedByNew } = await runJoin(seed, {});
+        assert.ok(largest <= slots, `${largest} in flight`);
+        assert.ok(usedByNew > 0);
+    });
+
+    itFindsFault("are found to be given twice when the new owner does not ask", async seed => {
+        const { largest } = await runJoin(seed, { asksForHeldSlots: false });
+        assert.ok(largest > slots, `${largest} in flight`);
+    });
+});
+
 describe("lost, late and repeated messages", () => {
     itWithSeeds(file, [1, 2, 3], "neither leak nor double a slot", async seed => {
         const fleet = createFleet({ seed, slots, lossRatio: 0.15, deadlineMs: 4_000 });
--- a/packages/scheduling/src/SchedulingConstants.ts
+++ b/packages/scheduling/src/SchedulingConstants.ts
@@ -36,6 +36,8 @@
 export const takeoverSilenceMs = 5_000;
 /** A gap in ms between two ticks that shows that this process was paused. */
 export const pauseGapMs = 1_000;
+/** Time in ms between two looks at slots that wait for their previous owner. */
+export const roleRefreshMs = 200;
 /** Time in ms between two questions to VMs that have not said which slots they hold. */
 export const heldQueryPeriodMs = 500;
 /** An answer whose first byte comes this many times later than usual shows a cold start. */
--- a/packages/scheduling/src/createScheduler.ts
+++ b/packages/scheduling/src/createScheduler.ts
@@ -180,10 +180,13 @@
     };
 
     let silentBefore = "";
+    let nextRefreshMs = 0;
     const refreshRoles = (): void => {
         const silent = view.vms.filter(vm => !isSelf(vm) && silence.isSilent(vm)).join();
-        if (silent !== silentBefore || table.hasWaiting) {
+        const isDue = table.hasWaiting && clock.nowMs() >= nextRefreshMs;
+        if (silent !== silentBefore || isDue) {
             silentBefore = silent;
+            nextRefreshMs = clock.nowMs() + constants.roleRefreshMs;
             beginRecovery(table.refresh());
         }
     };
