--- a/packages/scheduling/__tests__/support/Fleet.ts
+++ b/packages/scheduling/__tests__/support/Fleet.ts
@@ -2,6 +2,7 @@
 import * as documents from "@peridotloft/document";
 import * as ownership from "@peridotloft/ownership";
 import * as testing from "@peridotloft/testing";
+import { ok } from "neverthrow";
 import * as scheduling from "../../src/index.js";
 
 export interface FleetOptions {
@@ -33,7 +34,10 @@
     readonly askedMs: number;
     readonly cost: number;
     startedMs?: number;
+    /** Time of the complete answer. */
     endedMs?: number;
+    /** Time at which the upstream stopped working on it, for whatever reason. */
+    stoppedMs?: number;
     upstream?: core.UpstreamId;
     refusal?: string;
 }
@@ -43,7 +47,7 @@
     readonly clock: testing.PausableClock;
     readonly owners: ownership.Ownership;
     readonly cell: core.SnapshotCell<documents.FleetDocument>;
-    readonly runs: Set<testing.EngineRun>;
+    readonly runs: Map<testing.EngineRun, Trace>;
     readonly stop: () => void;
     isDown: boolean;
 }
@@ -130,12 +134,22 @@
             document: cell,
             policy: options.policy,
         });
+        // Stands for the document version in the heartbeats of the membership package.
+        endpoint.registerSlice("version", (from, payload) => {
+            owners.notePeerVersion(from, payload[0] ?? 0);
+            return Promise.resolve(ok(new Uint8Array()));
+        });
+        const stopVersions = core.setRepeatingTimer(vmClock, 200, () => {
+            const version = Uint8Array.of(cell.read().version);
+            others().forEach(peer => void endpoint.call(peer, "version", version, 100));
+        });
         const stop = (): void => {
+            stopVersions();
             scheduler.dispose();
             gossip.dispose();
             owners.dispose();
         };
-        nodes.set(index, { scheduler, clock: vmClock, owners, cell, runs: new Set(), stop, isDown: false });
+        nodes.set(index, { scheduler, clock: vmClock, owners, cell, runs: new Map(), stop, isDown: false });
     };
 
     const node = (index: number): Node => {
@@ -151,6 +165,7 @@
             const end = (outcome: scheduling.UpstreamOutcome): void => {
                 if (vm.runs.delete(run)) {
                     cancelDeadline();
+                    trace.stoppedMs = clock.nowMs();
                     trace.endedMs = outcome === "completed" ? clock.nowMs() : undefined;
                     lease.release(outcome, work.cost);
                     resolve();
@@ -165,7 +180,7 @@
                 onFirstByte: delayMs => later(() => vm.runs.has(run) && lease.noteFirstByte(delayMs)),
                 onEnd: () => later(() => end("completed")),
             });
-            vm.runs.add(run);
+            vm.runs.set(run, trace);
         });
 
     const submit = async (index: number, customer: string, work: Work): Promise<Trace> => {
@@ -219,7 +234,10 @@
         kill(index: number) {
             const vm = node(index);
             vm.isDown = true;
-            vm.runs.forEach(run => run.cancel());
+            vm.runs.forEach((trace, run) => {
+                trace.stoppedMs = clock.nowMs();
+                run.cancel();
+            });
             vm.runs.clear();
             network.detach(idOf(index));
             vm.stop();
--- a/packages/scheduling/src/SchedulingConstants.ts
+++ b/packages/scheduling/src/SchedulingConstants.ts
@@ -26,6 +26,8 @@
  * want; when all owners were told, a flood moved the p99 of the other customers by 12 to 20%.
  */
 export const ownersPerRequest = 3;
+/** Time in ms for which a request is told to one owner with free slots before it is told to more. */
+export const wantEscalationMs = 15;
 /** Largest number of owners that hold wants of this VM for one pool: bounds control traffic in large fleets. */
 export const maxWantOwners = 24;
 /** Margin in ms for differences in clock speed between lender and borrower: 1000 ms covers 1.6% of 60 s. */
@@ -34,6 +36,8 @@
 export const takeoverSilenceMs = 5_000;
 /** A gap in ms between two ticks that shows that this process was paused. */
 export const pauseGapMs = 1_000;
+/** Time in ms between two looks at slots that wait for their previous owner. */
+export const roleRefreshMs = 200;
 /** Time in ms between two questions to VMs that have not said which slots they hold. */
 export const heldQueryPeriodMs = 500;
 /** An answer whose first byte comes this many times later than usual shows a cold start. */
@@ -64,6 +68,10 @@
 export const backloggedUrgency = 8;
 /** Silence of a peer in ms after which it is told everything again. */
 export const gossipGapMs = 1_000;
+/** The same in fleets where heartbeats go to some peers only, and word of a peer takes several periods. */
+export const relayedGossipGapMs = 3_000;
+/** Largest fleet in which every heartbeat goes to all peers. */
+export const allPeersUpTo = 12;
 /** Time in ms between two repetitions of an unchanged hint about free slots. */
 export const hintRefreshMs = 1_000;
 /** Queue bound for customers that the document does not name, such as callers of open routes. */
--- a/packages/scheduling/src/createScheduler.ts
+++ b/packages/scheduling/src/createScheduler.ts
@@ -180,10 +180,13 @@
     };
 
     let silentBefore = "";
+    let nextRefreshMs = 0;
     const refreshRoles = (): void => {
         const silent = view.vms.filter(vm => !isSelf(vm) && silence.isSilent(vm)).join();
-        if (silent !== silentBefore || table.hasWaiting) {
+        const isDue = table.hasWaiting && clock.nowMs() >= nextRefreshMs;
+        if (silent !== silentBefore || isDue) {
             silentBefore = silent;
+            nextRefreshMs = clock.nowMs() + constants.roleRefreshMs;
             beginRecovery(table.refresh());
         }
     };
@@ -196,7 +199,9 @@
         recovering.tick();
         lender.tick();
         borrower.tick();
-        refuseWhere("deadline", waiter => waiter.deadlineMs <= nowMs);
+        dispatcher.queues().forEach(queue =>
+            queue.expired(nowMs).forEach(waiter => dispatcher.refuse(waiter, "deadline"))
+        );
         dispatcher.pumpAll();
     };
 
@@ -236,7 +241,8 @@
     };
 
     const noteHeard = (from: core.VmId): void => {
-        if (silence.noteHeard(from) > constants.gossipGapMs) {
+        const isSmall = view.vms.length <= constants.allPeersUpTo;
+        if (silence.noteHeard(from) > (isSmall ? constants.gossipGapMs : constants.relayedGossipGapMs)) {
             tellAgain();
         }
     };
