End a request whose upstream answers with a switch of protocols

Cause: for an answer 101, Node takes the connection away from the request and emits neither a response nor an error. The request then never ended, not even at its first-byte timeout or deadline, and held its slot.

Change: such an answer counts as malformed. A timeout, the deadline and the caller's leaving now end the request by themselves, instead of waiting for the error that closing the connection causes.

--- a/packages/router/__tests__/integration/UpstreamCall.test.ts
+++ b/packages/router/__tests__/integration/UpstreamCall.test.ts
@@ -72,6 +72,11 @@
     ["silence before the answer", () => undefined, "first-byte-timeout"],
     ["end within the head", replyAndEnd("HTTP/1.1 200 OK\r\ncontent-"), "connection-broken"],
     ["bytes that are not HTTP", reply("garbage\r\n\r\n"), "malformed"],
+    [
+        "a switch of protocols",
+        reply("HTTP/1.1 101 X\r\nconnection: upgrade\r\nupgrade: x\r\n\r\n"),
+        "malformed",
+    ],
     ["body shorter than its length", replyAndEnd(head("content-length: 9"), "short"), "connection-broken"],
     ["reset within the body", replyAndReset(head("content-length: 9"), "short"), "connection-broken"],
     ["body with neither length nor chunks", replyAndEnd(head("x: y"), "who knows"), "truncated"],
--- a/packages/router/src/UpstreamCall.ts
+++ b/packages/router/src/UpstreamCall.ts
@@ -24,8 +24,6 @@
     readonly deadlineMs: number;
     /** Whether an idle connection may be used. On a new one, a refused connection proves that nothing ran. */
     readonly reuseConnection: boolean;
-    /** Called once when the connection stands and the request is being written. */
-    onWritten?(): void;
 }
 
 /** An answer whose head has been received. */
@@ -63,8 +61,16 @@
     }
 
     const request = openRequest(connections, call);
-    const stop = (kind: FailureKind): void => {
+    let resolveAnswer: (result: Result<UpstreamAnswer, RequestFailure>) => void = () => undefined;
+    const answered = new Promise<Result<UpstreamAnswer, RequestFailure>>(resolve => resolveAnswer = resolve);
+    const conclude = (kind: FailureKind): void => {
         failure ??= failed(kind);
+        settleConnections(connections, call.upstream, failure);
+        finish();
+        resolveAnswer(err(failure));
+    };
+    const stop = (kind: FailureKind): void => {
+        conclude(kind);
         request.destroy();
     };
     const onAbort = (): void => stop(abortKind(signal));
@@ -80,23 +86,20 @@
         timers.cancel("connect");
         timers.set("answer", call.firstByteTimeoutMs, () => stop("first-byte-timeout"));
         writtenMs = clock.nowMs();
-        call.onWritten?.();
     };
     request.on("socket", socket => socket.connecting ? socket.once("connect", onConnected) : onConnected());
-    request.end(call.body);
-
-    return new Promise(resolve => {
-        request.on("error", error => {
-            failure ??= failed(kindOfError(error, writtenMs !== undefined));
-            settleConnections(connections, call.upstream, failure);
-            finish();
-            resolve(err(failure));
-        });
-        request.on("response", response => {
-            timers.cancel("answer");
-            resolve(ok(createAnswer(response)));
-        });
+    request.on("error", error => conclude(kindOfError(error, writtenMs !== undefined)));
+    // Node takes the connection from the request here, and reports neither an answer nor an error.
+    request.on("upgrade", (_response, socket) => {
+        socket.destroy();
+        conclude("malformed");
     });
+    request.on("response", response => {
+        timers.cancel("answer");
+        resolveAnswer(ok(createAnswer(response)));
+    });
+    request.end(call.body);
+    return answered;
 
     function createAnswer(response: IncomingMessage): UpstreamAnswer {
         const nextPart = createPartReader(response);
