--- a/packages/router/src/OperationExecutor.ts
+++ b/packages/router/src/OperationExecutor.ts
@@ -1,6 +1,7 @@
 import * as core from "@peridotloft/core";
 import * as documents from "@peridotloft/document";
 import type * as idempotency from "@peridotloft/idempotency";
+import type * as limits from "@peridotloft/limits";
 import type * as scheduling from "@peridotloft/scheduling";
 import { err, ok, type Result } from "neverthrow";
 import { randomUUID } from "node:crypto";
@@ -15,6 +16,34 @@
 
 type Response = idempotency.OperationResponse;
 
+/** Runs an operation that this VM owns: charges its customer, and refunds the charge if it did not run. */
+export async function executeCharged(
+    context: UpstreamContext,
+    limiter: limits.RateLimiter,
+    customer: core.CustomerId,
+    request: idempotency.OperationRequest,
+    guard: idempotency.ExecutionGuard,
+): Promise<Result<Response, idempotency.OperationRefusal>> {
+    if (customer === constants.anonymousCustomer) {
+        return executeOperation(context, customer, request, guard);
+    }
+    const route = context.feed.inForce.read()?.document.routes.find(candidate => candidate.id === request.route);
+    const charge = await limiter.admit(customer, route?.cost ?? 1);
+    if (charge.isErr()) {
+        return err(refuse(notWritten(charge.error.kind)));
+    }
+    const result = await executeOperation(context, customer, request, guard);
+    if (result.isErr() && result.error.verdict === "not-run") {
+        charge.value.refund();
+    }
+    else {
+        charge.value.settle(charge.value.estimatedCost);
+    }
+    return result;
+}
+
+const unguarded: idempotency.ExecutionGuard = { mayStart: () => true };
+
 // Non-idempotent work is never cancelled once it has been sent.
 const neverAborted = new AbortController().signal;
 
@@ -22,12 +51,14 @@
  * Runs a non-idempotent request at an upstream, writing it to at most one, and returns the whole answer.
  * Another upstream is tried only after an attempt that certainly did not run.
  *
+ * @param guard is asked directly before each write.
  * @param signal ends the wait for a slot; a request that has been sent runs to its end.
  */
 export async function executeOperation(
     context: UpstreamContext,
     customer: core.CustomerId,
     request: idempotency.OperationRequest,
+    guard: idempotency.ExecutionGuard = unguarded,
     signal: AbortSignal = neverAborted,
 ): Promise<Result<Response, idempotency.OperationRefusal>> {
     const document = context.feed.inForce.read()?.document;
@@ -54,18 +85,23 @@
     const outcome = await runAttempts(
         context,
         plan,
-        lease => attemptOnce(context, request, lease, pool, deadlineMs, route.cost),
+        lease => attemptOnce(context, { request, pool, deadlineMs, cost: route.cost, guard }, lease),
     );
     return outcome.result.mapErr(failure => refuse(failure, outcome.earlier));
 }
 
+interface Execution {
+    readonly request: idempotency.OperationRequest;
+    readonly pool: documents.Pool;
+    readonly deadlineMs: number;
+    readonly cost: number;
+    readonly guard: idempotency.ExecutionGuard;
+}
+
 async function attemptOnce(
     context: UpstreamContext,
-    request: idempotency.OperationRequest,
+    { request, pool, deadlineMs, cost, guard }: Execution,
     lease: scheduling.SlotLease,
-    pool: documents.Pool,
-    deadlineMs: number,
-    cost: number,
 ): Promise<Attempted<Response>> {
     const call = {
         upstream: lease.upstream,
@@ -79,6 +115,7 @@
         deadlineMs,
         // An upstream may close an idle connection at the moment of writing, which would leave the outcome unknown.
         reuseConnection: false,
+        mayWrite: guard.mayStart,
     };
     const answer = await callUpstream(context.connections, context.clock, call, neverAborted);
     if (answer.isErr()) {
--- a/packages/router/src/Router.ts
+++ b/packages/router/src/Router.ts
@@ -84,7 +84,7 @@
     try {
         const adminListen = await listen(admin, settings.adminListen);
         const entryListen = await listen(entry, settings.listen);
-        services.start();
+        await services.start();
         return {
             listen: entryListen,
             adminListen,
