cli, console: test the ten faults, the console command and submission

Cause: the console command had no test, the console used fetch instead of Node's http, and the stand-in platform accepted VMs that join unannounced.

--- a/packages/cli/__tests__/integration/Cli.test.ts
+++ b/packages/cli/__tests__/integration/Cli.test.ts
@@ -1,6 +1,7 @@
 import * as assert from "node:assert/strict";
 import { spawn } from "node:child_process";
 import { createHash } from "node:crypto";
+import { once } from "node:events";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
@@ -191,4 +192,47 @@
         assert.match(err, /peerSecret/);
         assert.match(err, /platformUrls/);
     });
+
+    describe("validate with ten planted faults", () => {
+        it("prints ten errors at their paths (the same document is used for the console)", async () => {
+            const file = write("ten-faults.json", {
+                version: 0,
+                fleet: { loanLifetimeMs: 1 },
+                zones: [{ id: "A!", region: "" }],
+                vms: [{ id: "vm-1", zone: "a", peerAddress: "here", state: "gone" }],
+                customers: [{ id: "north", weight: 0, rateCostPerS: -1 }],
+                pools: [{ id: "assistant", kind: "engine", upstreams: [] }],
+            });
+            const { code, err } = await run(["validate", file]);
+            assert.equal(code, 2);
+            const paths = [
+                "version",
+                "fleet.loanLifetimeMs",
+                "zones[0].id",
+                "zones[0].region",
+                "vms[0].peerAddress",
+                "vms[0].state",
+                "customers[0].weight",
+                "customers[0].rateCostPerS",
+                "customers[0].burstCost",
+                "pools[0].upstreams",
+            ];
+            paths.forEach(path => assert.ok(err.includes(path), `${path} is missing in ${err}`));
+            assert.equal(err.trim().split("\n").length, paths.length);
+        });
+    });
+
+    describe("console", () => {
+        it("serves the page until it is stopped", async () => {
+            const child = spawn(process.execPath, [entry, "console", "--port", "0"]);
+            try {
+                const [line] = await once(child.stdout, "data") as [Buffer];
+                const url = /http:\S+/.exec(line.toString())?.[0] ?? "";
+                assert.match(await (await fetch(url)).text(), /peridotloft console/);
+            }
+            finally {
+                child.kill("SIGTERM");
+            }
+        });
+    });
 });
--- a/packages/console/__tests__/unit/ConsoleServer.test.ts
+++ b/packages/console/__tests__/unit/ConsoleServer.test.ts
@@ -1,8 +1,21 @@
 import * as assert from "node:assert/strict";
 import * as http from "node:http";
+import type { AddressInfo } from "node:net";
 import { after, before, describe, it } from "node:test";
 import * as consoles from "../../src/index.js";
 
+const validDocument = JSON.stringify({
+    version: 1,
+    zones: [{ id: "a", region: "r" }],
+    vms: [{ id: "vm-1", zone: "a", peerAddress: "127.0.0.1:7101" }],
+    customers: [],
+    pools: [{
+        id: "p",
+        kind: "service",
+        upstreams: [{ id: "u", zone: "a", url: "http://127.0.0.1:8101", slots: 1, coldSlots: 1 }],
+    }],
+});
+
 describe("ConsoleServer", () => {
     let server: consoles.ConsoleServer;
 
@@ -49,4 +62,32 @@
         assert.equal((await post("/api/action", JSON.stringify({ action: { kind: "x" } }))).status, 400);
         assert.equal((await fetch(server.url)).status, 200);
     });
+
+    it("loads from the platform, submits to it, and shows its refusal to the operator", async () => {
+        let submitted = "";
+        const platform = http.createServer((request, response) => {
+            if (request.method === "GET") {
+                return void response.end("{\"version\":1}");
+            }
+            request.on("data", chunk => submitted += chunk);
+            request.on("end", () => response.writeHead(409).end("version is not higher"));
+        });
+        await new Promise<void>(resolve => platform.listen(0, "127.0.0.1", resolve));
+        const { port } = platform.address() as AddressInfo;
+        const platformUrl = `http://127.0.0.1:${port}`;
+        const connected = await consoles.startConsole({ host: "127.0.0.1", port: 0, platformUrl });
+        try {
+            assert.equal(await (await fetch(new URL("/api/document", connected.url))).text(), "{\"version\":1}");
+            const draft = { ...JSON.parse(validDocument), version: 2 };
+            const body = JSON.stringify({ draft, loaded: undefined });
+            const answer = await fetch(new URL("/api/submit", connected.url), { method: "POST", body });
+            assert.equal(answer.status, 502);
+            assert.match(await answer.text(), /409: version is not higher/);
+            assert.equal(JSON.parse(submitted).version, 2);
+        }
+        finally {
+            await connected.close();
+            platform.close();
+        }
+    });
 });
--- a/packages/console/src/PlatformDocument.ts
+++ b/packages/console/src/PlatformDocument.ts
@@ -1,4 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
+import { once } from "node:events";
+import * as http from "node:http";
+import { text as readText } from "node:stream/consumers";
 
 /** JSON text from the configuration service, or a message for the operator. */
 export type PlatformAnswer = Result<string, string>;
@@ -7,24 +10,39 @@
 
 /** Reads the published document. */
 export function fetchDocument(platformUrl: string | undefined): Promise<PlatformAnswer> {
-    return call(platformUrl, { method: "GET" });
+    return call(platformUrl, "GET");
 }
 
 /** Submits a document. The platform refuses a version that does not grow. */
 export function submitDocument(platformUrl: string | undefined, text: string): Promise<PlatformAnswer> {
-    return call(platformUrl, { method: "PUT", body: text, headers: { "content-type": "application/json" } });
+    return call(platformUrl, "PUT", text);
 }
 
-async function call(platformUrl: string | undefined, init: RequestInit): Promise<PlatformAnswer> {
+async function call(platformUrl: string | undefined, method: string, body?: string): Promise<PlatformAnswer> {
     if (platformUrl === undefined) {
         return err("No platform is configured. Start the console with --platform URL, or open and download files.");
     }
     try {
-        const response = await fetch(`${platformUrl}/v1/document`, { ...init, signal: AbortSignal.timeout(timeoutMs) });
-        const text = await response.text();
-        return response.ok ? ok(text || "{}") : err(`The platform answered ${response.status}: ${text}`);
+        const { statusCode, text } = await send(new URL("/v1/document", platformUrl), method, body);
+        const isDone = statusCode >= 200 && statusCode < 300;
+        return isDone ? ok(text || "{}") : err(`The platform answered ${statusCode}: ${text}`);
     }
     catch (error) {
         return err(`The platform at ${platformUrl} does not answer: ${(error as Error).message}`);
     }
 }
+
+async function send(
+    url: URL,
+    method: string,
+    body: string | undefined,
+): Promise<{ statusCode: number; text: string; }> {
+    const request = http.request(url, {
+        method,
+        signal: AbortSignal.timeout(timeoutMs),
+        ...(body === undefined ? {} : { headers: { "content-type": "application/json" } }),
+    });
+    request.end(body);
+    const [response] = await once(request, "response") as [http.IncomingMessage];
+    return { statusCode: response.statusCode ?? 0, text: await readText(response) };
+}
--- a/packages/demo/src/Platform.ts
+++ b/packages/demo/src/Platform.ts
@@ -29,7 +29,7 @@
  *
  * - `GET /v1/document` gives the document's text with its version in `x-document-version`. With `after=VERSION` and
  *   `waitMs=N` it waits until the version is higher, and gives 304 if that does not happen in time.
- * - `PUT /v1/document` submits a document; it is validated, and its version must grow.
+ * - `PUT /v1/document` submits a document; it is validated, and checked against the one published before.
  * - `GET /v1/vms` gives the lagging list of VMs.
  * - `PUT /admin/mode` with `{"mode":"up"|"stale"|"down"}`, `GET /admin/stats`: switches and counters for tests.
  */
@@ -46,9 +46,10 @@
 
     function publish(text: string): readonly documents.DocumentError[] {
         return documents.parseDocument(text).match(document => {
-            const version = history.at(-1)?.document.version ?? 0;
-            if (document.version <= version) {
-                return [{ path: "version", message: `is ${document.version}; must be higher than ${version}` }];
+            const before = history.at(-1)?.document;
+            const faults = before ? documents.checkTransition(before, document) : [];
+            if (faults.length > 0) {
+                return faults;
             }
             history.push({ document, text, atMs: performance.now() });
             [...watchers.keys()].forEach(wake => wake());
