testing: move the virtual clock at each reading

Cause: a virtual clock that stands still between two readings hides faults in which a time read later is compared with an earlier reading. Node.js timers also drop fractions of a ms and run after 1 ms beyond 24.8 days, which the virtual clock does not. Change: each reading moves the virtual clock by 1e-6 ms. The system clock rounds delays up and caps them. LoanBook and sinceMs tests compare times or accrued tokens for equality; they keep their exact checks on a clock that stands still.

--- a/packages/core/src/Clock.ts
+++ b/packages/core/src/Clock.ts
@@ -8,6 +8,9 @@
     setTimer(delayMs: number, callback: () => void): () => void;
 }
 
+/** Longest delay in ms that Node.js timers keep (24.8 days); a longer one would run after 1 ms. */
+const maxTimerMs = 2 ** 31 - 1;
+
 /**
  * The clock of this process.
  *
@@ -29,7 +32,8 @@
         },
         wallMs: () => Date.now(),
         setTimer(delayMs, callback) {
-            const timer = setTimeout(callback, delayMs);
+            // Node.js drops the fraction, which would run the callback up to 1 ms early.
+            const timer = setTimeout(callback, Math.min(Math.ceil(delayMs), maxTimerMs));
             return () => clearTimeout(timer);
         },
     };
--- a/packages/limits/__tests__/unit/LoanBook.test.ts
+++ b/packages/limits/__tests__/unit/LoanBook.test.ts
@@ -16,7 +16,8 @@
 
 /** One lender that owns the only bucket, which is full. */
 async function createLender(ownDemandPerMs = 0) {
-    const clock = testing.createVirtualClock();
+    // Stands still between readings, because the tests compare tokens that accrue with time for equality.
+    const clock = testing.createVirtualClock(0, 0);
     const fleet: document.FleetDocument = createDocument({ vmCount: 1, bucketsPerCustomer: 1 });
     const cell = core.createSnapshotCell(fleet);
     const owned = ownership.createOwnership({ self: core.vmId("vm-0"), clock, document: cell });
--- a/packages/ownership/__tests__/unit/Ownership.test.ts
+++ b/packages/ownership/__tests__/unit/Ownership.test.ts
@@ -85,9 +85,10 @@
         });
     });
 
+    // The clocks stand still between readings, because the tests compare times for equality.
     describe("sinceMs", () => {
         it("is the process start, the confirmation of the previous owner, or the adoption of its retirement", async () => {
-            const clock = testing.createVirtualClock(100);
+            const clock = testing.createVirtualClock(100, 0);
             const first = fleetOf(1, [{ id: "old" }, { id: "gone" }]);
             const old = startVm("old", first, clock);
             const ofOld = resources.find(resource => old.ownerOf(resource) === "old")!;
@@ -115,7 +116,7 @@
         });
 
         it("stays the same across documents that leave the VM list alone", async () => {
-            const clock = testing.createVirtualClock();
+            const clock = testing.createVirtualClock(0, 0);
             const vm = startVm("vm-0", fleetOf(1, named(1)), clock);
             await clock.advance(500);
             vm.adopt(fleetOf(2, named(1)));
--- a/packages/testing/__tests__/unit/VirtualClock.test.ts
+++ b/packages/testing/__tests__/unit/VirtualClock.test.ts
@@ -25,4 +25,22 @@
             { seed, numRuns: 60 },
         );
     });
+
+    it("moves at each reading, by less than any bound (guards against faults that a standing clock hides)", async () => {
+        const clock = testing.createVirtualClock(5);
+        const readings = Array.from({ length: 1_000 }, () => clock.nowMs());
+        assert.ok(readings.every((reading, index) => reading > (readings[index - 1] ?? 5)), "the clock stands still");
+        assert.ok(readings.at(-1)! < 5.01, `${readings.at(-1)} after 1,000 readings`);
+        const repeated = testing.createVirtualClock(5);
+        assert.deepEqual(Array.from({ length: 1_000 }, () => repeated.nowMs()), readings);
+    });
+
+    it("never runs backwards when a timer is due before the last reading", async () => {
+        const clock = testing.createVirtualClock();
+        let earliestMs = Number.POSITIVE_INFINITY;
+        clock.setTimer(0, () => earliestMs = clock.nowMs());
+        const lastMs = Array.from({ length: 100 }, () => clock.nowMs()).at(-1)!;
+        await clock.advance(0);
+        assert.ok(earliestMs > lastMs, `${earliestMs} after ${lastMs}`);
+    });
 });
--- a/packages/testing/src/VirtualClock.ts
+++ b/packages/testing/src/VirtualClock.ts
@@ -68,7 +68,7 @@
     };
 }
 
-/** A clock that moves only when a test advances it. Promise callbacks run between timers. */
+/** A clock that moves when a test advances it, and by a millionth of a ms at each reading. Promise callbacks run between timers. */
 export interface VirtualClock extends core.Clock {
     /** Runs all timers that are due within the next `durationMs`, in order. */
     advance(durationMs: number): Promise<void>;
@@ -77,7 +77,14 @@
 // Chains of awaits inside a handler need several turns before they set their next timer.
 const turnsBetweenTimers = 2;
 
-export function createVirtualClock(startMs = 0): VirtualClock {
+/**
+ * Distance between two readings of the clock, in ms. On a clock that stands still between readings, a time that was
+ * read later than the time it is compared with looks due, which hides faults that appear on the system clock.
+ */
+const defaultReadingStepMs = 1e-6;
+
+/** `readingStepMs` of 0 suits only tests that compare times for equality. */
+export function createVirtualClock(startMs = 0, readingStepMs = defaultReadingStepMs): VirtualClock {
     let nowMs = startMs;
     let order = 0;
     const timers = createTimerHeap();
@@ -94,7 +101,7 @@
     };
 
     return {
-        nowMs: () => nowMs,
+        nowMs: () => nowMs += readingStepMs,
         wallMs: () => nowMs,
         setTimer(delayMs, callback) {
             const timer = { dueMs: nowMs + Math.max(0, delayMs), order: order++, callback, cancelled: false };
@@ -108,14 +115,14 @@
             await settle();
             for (let timer = nextDue(limitMs); timer; timer = nextDue(limitMs)) {
                 timers.pop();
-                nowMs = timer.dueMs;
+                nowMs = Math.max(nowMs, timer.dueMs);
                 timer.callback();
                 const following = nextDue(nowMs);
                 if (!following) {
                     await settle();
                 }
             }
-            nowMs = limitMs;
+            nowMs = Math.max(nowMs, limitMs);
             await settle();
         },
     };
