platform: count starting VMs only in a full round or after 30 s

Cause: VMs that were starting counted as answers with version 0, so VMs that restarted while others were starting could trust a stale platform over a version that more than half held (spec/documentDisorderly.qnt). Change: a starting VM goes by more than half of the VMs without starting ones, by all VMs in one round, or after 30 s by more than half with starting ones. The test with half of the VMs silent now also requires that no VM is ready before the 30 s.

--- a/packages/platform/__tests__/unit/DocumentFeed.test.ts
+++ b/packages/platform/__tests__/unit/DocumentFeed.test.ts
@@ -48,9 +48,19 @@
         // Otherwise a starting VM could not ask those that are not among its seed peers.
         assert.equal(fleet.vm(0).feed.addressOf(fleet.ids[3]!), "127.0.0.1:7003");
         fleet.start(fleet.ids[2]!);
+        // Three of four are more than half, but all are starting, so the waiting time of 30 s applies.
+        await fleet.clock.advance(29_500);
+        assert.ok(fleet.running().every(vm => !vm.feed.isReady()), "goes by starting VMs before the waiting time");
         assert.notEqual(await fleet.untilInForce(1, everywhereMs, fleet.ids.slice(0, 3)), undefined);
     });
 
+    it("is ready at once when every named VM is heard, though all are starting", async () => {
+        const fleet = createFleet({ size: 4, zones: 2, seed: 32 });
+        fleet.publish(1);
+        fleet.ids.forEach(fleet.start);
+        assert.notEqual(await fleet.untilInForce(1, 2_000), undefined);
+    });
+
     it("survives random bytes in questions of peers", async () => {
         const fleet = await startFleet({ ...small, seed: 33 });
         const stranger = fleet.network.attach(core.vmId("stranger"));
--- a/packages/platform/src/PlatformConstants.ts
+++ b/packages/platform/src/PlatformConstants.ts
@@ -35,6 +35,11 @@
 export const peerTimeoutMs = 1_000;
 /** Time in ms between two rounds of questions of a VM that holds no trusted document. */
 export const trustRoundMs = 250;
+/**
+ * Time in ms for which a starting VM must have heard more than half of the VMs, starting ones included, before it goes by
+ * them. Without it no VM of a fleet that lost VMs would become ready while more than half are starting.
+ */
+export const startingQuorumWaitMs = 30_000;
 /** Most versions whose patches are kept, and their bytes together. */
 export const maxPatches = 64;
 export const maxPatchBytes = 262_144;
--- a/packages/platform/src/TrustGathering.ts
+++ b/packages/platform/src/TrustGathering.ts
@@ -17,7 +17,7 @@
     readonly exchange: DocumentExchange;
     readonly store: DocumentStore;
     readonly seedPeers: readonly core.VmId[];
-    /** How many of this many VMs must have been heard, this VM included. */
+    /** How many of this many VMs must have been heard. */
     readonly quorumOf: (vms: number) => number;
 }
 
@@ -38,8 +38,9 @@
 
 /**
  * In each round every VM that the candidate names is asked for its version; without a candidate, every seed peer. A
- * newer document is fetched and becomes the candidate. The candidate is put in force when the quorum of the VMs it names
- * was heard in one round and none of them has a newer one.
+ * newer document is fetched and becomes the candidate. The candidate is put in force when none of the VMs heard in one
+ * round has a newer one, and these were enough: a quorum of the VMs it names that are not starting; or all VMs it names;
+ * or, for `startingQuorumWaitMs` without a break, a quorum with the starting ones.
  */
 export function createTrustGathering(options: TrustGatheringOptions): TrustGathering {
     const { self, clock, exchange, store } = options;
@@ -47,6 +48,8 @@
     let started = false;
     let stopped = false;
     let cancel = (): void => undefined;
+    /** Since when each round heard a quorum that may include starting VMs. */
+    let quorumSinceMs: number | undefined;
 
     const offer = (document: DocumentInForce, offered: OfferedText): void => {
         if (!candidate || document.document.version > candidate.document.document.version) {
@@ -71,6 +74,16 @@
             store.parse(offered).map(document => offer(document, offered));
         }
     };
+    /** Whether the VMs heard in one round are enough to go by; a VM with version 0 is starting, as this one is. */
+    const isEnough = (vms: readonly core.VmId[], answers: readonly PeerAnswer[]): boolean => {
+        const nowMs = clock.nowMs();
+        const quorum = options.quorumOf(vms.length);
+        const running = answers.filter(answer => answer.version > 0).length;
+        const heard = answers.length + (vms.includes(self) ? 1 : 0);
+        quorumSinceMs = heard >= quorum ? quorumSinceMs ?? nowMs : undefined;
+        const waited = quorumSinceMs !== undefined && nowMs - quorumSinceMs >= constants.startingQuorumWaitMs;
+        return running >= quorum || heard === vms.length || waited;
+    };
     const round = async (): Promise<void> => {
         const asked = candidate;
         const vms = vmsToAsk();
@@ -81,11 +94,11 @@
         if (answers.some(answer => answer.version > candidateVersion())) {
             await fetchNewer(answers);
         }
-        const heard = answers.length + (vms.includes(self) ? 1 : 0);
+        const enough = isEnough(vms, answers);
         const unchanged = candidate === asked;
         // Also false when a newer document was announced and could not be fetched.
         const isNewest = answers.every(answer => answer.version <= candidateVersion());
-        if (!stopped && candidate && unchanged && isNewest && heard >= options.quorumOf(vms.length)) {
+        if (!stopped && candidate && unchanged && isNewest && enough) {
             store.adopt(candidate.document, candidate.offered);
             return;
         }
--- a/scripts/model.mjs
+++ b/scripts/model.mjs
@@ -69,6 +69,26 @@
         maxSteps: 40,
         witnesses: ["VMS.filter(vm => s.acceptedAtStart.get(vm) > 1).size() > 1"],
     },
+    {
+        file: "documentCombined",
+        invariant: "neverReverts",
+        expected: "ok",
+        seed: "0x0be9",
+        maxSamples: 3000,
+        maxSteps: 40,
+        witnesses: [
+            "VMS.filter(vm => s.acceptedAtStart.get(vm) > 1).size() > 1",
+            "VMS.filter(vm => isStarting(s, vm)).size() == 4 and s.forgotten > 0",
+        ],
+    },
+    {
+        file: "documentCombinedBroken",
+        invariant: "neverReverts",
+        expected: "violation",
+        seed: "0x0bea",
+        maxSamples: 6000,
+        maxSteps: 40,
+    },
 ];
 
 function argumentsOf(check) {
