router: find VMs by the feed's newest document before one is trusted

Cause: before a document was in force, a starting VM could call only its seed peers, so it could not ask the other named VMs for their version. Change: addressOf looks in the document, then the feed, then the seed peers. Result: router tests 162 pass; no test covers a VM outside the seed peers yet.

--- a/packages/router/src/RouterAssembly.ts
+++ b/packages/router/src/RouterAssembly.ts
@@ -38,7 +38,7 @@
         incarnation,
         listen: settings.peerListen,
         secret,
-        addressOf: vm => addressOf(vm, document.read(), settings),
+        addressOf: vm => addressOf(vm, document.read(), feed, settings),
         clock,
     });
     const membership = memberships.createMembership({
@@ -120,14 +120,17 @@
     };
 }
 
-/** The document's address of a VM, or the settings' address while the document does not list it. */
+/** Address of a VM in the document, else in the newest document that the feed has seen, else in the settings. */
 function addressOf(
     vm: core.VmId,
     document: documents.FleetDocument | undefined,
+    feed: Pick<platform.AddressingDocumentFeed, "addressOf">,
     settings: Settings,
 ): string | undefined {
     const listed = document?.vms.find(candidate => candidate.id === vm && candidate.state !== "retired");
-    return listed?.peerAddress ?? settings.seedPeers.find(candidate => candidate.vmId === vm)?.address;
+    return listed?.peerAddress
+        ?? feed.addressOf(vm)
+        ?? settings.seedPeers.find(candidate => candidate.vmId === vm)?.address;
 }
 
 interface FollowedDocument {
