--- a/packages/router/src/RequestHandler.ts
+++ b/packages/router/src/RequestHandler.ts
@@ -24,7 +24,7 @@
     async function handle(request: IncomingMessage, caller: CallerResponse, inFlight: InFlight): Promise<void> {
         const document = context.feed.inForce.read()?.document;
         if (!document || !context.feed.isReady()) {
-            return caller.refuse(refusalOf(notWritten("not-ready")));
+            return caller.refuse(refusalOf(notWritten("not-ready"), verdictOfEarlierRequests(request)));
         }
         const opened = openRequest(context, document, request);
         if (opened.isErr()) {
@@ -76,6 +76,12 @@
     };
 }
 
+/** An earlier request with the same token may have run through another VM, or before this VM restarted. */
+function verdictOfEarlierRequests({ headers }: IncomingMessage): core.Verdict {
+    const hasToken = headers["operation-ticket"] !== undefined || headers["idempotency-key"] !== undefined;
+    return hasToken ? "may-have-run" : "not-run";
+}
+
 interface OpenedRequest {
     readonly target: Target;
     /** The document's entry of the caller's key; undefined on open routes without a valid key. */
