router: scan stream events as bytes

Each chunk was copied, decoded and split into lines. Lines are now compared as bytes, and decoded only in chunks that hold a usage block or [DONE].

One event of 100 bytes per push, user CPU time, three alternating runs: before 1106, 1195, 895 ns; after 525, 462, 425 ns. The whole router was not measured with this change alone.

--- a/packages/router/src/EventScanner.ts
+++ b/packages/router/src/EventScanner.ts
@@ -13,17 +13,36 @@
     readonly totalTokens: number | undefined;
 }
 
+const lineFeed = 0x0a;
+const dataField = Buffer.from("data:");
+const doneMark = Buffer.from("[DONE]");
+const usageMark = Buffer.from("\"usage\"");
+
 export function createEventScanner(): EventScanner {
     let rest: Buffer = Buffer.alloc(0);
     let eventCount = 0;
     let done = false;
     let totalTokens: number | undefined;
 
-    function noteLine(line: string): void {
-        if (!line.startsWith("data:")) {
-            return;
+    // Lines are compared as bytes: making strings of them was a visible share of the relay's CPU time.
+    function scan(events: Buffer): void {
+        const isPlain = events.indexOf(usageMark) < 0 && events.indexOf(doneMark) < 0;
+        for (let start = 0; start < events.length;) {
+            const feed = events.indexOf(lineFeed, start);
+            const end = feed < 0 ? events.length : feed;
+            if (startsWithData(events, start, end)) {
+                if (isPlain) {
+                    eventCount++;
+                }
+                else {
+                    noteData(events.toString("utf8", start + dataField.length, end).trim());
+                }
+            }
+            start = end + 1;
         }
-        const data = line.slice("data:".length).trim();
+    }
+
+    function noteData(data: string): void {
         if (data === "[DONE]") {
             done = true;
             return;
@@ -36,14 +55,14 @@
 
     return {
         push(chunk) {
-            const bytes = rest.length === 0 ? Buffer.from(chunk) : Buffer.concat([rest, chunk]);
+            const bytes = rest.length === 0 ? asBuffer(chunk) : Buffer.concat([rest, chunk]);
             const end = endOfLastEvent(bytes);
             rest = bytes.subarray(end);
             if (rest.length > constants.maxEventBytes) {
                 return err("event-too-large");
             }
-            const complete = bytes.subarray(0, end);
-            complete.toString("utf8").split("\n").forEach(noteLine);
+            const complete = end === bytes.length ? bytes : bytes.subarray(0, end);
+            scan(complete);
             return ok(complete);
         },
         get eventCount() {
@@ -56,7 +75,20 @@
     };
 }
 
+function asBuffer(chunk: Uint8Array): Buffer {
+    return Buffer.isBuffer(chunk) ? chunk : Buffer.from(chunk.buffer, chunk.byteOffset, chunk.byteLength);
+}
+
+function startsWithData(bytes: Buffer, start: number, end: number): boolean {
+    const fieldEnd = start + dataField.length;
+    return fieldEnd <= end && bytes.compare(dataField, 0, dataField.length, start, fieldEnd) === 0;
+}
+
 function endOfLastEvent(bytes: Buffer): number {
+    // Most chunks end with an event, which spares a search.
+    if (bytes.at(-1) === lineFeed && bytes.at(-2) === lineFeed) {
+        return bytes.length;
+    }
     const plain = bytes.lastIndexOf("\n\n");
     const withReturn = bytes.lastIndexOf("\r\n\r\n");
     return Math.max(plain < 0 ? 0 : plain + 2, withReturn < 0 ? 0 : withReturn + 4);
