demo: say which port is in use instead of a stack trace

Cause: a second demonstration on one machine failed with an unhandled error (found by following the README in an empty folder).

--- a/packages/demo/src/StandInServer.ts
+++ b/packages/demo/src/StandInServer.ts
@@ -19,6 +19,10 @@
             .then(() => handler(request, response, url))
             .catch((error: unknown) => sendJson(response, 400, { error: { message: String(error) } }));
     });
+    server.on("error", error => {
+        process.stderr.write(`cannot listen on 127.0.0.1:${port}: ${error.message}\n`);
+        process.exit(1);
+    });
     server.listen(port, "127.0.0.1", () => {
         const { port: actual } = server.address() as AddressInfo;
         process.stdout.write(`${JSON.stringify({ message: "listening", listen: `127.0.0.1:${actual}` })}\n`);
--- a/packages/demo/src/main.ts
+++ b/packages/demo/src/main.ts
@@ -45,17 +45,24 @@
     process.on("SIGTERM", stop);
 });
 
-const fleet = await startFleet({
-    zones: ["a", "b"],
-    routers: 3,
-    engines: 4,
-    services: 2,
-    idempotencyWindowMs: 120_000,
-    awaitKeys: false,
-    ports: { platform: 8070, routers: 8080, admin: 9080 },
+await runDemonstration().catch((error: unknown) => {
+    process.stderr.write(`the demonstration cannot start: ${(error as Error).message}\n`);
+    process.exitCode = 1;
 });
-if (!stopping) {
-    process.stdout.write(describeFleet(fleet));
+
+async function runDemonstration(): Promise<void> {
+    const fleet = await startFleet({
+        zones: ["a", "b"],
+        routers: 3,
+        engines: 4,
+        services: 2,
+        idempotencyWindowMs: 120_000,
+        awaitKeys: false,
+        ports: { platform: 8070, routers: 8080, admin: 9080 },
+    });
+    if (!stopping) {
+        process.stdout.write(describeFleet(fleet));
+    }
+    await stopRequested;
+    await fleet.stop();
 }
-await stopRequested;
-await fleet.stop();
