--- a/packages/demo/src/Platform.ts
+++ b/packages/demo/src/Platform.ts
@@ -31,7 +31,8 @@
  *   `waitMs=N` it waits until the version is higher, and gives 304 if that does not happen in time.
  * - `PUT /v1/document` submits a document; it is validated, and checked against the one published before.
  * - `GET /v1/vms` gives the lagging list of VMs.
- * - `PUT /admin/mode` with `{"mode":"up"|"stale"|"down"}`, `GET /admin/stats`: switches and counters for tests.
+ * - `PUT /admin/mode` with `{"mode":"up"|"stale"|"down"}` and, for `stale`, the `version` to serve: a switch for tests.
+ * - `GET /admin/stats` gives counters for tests.
  */
 export function runPlatform(options: PlatformOptions): void {
     const history: Published[] = [];
@@ -107,8 +108,9 @@
     serveStandIn(options.port, async (request, response, url) => {
         const action = `${request.method} ${url.pathname}`;
         if (action === "PUT /admin/mode") {
-            mode = (await readJson<{ mode: Mode; }>(request)).mode;
-            frozen = history.at(-1);
+            const change = await readJson<{ mode: Mode; version?: number; }>(request);
+            mode = change.mode;
+            frozen = history.find(({ document }) => document.version === change.version) ?? history.at(-1);
             if (mode === "down") {
                 [...watchers.values()].forEach(watcher => watcher.destroy());
             }
