router: end charges in one place, and remove an unused address

Cause: reading the whole change showed two copies of 'settle or refund' that had drifted apart: work with a token did not reach the documented cost counter, and a charge stayed open if that work threw. RouterServices.peerListen was never read, and wireOverhead built its nodes twice in the same way. Change: Charging.ts serves both paths; dead code and the copy are removed. Refunds and settlements are as before; the cost counter now includes work with a token.

--- a/packages/bench/src/wireOverhead.ts
+++ b/packages/bench/src/wireOverhead.ts
@@ -51,17 +51,20 @@
 const measuredCalls = 500;
 const timeoutMs = 2_000;
 
+function createNode(self: core.VmId, addressOf: peering.PeerNodeOptions["addressOf"]): peering.PeerNode {
+    return peering.createPeerNode({
+        self,
+        incarnation: 1,
+        listen: "127.0.0.1:0",
+        secret: "measurement",
+        addressOf,
+        clock: core.createSystemClock(),
+    });
+}
+
 async function startPair() {
     let address = "";
-    const create = (self: core.VmId): peering.PeerNode =>
-        peering.createPeerNode({
-            self,
-            incarnation: 1,
-            listen: "127.0.0.1:0",
-            secret: "measurement",
-            addressOf: () => address,
-            clock: core.createSystemClock(),
-        });
+    const create = (self: core.VmId): peering.PeerNode => createNode(self, () => address);
     const [left, right] = [create(core.vmId("vm-001")), create(receiver)];
     right.registerSlice("membership", async () => ok(new Uint8Array(25)));
     const bound = (await right.start())._unsafeUnwrap();
@@ -130,15 +133,7 @@
  */
 export async function measureConnectionMemory(count: number): Promise<number> {
     const addresses = new Map<core.VmId, string>();
-    const create = (self: core.VmId): peering.PeerNode =>
-        peering.createPeerNode({
-            self,
-            incarnation: 1,
-            listen: "127.0.0.1:0",
-            secret: "measurement",
-            addressOf: vm => addresses.get(vm),
-            clock: core.createSystemClock(),
-        });
+    const create = (self: core.VmId): peering.PeerNode => createNode(self, vm => addresses.get(vm));
     const before = process.memoryUsage().rss;
     const sender = create(core.vmId("sender"));
     const receivers = Array.from({ length: count }, (_, index) => core.vmId(`receiver-${index}`)).map(self => {
--- a/packages/router/src/OperationExecutor.ts
+++ b/packages/router/src/OperationExecutor.ts
@@ -7,6 +7,7 @@
 import { randomUUID } from "node:crypto";
 import { failureOfHead } from "./AnswerChecks.js";
 import { type Attempted, runAttempts } from "./Attempts.js";
+import { settleCharge, withCharge } from "./Charging.js";
 import { headersForCaller } from "./HeaderUtils.js";
 import { fingerprintOf } from "./PreparedRequest.js";
 import { notWritten, refusalOf, type RequestFailure, verdictOf } from "./RequestFailure.js";
@@ -32,13 +33,9 @@
     if (charge.isErr()) {
         return err(refuse(notWritten(charge.error.kind)));
     }
-    const result = await executeOperation(context, customer, request, guard);
-    if (result.isErr() && result.error.verdict === "not-run") {
-        charge.value.refund();
-    }
-    else {
-        charge.value.settle(charge.value.estimatedCost);
-    }
+    const result = await withCharge(charge.value, () => executeOperation(context, customer, request, guard));
+    const ran = result.isOk() || result.error.verdict !== "not-run";
+    settleCharge(context.metrics, customer, charge.value, ran ? charge.value.estimatedCost : 0);
     return result;
 }
 
--- a/packages/router/src/RequestRun.ts
+++ b/packages/router/src/RequestRun.ts
@@ -2,6 +2,7 @@
 import type * as limits from "@peridotloft/limits";
 import { ok, type Result } from "neverthrow";
 import type { CallerResponse } from "./CallerResponse.js";
+import { settleCharge, withCharge } from "./Charging.js";
 import { runIdempotent } from "./IdempotentRequest.js";
 import { abortKind } from "./InFlightRequests.js";
 import { metricNames } from "./Metrics.js";
@@ -81,7 +82,7 @@
         charge,
         () => runIdempotent(context, request, charge.estimatedCost, caller, signal),
     );
-    settle(context, request, charge, outcome.cost);
+    settleCharge(context.metrics, request.customer, charge, outcome.cost);
     if (outcome.result.isErr()) {
         refuse(context, caller, refusalOf(outcome.result.error, outcome.earlier));
     }
@@ -97,7 +98,7 @@
 ): Promise<OperationOutcome> {
     const result = await withCharge(charge, () => runUnmarked(context, request, route, signal));
     const ran = result.isOk() || result.error.verdict !== "not-run";
-    settle(context, request, charge, ran ? charge.estimatedCost : 0);
+    settleCharge(context.metrics, request.customer, charge, ran ? charge.estimatedCost : 0);
     return result;
 }
 
@@ -124,24 +125,6 @@
     );
 }
 
-async function withCharge<T>(charge: limits.Charge, run: () => Promise<T>): Promise<T> {
-    try {
-        return await run();
-    }
-    catch (error) {
-        charge.settle(charge.estimatedCost);
-        throw error;
-    }
-}
-
-function settle(context: RouterContext, request: PreparedRequest, charge: limits.Charge, cost: number): void {
-    if (cost === 0) {
-        return charge.refund();
-    }
-    charge.settle(cost);
-    context.metrics.count(metricNames.cost, Math.ceil(cost), { customer: request.customer });
-}
-
 function whenAborted(signal: AbortSignal): Promise<"aborted"> {
     return new Promise(resolve =>
         signal.aborted
--- a/packages/router/src/RouterAssembly.ts
+++ b/packages/router/src/RouterAssembly.ts
@@ -95,18 +95,15 @@
         }
     });
 
-    let peerListen = settings.peerListen;
     return {
         feed,
         ...deferred,
         peers: membership.peers,
-        peerListen: () => peerListen,
         async start() {
             const started = await endpoint.start();
             if (started.isErr()) {
                 throw new Error(started.error);
             }
-            peerListen = started.value;
             membership.start();
             feed.start();
         },
--- a/packages/router/src/RouterContext.ts
+++ b/packages/router/src/RouterContext.ts
@@ -16,8 +16,6 @@
     readonly limiter: limits.RateLimiter;
     readonly scheduler: scheduling.Scheduler;
     readonly operations: idempotency.OperationStore;
-    /** The address that other VMs use; known after `start`. */
-    peerListen(): string;
     /** The other VMs as this one knows them. */
     peers(): readonly core.PeerView[];
     /** Starts following the document and talking to other VMs. Rejects when the address for them cannot be used. */
