--- a/packages/bench/src/benchFleet.ts
+++ b/packages/bench/src/benchFleet.ts
@@ -1,7 +1,7 @@
 import * as core from "@peridotloft/core";
 import type * as documents from "@peridotloft/document";
 import * as membership from "@peridotloft/membership";
-import * as platform from "@peridotloft/platform";
+import * as feeds from "@peridotloft/document-feed";
 import * as testing from "@peridotloft/testing";
 
 export interface BenchFleetOptions {
@@ -10,7 +10,7 @@
     readonly seed: number;
     /** JSON text of a version. */
     readonly textOf: (version: number) => string;
-    readonly createHistory: () => platform.PatchHistory;
+    readonly createHistory: () => feeds.PatchHistory;
 }
 
 /** Bytes that VMs sent to each other, with the bytes that peering adds to each message. */
@@ -69,7 +69,7 @@
         const cell = core.createSnapshotCell<documents.FleetDocument | undefined>(undefined);
         const shared = { self, clock, random, endpoint };
         const gossip = membership.createMembership({ ...shared, incarnation: 1, document: cell });
-        const feed = platform.createDocumentFeed({
+        const feed = feeds.createDocumentFeed({
             ...shared,
             membership: gossip,
             platformUrls: ["http://platform"],
--- a/packages/bench/src/gossipFleet.ts
+++ b/packages/bench/src/gossipFleet.ts
@@ -1,5 +1,5 @@
 // Measures gossip, configuration and peering of a fleet; prints markdown tables. Takes at most three minutes.
-import * as platform from "@peridotloft/platform";
+import * as feeds from "@peridotloft/document-feed";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
 import { type BenchFleet, createBenchFleet, createTexts, vmIds } from "./benchFleet.js";
@@ -56,7 +56,7 @@
 async function measureFleet({ size, zones }: { size: number; zones: number; }): Promise<FleetRow> {
     const heapBefore = heapBytes();
     const textOf = createTexts(size, zones, 0);
-    const fleet = createBenchFleet({ size, zones, seed, textOf, createHistory: platform.createPatchHistory });
+    const fleet = createBenchFleet({ size, zones, seed, textOf, createHistory: feeds.createPatchHistory });
     await fleet.clock.advance(settleMs);
     const heapKbPerVm = (heapBytes() - heapBefore) / size / 1_024;
     const before = { ...fleet.sent(), calls: fleet.calls(), service: fleet.service.calls(), cpu: cpuMs() };
@@ -117,9 +117,9 @@
 }
 
 const documentFleet = { size: 24, zones: 1 };
-const withoutSteps = (): platform.PatchHistory => ({ add: () => undefined, stepsFrom: () => undefined });
+const withoutSteps = (): feeds.PatchHistory => ({ add: () => undefined, stepsFrom: () => undefined });
 
-async function measureDocument(bytes: number, createHistory: () => platform.PatchHistory): Promise<DocumentCost> {
+async function measureDocument(bytes: number, createHistory: () => feeds.PatchHistory): Promise<DocumentCost> {
     const { size, zones } = documentFleet;
     const textOf = createTexts(size, zones, bytes);
     const fleet = createBenchFleet({ size, zones, seed, textOf, createHistory });
@@ -232,7 +232,7 @@
     const rows = await inOrder([20_000, 200_000, 990_000], async (bytes): Promise<DocumentRow> => ({
         bytes,
         whole: await measureDocument(bytes, withoutSteps),
-        steps: await measureDocument(bytes, platform.createPatchHistory),
+        steps: await measureDocument(bytes, feeds.createPatchHistory),
     }));
     printTable(
         `Documents at 24,000 changes a day, ${documentFleet.size} VMs in one zone, seed ${seed}`,
--- /dev/null
+++ b/packages/catalog/src/CatalogFollower.ts
@@ -0,0 +1,257 @@
+import * as core from "@peridotloft/core";
+import type * as telemetry from "@peridotloft/telemetry";
+import type { CatalogChange, PlacedChange, Position } from "./Catalog.js";
+import { applyChanges, type CatalogSnapshot, emptySnapshot } from "./CatalogSnapshot.js";
+import type { CatalogSource, ChangeBatch, Listing, SourceError } from "./CatalogSource.js";
+
+export interface CatalogFollowerOptions {
+    readonly source: CatalogSource;
+    /** A clock that counts time in which the VM was suspended. */
+    readonly clock: core.Clock;
+    readonly random: core.Random;
+    readonly log: telemetry.EventLog;
+    readonly metrics: telemetry.Metrics;
+    readonly timing?: Partial<FollowerTiming>;
+}
+
+/** All in ms. */
+export interface FollowerTiming {
+    /** Longest wait of one watch. An empty answer at its end confirms that nothing changed. */
+    readonly watchWaitMs: number;
+    /** Time beyond the wait after which a watch without an answer is given up with its connection. */
+    readonly answerSlackMs: number;
+    readonly listTimeoutMs: number;
+    /** Time by which a watch may lag behind the store's changes. */
+    readonly watchLagMs: number;
+    /** Entries of live upstreams return within this time after an outage of the store. */
+    readonly returnGraceMs: number;
+    /** A shorter outage cannot have let entries of live upstreams lapse. */
+    readonly lapsingOutageMs: number;
+    readonly minBackoffMs: number;
+    readonly maxBackoffMs: number;
+    /** Longest time that `confirm` takes. */
+    readonly confirmTimeoutMs: number;
+}
+
+export const defaultFollowerTiming: FollowerTiming = {
+    // Bounds how old the knowledge of a VM is while nothing changes; half of the 2 s in which changes must apply.
+    watchWaitMs: 1_000,
+    answerSlackMs: 800,
+    listTimeoutMs: 2_000,
+    // The platform states that its watches may hear nothing for a second before history is dropped.
+    watchLagMs: 1_000,
+    returnGraceMs: 2_000,
+    // Three missed heartbeats of 1.2 s let an entry lapse.
+    lapsingOutageMs: 2_000,
+    minBackoffMs: 60,
+    maxBackoffMs: 500,
+    confirmTimeoutMs: 400,
+};
+
+/** Follows the store: holds the newest snapshot and knows how old it is. */
+export interface CatalogFollower {
+    readonly snapshot: core.SnapshotCell<CatalogSnapshot>;
+    /** Whether a complete listing was read since the start. */
+    isComplete(): boolean;
+    /** Time in ms since which changes may be missing from the snapshot; infinite before the first listing. */
+    ageMs(): number;
+    /** Asks the store at once; false if it gave no answer in time. Calls at the same time share one question. */
+    confirm(): Promise<boolean>;
+    start(): void;
+    dispose(): void;
+}
+
+/** What was last applied for an item of the store. */
+interface HeldItem {
+    readonly position: Position;
+    readonly undo: CatalogChange | undefined;
+}
+
+export function createCatalogFollower(options: CatalogFollowerOptions): CatalogFollower {
+    const { source, clock, random, log, metrics } = options;
+    const timing = { ...defaultFollowerTiming, ...options.timing };
+    const snapshot = core.createSnapshotCell<CatalogSnapshot>(emptySnapshot);
+    const items = new Map<string, HeldItem>();
+    const cancels = new Set<() => void>();
+    let position: Position | undefined;
+    let confirmedMs = Number.NEGATIVE_INFINITY;
+    let failingSinceMs: number | undefined;
+    let graceUntilMs = Number.NEGATIVE_INFINITY;
+    let failures = 0;
+    let confirming: Promise<boolean> | undefined;
+    let disposed = false;
+
+    function apply(changes: readonly PlacedChange[]): void {
+        const fresh = changes.filter(({ item, position: at }) => at > (items.get(item)?.position ?? 0));
+        if (fresh.length === 0) {
+            return;
+        }
+        fresh.forEach(({ item, position: at, change }) => items.set(item, { position: at, undo: undoOf(change) }));
+        snapshot.update(current => applyChanges(current, fresh, clock.nowMs()));
+        fresh.forEach(noteChange);
+    }
+
+    function noteChange({ item, position: at, change }: PlacedChange): void {
+        metrics.count("catalogChanges", { kind: change.kind });
+        switch (change.kind) {
+            case "config":
+                return log.state("config-adopted", { position: at, version: change.config.version });
+            case "upstream": {
+                const { id, leaving, coldLeftMs, zone } = change.upstream;
+                return log.state("upstream-registered", { position: at, upstream: id, zone, leaving, coldLeftMs });
+            }
+            case "unreadable":
+                return log.state("item-unreadable", { position: at, item, reason: change.reason });
+            default:
+                return log.state(change.kind, { position: at, item });
+        }
+    }
+
+    // Live upstreams whose entries lapsed during an outage register again, so their removal waits that long.
+    function applyRemovals(changes: readonly PlacedChange[]): void {
+        const waitMs = graceUntilMs - clock.nowMs();
+        if (waitMs <= 0 || changes.length === 0) {
+            apply(changes);
+            return;
+        }
+        log.state("removals-deferred", { count: changes.length, waitMs });
+        const cancel = clock.setTimer(waitMs, () => {
+            cancels.delete(cancel);
+            apply(changes);
+        });
+        cancels.add(cancel);
+    }
+
+    function takeListing(listing: Listing): void {
+        apply(listing.items);
+        const listed = new Set(listing.items.map(({ item }) => item));
+        const missing = [...items].filter(([item]) => !listed.has(item));
+        applyRemovals(
+            missing.flatMap(([item, { undo }]) => undo ? [{ item, position: listing.position, change: undo }] : []),
+        );
+        position = Math.max(listing.position, position ?? 0);
+    }
+
+    function takeBatch(batch: ChangeBatch): void {
+        const isRemoval = ({ change }: PlacedChange): boolean => change.kind === "upstream-removed";
+        apply(batch.changes.filter(change => !isRemoval(change)));
+        applyRemovals(batch.changes.filter(isRemoval));
+        position = Math.max(batch.position, position ?? 0);
+    }
+
+    function noteAnswer(coveredMs: number): void {
+        confirmedMs = Math.max(confirmedMs, coveredMs);
+        failures = 0;
+        if (failingSinceMs === undefined) {
+            return;
+        }
+        const outageMs = clock.nowMs() - failingSinceMs;
+        failingSinceMs = undefined;
+        if (outageMs >= timing.lapsingOutageMs) {
+            graceUntilMs = clock.nowMs() + timing.returnGraceMs;
+        }
+        log.state("store-regained", { outageMs });
+    }
+
+    function noteFailure(call: string, error: SourceError): void {
+        failures++;
+        metrics.count("storeCalls", { outcome: error.kind });
+        if (failingSinceMs === undefined) {
+            failingSinceMs = clock.nowMs();
+            log.state("store-lost", { call, kind: error.kind, message: error.message, position });
+        }
+    }
+
+    async function list(): Promise<boolean> {
+        const sentMs = clock.nowMs();
+        const result = await source.list(timing.listTimeoutMs);
+        if (disposed) {
+            return false;
+        }
+        return result.match(listing => {
+            metrics.count("storeCalls", { outcome: "ok" });
+            noteAnswer(sentMs);
+            takeListing(listing);
+            log.state("catalog-listed", { items: listing.items.length, position: listing.position });
+            return true;
+        }, error => {
+            noteFailure("list", error);
+            return false;
+        });
+    }
+
+    async function watch(after: Position, waitMs: number, timeoutMs: number): Promise<boolean> {
+        const result = await source.watch(after, waitMs, timeoutMs);
+        if (disposed) {
+            return false;
+        }
+        return result.match(batch => {
+            metrics.count("storeCalls", { outcome: "ok" });
+            noteAnswer(clock.nowMs() - timing.watchLagMs);
+            takeBatch(batch);
+            return true;
+        }, error => {
+            if (error.kind === "history-lost") {
+                log.state("history-lost", { position: after });
+                position = undefined;
+                return true;
+            }
+            noteFailure("watch", error);
+            return false;
+        });
+    }
+
+    async function follow(): Promise<void> {
+        while (!disposed) {
+            const done = position === undefined
+                ? await list()
+                : await watch(position, timing.watchWaitMs, timing.watchWaitMs + timing.answerSlackMs);
+            if (!done && !disposed) {
+                await backOff();
+            }
+        }
+    }
+
+    function backOff(): Promise<void> {
+        const limitMs = Math.min(timing.maxBackoffMs, timing.minBackoffMs * 2 ** Math.min(failures, 10));
+        return new Promise(resolve => {
+            const cancel = clock.setTimer(limitMs * (0.5 + random() / 2), () => {
+                cancels.delete(cancel);
+                resolve();
+            });
+            cancels.add(cancel);
+        });
+    }
+
+    return {
+        snapshot,
+        isComplete: () => Number.isFinite(confirmedMs),
+        ageMs: () => clock.nowMs() - confirmedMs,
+        confirm() {
+            if (position === undefined) {
+                return Promise.resolve(false);
+            }
+            confirming ??= watch(position, 0, timing.confirmTimeoutMs).finally(() => {
+                confirming = undefined;
+            });
+            return confirming;
+        },
+        start: () => void follow(),
+        dispose() {
+            disposed = true;
+            cancels.forEach(cancel => cancel());
+        },
+    };
+}
+
+/** The change that takes an item out of the snapshot; the configuration stays when its item is missing. */
+function undoOf(change: CatalogChange): CatalogChange | undefined {
+    switch (change.kind) {
+        case "upstream":
+            return { kind: "upstream-removed", id: change.upstream.id };
+        case "zone-evacuated":
+            return { kind: "zone-restored", zone: change.zone };
+        default:
+            return undefined;
+    }
+}
--- /dev/null
+++ b/packages/catalog/src/CatalogSnapshot.ts
@@ -0,0 +1,103 @@
+import type * as core from "@peridotloft/core";
+import type { Customer, FleetConfig, PlacedChange, Pool, Upstream } from "./Catalog.js";
+import { createRouteTable, type RouteTable } from "./RouteTable.js";
+
+/** A registered upstream with the time at which this VM learned of it. */
+export interface KnownUpstream extends Upstream {
+    /** Time in ms on this VM's clock until which it is cold. */
+    readonly coldUntilMs: number;
+    /** Time in ms on this VM's clock at which this entry was learned. */
+    readonly learnedMs: number;
+}
+
+/** Lookups over one version of the configuration. */
+export interface ConfigInForce {
+    readonly config: FleetConfig;
+    readonly routes: RouteTable;
+    readonly pools: ReadonlyMap<core.PoolId, Pool>;
+    readonly customersByKey: ReadonlyMap<string, Customer>;
+}
+
+/** What this VM knows of everything that is published. */
+export interface CatalogSnapshot {
+    readonly inForce: ConfigInForce | undefined;
+    readonly upstreams: ReadonlyMap<core.UpstreamId, KnownUpstream>;
+    readonly upstreamsByPool: ReadonlyMap<core.PoolId, readonly KnownUpstream[]>;
+    readonly evacuatedZones: ReadonlySet<core.ZoneId>;
+}
+
+export const emptySnapshot: CatalogSnapshot = {
+    inForce: undefined,
+    upstreams: new Map(),
+    upstreamsByPool: new Map(),
+    evacuatedZones: new Set(),
+};
+
+/** Builds the lookups of a configuration. */
+export function indexConfig(config: FleetConfig): ConfigInForce {
+    return {
+        config,
+        routes: createRouteTable(config.routes),
+        pools: new Map(config.pools.map(pool => [pool.id, pool])),
+        customersByKey: new Map(config.customers.flatMap(customer => customer.keys.map(key => [key, customer]))),
+    };
+}
+
+/** Applies changes in order. Returns the same snapshot when nothing changes. */
+export function applyChanges(
+    snapshot: CatalogSnapshot,
+    changes: readonly PlacedChange[],
+    nowMs: number,
+): CatalogSnapshot {
+    if (changes.length === 0) {
+        return snapshot;
+    }
+    // Copied once for all changes, so that a listing of thousands of upstreams stays linear.
+    const upstreams = new Map(snapshot.upstreams);
+    const evacuatedZones = new Set(snapshot.evacuatedZones);
+    let inForce = snapshot.inForce;
+    changes.forEach(({ change }) => {
+        switch (change.kind) {
+            case "config":
+                inForce = newerConfig(inForce, change.config);
+                break;
+            case "upstream":
+                upstreams.set(change.upstream.id, {
+                    ...change.upstream,
+                    coldUntilMs: nowMs + change.upstream.coldLeftMs,
+                    learnedMs: nowMs,
+                });
+                break;
+            case "upstream-removed":
+                upstreams.delete(change.id);
+                break;
+            case "zone-evacuated":
+                evacuatedZones.add(change.zone);
+                break;
+            case "zone-restored":
+                evacuatedZones.delete(change.zone);
+                break;
+            case "unreadable":
+                if (change.upstream !== undefined) {
+                    upstreams.delete(change.upstream);
+                }
+                break;
+        }
+    });
+    return { inForce, upstreams, upstreamsByPool: groupByPool(upstreams.values()), evacuatedZones };
+}
+
+// A version that was in force is never replaced by an older one, whatever a stale answer says.
+function newerConfig(current: ConfigInForce | undefined, config: FleetConfig): ConfigInForce {
+    return current && current.config.version >= config.version ? current : indexConfig(config);
+}
+
+function groupByPool(upstreams: Iterable<KnownUpstream>): ReadonlyMap<core.PoolId, readonly KnownUpstream[]> {
+    const byPool = new Map<core.PoolId, KnownUpstream[]>();
+    [...upstreams].forEach(upstream => {
+        const list = byPool.get(upstream.pool) ?? [];
+        list.push(upstream);
+        byPool.set(upstream.pool, list);
+    });
+    return byPool;
+}
--- a/packages/core/src/Clock.ts
+++ b/packages/core/src/Clock.ts
@@ -39,6 +39,13 @@
     };
 }
 
+/**
+ * A clock that follows the monotonic clock alone. It measures requests, which a step of the time of day must not age.
+ */
+export function createSteadyClock(): Clock {
+    return { ...createSystemClock(), nowMs: () => performance.now() };
+}
+
 /** Calls `callback` every `periodMs`; returns a function that stops it. */
 export function setRepeatingTimer(clock: Clock, periodMs: number, callback: () => void): () => void {
     let cancel = clock.setTimer(periodMs, tick);
--- /dev/null
+++ b/packages/dispatch/src/Placement.ts
@@ -0,0 +1,80 @@
+import type * as core from "@peridotloft/core";
+
+/** What is known of one upstream when a request is placed. */
+export interface Candidate {
+    readonly id: core.UpstreamId;
+    /** Requests that run there, from all VMs as far as known. */
+    readonly running: number;
+    readonly slots: number;
+    /** Tokens of prompts sent there whose first event has not come yet, from all VMs as far as known. */
+    readonly unreadTokens: number;
+    /** Tokens of this request's prompt that the engine must read. */
+    readonly newTokens: number;
+    /** Share of recent requests that failed, 0 to 1. */
+    readonly failureShare: number;
+    /** Place in the order in which VMs agree without messages; 0 is the home of the request's session. */
+    readonly homeRank: number;
+}
+
+/** Speed of the engines of a pool. */
+export interface EngineSpeed {
+    /** Prompt tokens that an engine reads per ms. */
+    readonly readTokensPerMs: number;
+}
+
+export interface Choice {
+    readonly candidate: Candidate;
+    /** Expected time in ms to the first event. */
+    readonly expectedMs: number;
+}
+
+/**
+ * Weight of the time that an engine spends on tokens which are kept elsewhere. Reading them delays every other request
+ * there, not only this one.
+ */
+const rereadWeight = 2;
+/** Time in ms by which each running request delays the step of an engine. */
+const runningMs = 0.1;
+/** Expected time in ms to the first event of a short prompt at an idle engine. */
+const baseFirstEventMs = 80;
+/** Handicap in ms of an upstream that is not the home of a session which this VM has not seen yet. */
+const awayMs = 60;
+/** Handicap in ms at a failure share of 1: about a second attempt. */
+const failureMs = 1_000;
+
+/** Chooses the engine with the least expected harm. Answers sessions that are spread unevenly over engines. */
+export function chooseEngine(candidates: readonly Candidate[], speed: EngineSpeed): Choice | undefined {
+    const free = candidates.filter(({ running, slots }) => running < slots);
+    const leastNewTokens = Math.min(...free.map(({ newTokens }) => newTokens));
+    const harmOf = (candidate: Candidate): number =>
+        expectedFirstEventMs(candidate, speed)
+        + ((candidate.newTokens - leastNewTokens) / speed.readTokensPerMs) * (rereadWeight - 1)
+        + (candidate.homeRank === 0 ? 0 : awayMs)
+        + candidate.failureShare * failureMs;
+    const best = leastBy(free, harmOf);
+    return best && { candidate: best, expectedMs: expectedFirstEventMs(best, speed) };
+}
+
+/** Expected time in ms from sending a request to its first event. */
+export function expectedFirstEventMs(candidate: Candidate, { readTokensPerMs }: EngineSpeed): number {
+    const { unreadTokens, newTokens, running } = candidate;
+    return baseFirstEventMs + (unreadTokens + newTokens) / readTokensPerMs + running * runningMs;
+}
+
+/** Chooses the plain service with the smallest part of its slots in use, as far as known; ties by chance. */
+export function chooseService(candidates: readonly Candidate[], random: core.Random): Choice | undefined {
+    const best = leastBy(
+        candidates,
+        ({ running, slots, failureShare }) => running / Math.max(1, slots) + failureShare + random() * 0.01,
+    );
+    return best && { candidate: best, expectedMs: 0 };
+}
+
+function leastBy<T>(items: readonly T[], valueOf: (item: T) => number): T | undefined {
+    return items
+        .map(item => ({ item, value: valueOf(item) }))
+        .reduce<{ item: T; value: number; } | undefined>(
+            (least, next) => least && least.value <= next.value ? least : next,
+            undefined,
+        )?.item;
+}
--- /dev/null
+++ b/packages/dispatch/src/index.ts
@@ -0,0 +1,3 @@
+export * from "./Dispatcher.js";
+export * from "./FleetView.js";
+export * from "./Job.js";
--- /dev/null
+++ b/packages/gateway/src/AnswerRelay.ts
@@ -0,0 +1,66 @@
+import { err, ok, type Result } from "neverthrow";
+import type * as http from "node:http";
+import type { CallerAnswer } from "./CallerAnswer.js";
+import type { EventSplitter } from "./EventSplitter.js";
+
+/** How a relayed stream ended at the upstream's side. */
+export type RelayEnd = "complete" | "broken";
+
+/** Reads a whole answer. A body that ends with its connection counts as complete unless the connection was reset. */
+export function relayWhole(message: http.IncomingMessage): Promise<Result<Buffer, "broken">> {
+    return new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        message.on("data", (chunk: Buffer) => chunks.push(chunk));
+        message.once("end", () => resolve(message.complete ? ok(Buffer.concat(chunks)) : err("broken")));
+        message.once("error", () => resolve(err("broken")));
+        message.once("close", () => resolve(err("broken")));
+    });
+}
+
+export interface StreamTarget {
+    readonly answer: CallerAnswer;
+    /** Sends the head of the answer; called once, before the first event. */
+    begin(): void;
+    onFirstEvent(): void;
+}
+
+/** Passes complete events to the caller as they arrive. A stream that ends inside an event is broken. */
+export function relayStream(
+    message: http.IncomingMessage,
+    splitter: EventSplitter,
+    target: StreamTarget,
+): Promise<RelayEnd> {
+    const { answer } = target;
+    let first = true;
+    return new Promise(resolve => {
+        message.on("data", (chunk: Buffer) => {
+            const events = splitter.push(chunk);
+            if (events.length === 0 || answer.hasEnded()) {
+                return;
+            }
+            if (first) {
+                first = false;
+                target.onFirstEvent();
+            }
+            if (!answer.hasBegun()) {
+                target.begin();
+            }
+            if (!answer.write(events, () => message.resume())) {
+                message.pause();
+            }
+        });
+        message.once("end", () => {
+            if (!message.complete || splitter.rest().length > 0) {
+                resolve("broken");
+                return;
+            }
+            if (!answer.hasBegun()) {
+                target.begin();
+            }
+            answer.end();
+            resolve("complete");
+        });
+        message.once("error", () => resolve("broken"));
+        message.once("close", () => resolve("broken"));
+    });
+}
--- /dev/null
+++ b/packages/gateway/src/GatewayContext.ts
@@ -0,0 +1,22 @@
+import type * as catalog from "@peridotloft/catalog";
+import type * as core from "@peridotloft/core";
+import type * as dispatch from "@peridotloft/dispatch";
+import type * as telemetry from "@peridotloft/telemetry";
+import type { GatewaySettings } from "./GatewaySettings.js";
+import type { UpstreamConnections } from "./UpstreamConnections.js";
+import type { WireCodec } from "./WireCodec.js";
+
+/** What the parts of a gateway share. */
+export interface GatewayContext {
+    readonly settings: GatewaySettings;
+    readonly clock: core.Clock;
+    readonly random: core.Random;
+    readonly codec: WireCodec;
+    readonly follower: catalog.CatalogFollower;
+    readonly dispatcher: dispatch.Dispatcher;
+    readonly connections: UpstreamConnections;
+    readonly log: telemetry.EventLog;
+    readonly metrics: telemetry.Metrics;
+    /** Time in ms since the signal to stop; undefined before it. */
+    drainingForMs(): number | undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/RequestBody.ts
@@ -0,0 +1,25 @@
+import { err, ok, type Result } from "neverthrow";
+import type * as http from "node:http";
+
+/** Reads a whole body; `left` if the caller's connection ended before it was complete. */
+export function readBody(
+    request: http.IncomingMessage,
+    maxBytes: number,
+): Promise<Result<Buffer, "too-large" | "left">> {
+    return new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        let sizeBytes = 0;
+        request.on("data", (chunk: Buffer) => {
+            sizeBytes += chunk.length;
+            if (sizeBytes > maxBytes) {
+                request.pause();
+                resolve(err("too-large"));
+                return;
+            }
+            chunks.push(chunk);
+        });
+        request.once("end", () => resolve(ok(chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks))));
+        request.once("close", () => resolve(err("left")));
+        request.once("error", () => resolve(err("left")));
+    });
+}
--- /dev/null
+++ b/packages/gateway/src/RequestExchange.ts
@@ -0,0 +1,378 @@
+import * as core from "@peridotloft/core";
+import type * as dispatch from "@peridotloft/dispatch";
+import { err, ok, type Result } from "neverthrow";
+import type * as http from "node:http";
+import { type AllowedRequest, allowRequest, choosePool } from "./Admission.js";
+import { relayStream, relayWhole, type RelayEnd } from "./AnswerRelay.js";
+import { createCallerAnswer } from "./CallerAnswer.js";
+import { createEventSplitter, type EventSplitter } from "./EventSplitter.js";
+import type { Freshness } from "./Freshness.js";
+import type { GatewayContext } from "./GatewayContext.js";
+import { createFailure, createRefusal, type Refusal, type RefusalReason } from "./Refusal.js";
+import { readBody } from "./RequestBody.js";
+import { type Attempt, type AttemptFailure, startAttempt } from "./UpstreamAttempt.js";
+
+/** Answers one request of a caller. Never rejects. */
+export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse) => void;
+
+/** After a signal to stop, time in ms in which requests on open connections are still taken. */
+const drainAcceptMs = 3_500;
+/** Part in ms of a caller's patience that is kept for the way of the answer. */
+const answerWayMs = 5;
+
+export function createRequestHandler(context: GatewayContext, freshness: Freshness): RequestHandler {
+    return (request, response) => {
+        const exchange = createExchange(context, freshness, request, response);
+        exchange.run().catch((error: unknown) => {
+            context.log.failure("request-failed-unexpectedly", { error: String(error) });
+            exchange.refuse(createRefusal("internal"));
+        });
+    };
+}
+
+function createExchange(
+    context: GatewayContext,
+    freshness: Freshness,
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+) {
+    const { clock, codec, log, metrics } = context;
+    const arrivedMs = clock.nowMs();
+    const path = request.url ?? "/";
+    const head = codec.readRequest(request.rawHeaders);
+    const answer = createCallerAnswer(response, codec, () => context.drainingForMs() !== undefined);
+    let kind = "unknown";
+    let attempt: Attempt | undefined;
+    let callerLeft = false;
+    let expired = false;
+    let cancelExpiry: () => void = () => undefined;
+
+    response.once("close", () => {
+        cancelExpiry();
+        if (!response.writableFinished) {
+            callerLeft = true;
+            attempt?.cancel("caller-left");
+        }
+        const outcome = response.writableFinished ? String(response.statusCode) : "cut";
+        metrics.count("requests", { kind, outcome });
+        metrics.observeMs("requestMs", clock.nowMs() - arrivedMs, { kind });
+    });
+
+    function refuse(refusal: Refusal): void {
+        if (answer.hasEnded()) {
+            return;
+        }
+        metrics.count("refusals", { reason: refusal.reason });
+        log.failure("request-refused", {
+            requestId: head.requestId,
+            reason: refusal.reason,
+            statusCode: refusal.statusCode,
+            begun: answer.hasBegun(),
+            retryAfterMs: refusal.retryAfterMs,
+            heldMs: Math.round(clock.nowMs() - arrivedMs),
+            configVersion: context.follower.snapshot.read().inForce?.config.version,
+            configAgeMs: Math.round(context.follower.ageMs()),
+        });
+        answer.refuse(refusal, head.requestId);
+    }
+
+    async function run(): Promise<void> {
+        if (head.requestId === undefined) {
+            return refuse(createRefusal("no-request-id"));
+        }
+        if ((context.drainingForMs() ?? 0) > drainAcceptMs) {
+            return refuse(createRefusal("draining"));
+        }
+        const allowed = await allowRequest(() => context.follower.snapshot.read(), freshness, head, path);
+        if (allowed.isErr()) {
+            return refuse(allowed.error);
+        }
+        kind = allowed.value.route.kind;
+        const maxBodyBytes = context.follower.snapshot.read().inForce?.config.limits.maxBodyBytes ?? 0;
+        const body = await readBody(request, maxBodyBytes);
+        if (body.isErr()) {
+            return body.error === "too-large" ? refuse(createRefusal("body-too-large")) : undefined;
+        }
+        if (callerLeft) {
+            return;
+        }
+        return serve(head.requestId, allowed.value, body.value);
+    }
+
+    function serve(requestId: core.RequestId, allowed: AllowedRequest, body: Buffer): Promise<void> | void {
+        const { route, customer } = allowed;
+        const pool = choosePool(route, context.random);
+        if (pool === undefined) {
+            return refuse(createRefusal("no-upstream"));
+        }
+        const patienceMs = Math.min(route.timeoutMs, (head.patienceMs ?? route.timeoutMs) - answerWayMs);
+        const job: dispatch.Job = {
+            requestId,
+            route,
+            pool,
+            customer: customer?.id,
+            priority: customer?.priority ?? route.priority,
+            prompt: head.prompt,
+            arrivedMs,
+            deadlineMs: arrivedMs + patienceMs,
+            fingerprint: path,
+        };
+        cancelExpiry = clock.setTimer(job.deadlineMs - clock.nowMs(), expire);
+        return route.kind === "stream" ? serveStream(job, body) : serveWhole(job, body);
+    }
+
+    function expire(): void {
+        expired = true;
+        const mayHaveRun = attempt?.isSent() === true;
+        attempt?.cancel("timeout");
+        refuse(mayHaveRun ? createFailure("upstream-timeout") : createRefusal("deadline"));
+    }
+
+    const isOver = (): boolean => callerLeft || expired;
+
+    /** Sends the request to upstreams until one answers or no other may be tried. */
+    async function send(
+        job: dispatch.Job,
+        body: Buffer,
+        tried: Set<core.UpstreamId>,
+        repeatable: boolean,
+        lastEventId: string | undefined,
+    ): Promise<Result<{ lease: dispatch.Lease; answered: http.IncomingMessage; }, Refusal>> {
+        let mayHaveRun = false;
+        for (;;) {
+            const lease = context.dispatcher.acquire(job, tried);
+            if (lease.isErr()) {
+                return err(refusalAfter(mayHaveRun, lease.error.reason, lease.error.retryAfterMs));
+            }
+            const result = await attemptOnce(job, body, lease.value, repeatable, lastEventId);
+            if (result.isOk()) {
+                return ok({ lease: lease.value, answered: result.value });
+            }
+            const failure = result.error;
+            log.failure("attempt-failed", {
+                requestId: job.requestId,
+                upstream: lease.value.upstream.id,
+                cause: failure.cause,
+                verdict: failure.verdict,
+                attempts: tried.size,
+            });
+            mayHaveRun ||= failure.verdict !== "not-run";
+            if (failure.sent) {
+                tried.add(lease.value.upstream.id);
+            }
+            if (isOver()) {
+                return err(refusalAfter(mayHaveRun, "cancelled", undefined));
+            }
+            if (tried.size >= job.route.maxAttempts || !core.mayRetry(failure.verdict, repeatable)) {
+                return err(refusalAfter(mayHaveRun, "overloaded", retryAfterShedMs));
+            }
+        }
+    }
+
+    async function attemptOnce(
+        job: dispatch.Job,
+        body: Buffer,
+        lease: dispatch.Lease,
+        repeatable: boolean,
+        lastEventId: string | undefined,
+    ): Promise<Result<http.IncomingMessage, AttemptFailure>> {
+        const { upstream } = lease;
+        attempt = startAttempt({
+            upstream,
+            agent: context.connections.agentOf(upstream, !repeatable),
+            method: request.method ?? "GET",
+            path,
+            body,
+            headers: () =>
+                codec.upstreamHeaders(request.rawHeaders, {
+                    upstream,
+                    customer: job.customer,
+                    remainingMs: Math.max(1, Math.floor(job.deadlineMs - clock.nowMs())),
+                    bodyBytes: body.length,
+                    lastEventId,
+                }),
+            mayWrite: () => lease.mayWrite() && mayStillRun(job),
+        }, clock);
+        const answered = await attempt.answered;
+        const checked = answered.andThen(message => checkAnswer(job, message));
+        if (checked.isErr()) {
+            lease.end(checked.error.outcome);
+            if (checked.error.outcome === "broken" || checked.error.outcome === "connect-failed") {
+                context.connections.discard(upstream);
+            }
+        }
+        return checked;
+    }
+
+    // The key may have been withdrawn, or the knowledge grown too old, while the request waited.
+    function mayStillRun(job: dispatch.Job): boolean {
+        if (job.customer === undefined) {
+            return true;
+        }
+        const customer = context.follower.snapshot.read().inForce?.customersByKey.get(head.key ?? "");
+        return customer?.id === job.customer && freshness.acceptsKeysNow();
+    }
+
+    function checkAnswer(job: dispatch.Job, message: http.IncomingMessage): Result<http.IncomingMessage, AttemptFailure> {
+        const answerHead = codec.readAnswer(message.statusCode ?? 0, message.rawHeaders);
+        const fail = (
+            verdict: core.Verdict,
+            outcome: dispatch.AttemptOutcome,
+            cause: string,
+        ): Result<never, AttemptFailure> => {
+            if (verdict === "not-run") {
+                message.resume();
+            }
+            else {
+                attempt?.cancel(cause);
+            }
+            return err({ verdict, outcome, cause, sent: true });
+        };
+        if (answerHead.requestId !== undefined && answerHead.requestId !== job.requestId) {
+            return fail("may-have-run", "broken", "answer-of-another-request");
+        }
+        if (answerHead.misdirected) {
+            return fail("not-run", "misdirected", "another-upstream-at-address");
+        }
+        if (answerHead.notRun) {
+            return fail("not-run", "shed", `shed-${message.statusCode}`);
+        }
+        return ok(message);
+    }
+
+    async function serveWhole(job: dispatch.Job, body: Buffer): Promise<void> {
+        const repeatable = job.route.kind === "idempotent";
+        const tried = new Set<core.UpstreamId>();
+        let failed: { statusCode: number; headers: string[]; body: Buffer; } | undefined;
+        for (;;) {
+            const result = await send(job, body, tried, repeatable, undefined);
+            if (result.isErr()) {
+                return failed
+                    ? answer.send(failed.statusCode, failed.headers, failed.body)
+                    : refuse(result.error);
+            }
+            const { lease, answered } = result.value;
+            lease.noteFirstByte();
+            const whole = await relayWhole(answered);
+            const statusCode = answered.statusCode ?? 502;
+            const isFailure = statusCode >= 500;
+            lease.end(whole.isErr() ? "broken" : isFailure ? "failed" : "ok");
+            if (isOver()) {
+                return;
+            }
+            tried.add(lease.upstream.id);
+            const mayRepeat = repeatable && tried.size < job.route.maxAttempts;
+            if (whole.isErr()) {
+                context.connections.discard(lease.upstream);
+                log.failure("answer-broken", { requestId: job.requestId, upstream: lease.upstream.id });
+                if (mayRepeat) {
+                    continue;
+                }
+                return refuse(createFailure("upstream-broken"));
+            }
+            const headers = codec.callerHeaders(answered.rawHeaders);
+            if (isFailure && mayRepeat) {
+                failed = { statusCode, headers, body: whole.value };
+                continue;
+            }
+            noteFirstEvent(job, lease);
+            return answer.send(statusCode, headers, whole.value);
+        }
+    }
+
+    async function serveStream(job: dispatch.Job, body: Buffer): Promise<void> {
+        const repeatable = job.route.resumable;
+        const tried = new Set<core.UpstreamId>();
+        const splitter = createEventSplitter();
+        for (;;) {
+            const from = splitter.lastEventId() ?? head.lastEventId;
+            const result = await send(job, body, tried, repeatable, from);
+            if (result.isErr()) {
+                return refuse(result.error);
+            }
+            const { lease, answered } = result.value;
+            const end = await relay(job, lease, answered, splitter);
+            if (end === "complete" || isOver()) {
+                return;
+            }
+            tried.add(lease.upstream.id);
+            log.failure("stream-broken", {
+                requestId: job.requestId,
+                upstream: lease.upstream.id,
+                lastEventId: splitter.lastEventId(),
+                begun: answer.hasBegun(),
+                attempts: tried.size,
+            });
+            context.connections.discard(lease.upstream);
+            splitter.dropRest();
+            if (!repeatable || tried.size >= job.route.maxAttempts) {
+                return refuse(createFailure("upstream-broken"));
+            }
+        }
+    }
+
+    async function relay(
+        job: dispatch.Job,
+        lease: dispatch.Lease,
+        answered: http.IncomingMessage,
+        splitter: EventSplitter,
+    ): Promise<RelayEnd> {
+        const statusCode = answered.statusCode ?? 502;
+        if (statusCode >= 300 && !answer.hasBegun()) {
+            lease.noteFirstByte();
+            const whole = await relayWhole(answered);
+            lease.end(whole.isErr() ? "broken" : "failed");
+            if (whole.isOk() && !isOver()) {
+                answer.send(statusCode, codec.callerHeaders(answered.rawHeaders), whole.value);
+                return "complete";
+            }
+            return "broken";
+        }
+        if (statusCode >= 300) {
+            answered.resume();
+            lease.end("failed");
+            return "broken";
+        }
+        const end = await relayStream(answered, splitter, {
+            answer,
+            begin: () => answer.begin(statusCode, codec.callerHeaders(answered.rawHeaders)),
+            onFirstEvent: () => {
+                lease.noteFirstByte();
+                noteFirstEvent(job, lease);
+            },
+        });
+        lease.end(end === "complete" ? "ok" : isOver() ? "abandoned" : "broken");
+        return end;
+    }
+
+    function noteFirstEvent(job: dispatch.Job, lease: dispatch.Lease): void {
+        const firstEventMs = clock.nowMs() - arrivedMs;
+        metrics.observeMs("firstEventMs", firstEventMs, { kind });
+        const late = firstEventMs > job.route.objectiveMs;
+        const fields = {
+            requestId: job.requestId,
+            upstream: lease.upstream.id,
+            firstEventMs: Math.round(firstEventMs),
+            objectiveMs: job.route.objectiveMs,
+        };
+        if (late) {
+            log.failure("answer-late", fields);
+        }
+        else {
+            log.decision("answer-begun", fields);
+        }
+    }
+
+    return { run, refuse };
+}
+
+/** Retry-After in ms after an upstream that was chosen as the best had no room. */
+const retryAfterShedMs = 200;
+
+function refusalAfter(
+    mayHaveRun: boolean,
+    reason: RefusalReason,
+    retryAfterMs: number | undefined,
+): Refusal {
+    return mayHaveRun ? createFailure("upstream-broken") : createRefusal(reason, retryAfterMs);
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,5 @@
+export * from "./Gateway.js";
+export * from "./GatewayContext.js";
+export * from "./GatewaySettings.js";
+export * from "./UpstreamConnections.js";
+export * from "./WireCodec.js";
--- a/packages/router/src/AuditTrail.ts
+++ b/packages/router/src/AuditTrail.ts
@@ -1,6 +1,6 @@
 import type * as core from "@peridotloft/core";
 import * as documents from "@peridotloft/document";
-import type * as platform from "@peridotloft/platform";
+import type * as feeds from "@peridotloft/document-feed";
 import type * as scheduling from "@peridotloft/scheduling";
 import type { Logger } from "./Logging.js";
 import * as constants from "./RouterConstants.js";
@@ -22,7 +22,7 @@
 export interface AuditTrail {
     /** Records the differences between two documents; without `before`, only that a first one is in force. */
     noteDocument(before: documents.FleetDocument | undefined, after: documents.FleetDocument): void;
-    noteRejected(rejected: platform.RejectedDocument): void;
+    noteRejected(rejected: feeds.RejectedDocument): void;
     /** Compares the scheduler's state with the last one noted. */
     noteScheduler(status: scheduling.SchedulerStatus): void;
     /** The oldest first. */
--- a/packages/router/src/ConfigurationWatch.ts
+++ b/packages/router/src/ConfigurationWatch.ts
@@ -1,7 +1,7 @@
 import * as core from "@peridotloft/core";
 import type * as documents from "@peridotloft/document";
 import * as keys from "@peridotloft/keys";
-import type * as platform from "@peridotloft/platform";
+import type * as feeds from "@peridotloft/document-feed";
 import type { AuditTrail } from "./AuditTrail.js";
 import type { InFlightRequests } from "./InFlightRequests.js";
 import { metricNames } from "./Metrics.js";
@@ -25,9 +25,9 @@
 ): ConfigurationWatch {
     const { clock, feed, scheduler, connections, metrics } = context;
     let keyIndex: keys.KeyIndex = { find: () => undefined };
-    let adopted: platform.DocumentInForce | undefined;
+    let adopted: feeds.DocumentInForce | undefined;
 
-    function adopt(next: platform.DocumentInForce): void {
+    function adopt(next: feeds.DocumentInForce): void {
         const { document } = next;
         keyIndex = keys.createKeyIndex(document);
         metrics.count(metricNames.withdrawn, inFlight.endWithdrawn(document));
--- a/packages/router/src/RouterAssembly.ts
+++ b/packages/router/src/RouterAssembly.ts
@@ -3,7 +3,7 @@
 import type * as idempotency from "@peridotloft/idempotency";
 import * as memberships from "@peridotloft/membership";
 import * as peering from "@peridotloft/peering";
-import * as platform from "@peridotloft/platform";
+import * as feeds from "@peridotloft/document-feed";
 import { deferSlices } from "./DeferredSlices.js";
 import { createDocumentSlices, type DocumentSlices } from "./DocumentSlices.js";
 import type { Logger } from "./Logging.js";
@@ -50,7 +50,7 @@
         document,
         onSectionFault: (section, fault) => logger.error("gossip section failed", { section, fault }),
     });
-    const feed = platform.createDocumentFeed({
+    const feed = feeds.createDocumentFeed({
         self,
         clock,
         random,
@@ -121,7 +121,7 @@
 function addressOf(
     vm: core.VmId,
     document: documents.FleetDocument | undefined,
-    feed: Pick<platform.AddressingDocumentFeed, "addressOf">,
+    feed: Pick<feeds.AddressingDocumentFeed, "addressOf">,
     settings: Settings,
 ): string | undefined {
     const listed = document?.vms.find(candidate => candidate.id === vm && candidate.state !== "retired");
--- a/packages/router/src/RouterContext.ts
+++ b/packages/router/src/RouterContext.ts
@@ -2,7 +2,7 @@
 import type * as idempotency from "@peridotloft/idempotency";
 import type * as keys from "@peridotloft/keys";
 import type * as limits from "@peridotloft/limits";
-import type * as platform from "@peridotloft/platform";
+import type * as feeds from "@peridotloft/document-feed";
 import type * as scheduling from "@peridotloft/scheduling";
 import type { InFlightRequests } from "./InFlightRequests.js";
 import type { Logger } from "./Logging.js";
@@ -12,7 +12,7 @@
 
 /** The slices that the router works with. */
 export interface RouterServices {
-    readonly feed: platform.DocumentFeed;
+    readonly feed: feeds.DocumentFeed;
     readonly limiter: limits.RateLimiter;
     readonly scheduler: scheduling.Scheduler;
     readonly operations: idempotency.OperationStore;
@@ -27,7 +27,7 @@
 /** What running requests at upstreams needs. */
 export interface UpstreamContext {
     readonly clock: core.Clock;
-    readonly feed: platform.DocumentFeed;
+    readonly feed: feeds.DocumentFeed;
     readonly scheduler: scheduling.Scheduler;
     readonly connections: UpstreamConnections;
     readonly metrics: Metrics;
--- /dev/null
+++ b/packages/telemetry/src/Metrics.ts
@@ -0,0 +1,73 @@
+import * as prom from "prom-client";
+
+/** Counters, gauges and histograms of one process, as Prometheus text. */
+export interface Metrics {
+    count(name: CounterName, labels?: Readonly<Record<string, string>>, value?: number): void;
+    /** Records a duration in ms. */
+    observeMs(name: HistogramName, valueMs: number, labels?: Readonly<Record<string, string>>): void;
+    /** Registers a value that is read when the metrics are asked for; returns a function that removes it. */
+    registerGauge(name: string, help: string, read: () => number): () => void;
+    /** The text exposition format. */
+    render(): Promise<string>;
+}
+
+/** Upper bounds in s; they cover the objectives of 0.1 to 0.6 s finely and timeouts of up to 15 s. */
+const bucketsS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.5, 0.6, 0.8, 1, 1.5, 2, 3, 5, 10, 15];
+
+const counters = {
+    requests: ["requests_total", "Requests by kind and outcome.", ["kind", "outcome"]],
+    refusals: ["refusals_total", "Requests refused or failed here, by reason.", ["reason"]],
+    attempts: ["upstream_attempts_total", "Requests sent to upstreams, by outcome.", ["outcome"]],
+    ejections: ["upstream_ejections_total", "Upstreams taken out because of their answers.", []],
+    storeCalls: ["store_calls_total", "Calls to the platform's store, by outcome.", ["outcome"]],
+    catalogChanges: ["catalog_changes_total", "Changes of what the platform publishes, by kind.", ["kind"]],
+    peerMessages: ["peer_messages_total", "Messages between VMs, by direction.", ["direction"]],
+} as const;
+
+const histograms = {
+    requestMs: ["request_seconds", "Time from a request's head to the end of its answer.", ["kind"]],
+    firstEventMs: ["first_event_seconds", "Time from a request's head to the first byte of its answer.", ["kind"]],
+    queueMs: ["queue_seconds", "Time that a request waited here for a place.", ["kind"]],
+} as const;
+
+export type CounterName = keyof typeof counters;
+export type HistogramName = keyof typeof histograms;
+
+const prefix = "peridotloft_";
+
+export function createMetrics(): Metrics {
+    const registry = new prom.Registry();
+    const counterOf = mapValues(counters, ([name, help, labelNames]) =>
+        new prom.Counter({ name: prefix + name, help, labelNames: [...labelNames], registers: [registry] }));
+    const histogramOf = mapValues(histograms, ([name, help, labelNames]) =>
+        new prom.Histogram({
+            name: prefix + name,
+            help,
+            labelNames: [...labelNames],
+            buckets: bucketsS,
+            registers: [registry],
+        }));
+    return {
+        count: (name, labels = {}, value = 1) => counterOf[name].inc(labels, value),
+        observeMs: (name, valueMs, labels = {}) => histogramOf[name].observe(labels, valueMs / 1_000),
+        registerGauge(name, help, read) {
+            const fullName = prefix + name;
+            new prom.Gauge({
+                name: fullName,
+                help,
+                registers: [registry],
+                collect() {
+                    this.set(read());
+                },
+            });
+            return () => registry.removeSingleMetric(fullName);
+        },
+        render: () => registry.metrics(),
+    };
+}
+
+function mapValues<K extends string, V, R>(record: Readonly<Record<K, V>>, convert: (value: V) => R): Record<K, R> {
+    return Object.fromEntries(
+        (Object.entries(record) as [K, V][]).map(([key, value]) => [key, convert(value)]),
+    ) as Record<K, R>;
+}
--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,2 @@
+export * from "./EventLog.js";
+export * from "./Metrics.js";
