--- /dev/null
+++ b/packages/catalog/__tests__/unit/CatalogFollower.test.ts
@@ -0,0 +1,249 @@
+import * as core from "@peridotloft/core";
+import * as testing from "@peridotloft/testing";
+import { err, ok } from "neverthrow";
+import * as assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import * as catalog from "../../src/index.js";
+
+const limits: catalog.EntryLimits = {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 1_000_000,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+    tokensPerS: undefined,
+};
+
+const config = (version: number): catalog.CatalogChange => ({
+    kind: "config",
+    config: { version, routes: [], pools: [], customers: [], limits },
+});
+
+const upstream = (id: string, more: Partial<catalog.Upstream> = {}): catalog.CatalogChange => ({
+    kind: "upstream",
+    upstream: {
+        id: core.upstreamId(id),
+        pool: core.poolId("pool"),
+        host: "127.0.0.1",
+        port: 1,
+        zone: core.zoneId("z"),
+        slots: 1,
+        leaving: false,
+        coldLeftMs: 0,
+        startedWallMs: undefined,
+        ...more,
+    },
+});
+
+const placed = (item: string, position: number, change: catalog.CatalogChange): catalog.PlacedChange => ({
+    item,
+    position,
+    change,
+});
+
+/** A store in memory that tests can break. */
+function createFakeSource(clock: core.Clock) {
+    const items = new Map<string, catalog.PlacedChange>();
+    let history: catalog.PlacedChange[] = [];
+    const waiters = new Set<() => void>();
+    let lostBefore = 0;
+    let mode: "sound" | "down" | "silent" = "sound";
+    let position = 10;
+    const down = () => err({ kind: "unreachable" as const, message: "down" });
+
+    const silence = async (timeoutMs: number) => {
+        await new Promise<void>(resolve => clock.setTimer(timeoutMs, resolve));
+        return down();
+    };
+    const source: catalog.CatalogSource = {
+        async list(timeoutMs) {
+            return mode === "silent"
+                ? silence(timeoutMs)
+                : mode === "down"
+                ? down()
+                : ok({ position, items: [...items.values()] });
+        },
+        async watch(after, waitMs, timeoutMs) {
+            const changesAfter = () => history.filter(change => change.position > after);
+            if (mode === "silent") {
+                return silence(timeoutMs);
+            }
+            if (mode === "sound" && after >= lostBefore && changesAfter().length === 0) {
+                await new Promise<void>(resolve => {
+                    const cancel = clock.setTimer(waitMs, resolve);
+                    waiters.add(() => {
+                        cancel();
+                        resolve();
+                    });
+                });
+            }
+            if (mode !== "sound") {
+                return down();
+            }
+            return after < lostBefore
+                ? err({ kind: "history-lost", message: "compacted" })
+                : ok({ position, changes: changesAfter() });
+        },
+    };
+    const wake = (): void => {
+        waiters.forEach(waiter => waiter());
+        waiters.clear();
+    };
+    return {
+        source,
+        put(item: string, change: catalog.CatalogChange) {
+            position++;
+            items.set(item, placed(item, position, change));
+            history.push(placed(item, position, change));
+            wake();
+        },
+        remove(item: string, change: catalog.CatalogChange) {
+            position++;
+            items.delete(item);
+            history.push(placed(item, position, change));
+            wake();
+        },
+        compact() {
+            history = [];
+            lostBefore = position;
+            wake();
+        },
+        setMode(next: typeof mode) {
+            mode = next;
+            wake();
+        },
+    };
+}
+
+function createFixture() {
+    const clock = testing.createVirtualClock();
+    const store = createFakeSource(clock);
+    const log = testing.createRecordingLog();
+    const follower = catalog.createCatalogFollower({
+        source: store.source,
+        clock,
+        random: testing.createSeededRandom(1),
+        log,
+        metrics: testing.createNoMetrics(),
+    });
+    const ids = (): string[] => [...follower.snapshot.read().upstreams.keys()].sort();
+    const version = (): number | undefined => follower.snapshot.read().inForce?.config.version;
+    return { clock, store, log, follower, ids, version };
+}
+
+describe("CatalogFollower", () => {
+    describe("with a sound store", () => {
+        it("lists, then follows changes as they are made", async () => {
+            const { clock, store, follower, ids, version } = createFixture();
+            store.put("config", config(3));
+            store.put("up/a", upstream("a"));
+            follower.start();
+            await clock.advance(10);
+            assert.deepEqual([version(), ids()], [3, ["a"]]);
+            store.put("config", config(4));
+            store.put("up/b", upstream("b"));
+            await clock.advance(10);
+            assert.deepEqual([version(), ids()], [4, ["a", "b"]]);
+            store.remove("up/a", { kind: "upstream-removed", id: core.upstreamId("a") });
+            await clock.advance(10);
+            assert.deepEqual(ids(), ["b"]);
+        });
+
+        it("never goes back to an older configuration, whatever is listed", async () => {
+            const { clock, store, follower, version } = createFixture();
+            store.put("config", config(7));
+            follower.start();
+            await clock.advance(10);
+            store.put("config", config(5));
+            await clock.advance(10);
+            assert.equal(version(), 7);
+        });
+
+        it("knows that its knowledge is at most a watch and its lag old", async () => {
+            const { clock, follower } = createFixture();
+            assert.equal(follower.ageMs(), Number.POSITIVE_INFINITY);
+            follower.start();
+            await clock.advance(20_000);
+            const { watchWaitMs, watchLagMs } = catalog.defaultFollowerTiming;
+            assert.ok(follower.ageMs() <= watchWaitMs + watchLagMs + 1, `age ${follower.ageMs()}`);
+        });
+
+        it("removes at once what is missing from a new listing after a compaction", async () => {
+            const { clock, store, follower, ids } = createFixture();
+            store.put("up/a", upstream("a"));
+            store.put("up/b", upstream("b"));
+            follower.start();
+            await clock.advance(10);
+            store.remove("up/a", { kind: "upstream-removed", id: core.upstreamId("a") });
+            store.compact();
+            await clock.advance(200);
+            assert.deepEqual(ids(), ["b"]);
+        });
+
+        it("names no upstream by an entry that cannot be read, and keeps the others", async () => {
+            const { clock, store, follower, ids } = createFixture();
+            store.put("up/a", upstream("a"));
+            store.put("up/b", upstream("b"));
+            follower.start();
+            await clock.advance(10);
+            store.put("up/a", { kind: "unreadable", upstream: core.upstreamId("a"), reason: "test" });
+            await clock.advance(10);
+            assert.deepEqual(ids(), ["b"]);
+        });
+    });
+
+    describe("while the store is out of reach", () => {
+        it("keeps what it knows and grows older", async () => {
+            const { clock, store, follower, ids } = createFixture();
+            store.put("up/a", upstream("a"));
+            follower.start();
+            await clock.advance(10);
+            store.setMode("down");
+            await clock.advance(10_000);
+            assert.deepEqual(ids(), ["a"]);
+            assert.ok(follower.ageMs() >= 10_000);
+            assert.equal(await follower.confirm(), false);
+        });
+
+        it("gives up a watch on a connection that went silent", async () => {
+            const { clock, store, follower, version } = createFixture();
+            store.put("config", config(1));
+            follower.start();
+            await clock.advance(1_500);
+            store.setMode("silent");
+            await clock.advance(1_000);
+            store.put("config", config(2));
+            store.setMode("sound");
+            const { watchWaitMs, answerSlackMs, maxBackoffMs } = catalog.defaultFollowerTiming;
+            await clock.advance(watchWaitMs + answerSlackMs + maxBackoffMs);
+            assert.equal(version(), 2);
+        });
+
+        it("keeps entries that lapsed during an outage until live upstreams can have returned", async () => {
+            const { clock, store, follower, ids } = createFixture();
+            store.put("up/a", upstream("a"));
+            store.put("up/b", upstream("b"));
+            follower.start();
+            await clock.advance(10);
+            store.setMode("down");
+            await clock.advance(5_000);
+            store.remove("up/a", { kind: "upstream-removed", id: core.upstreamId("a") });
+            store.remove("up/b", { kind: "upstream-removed", id: core.upstreamId("b") });
+            store.setMode("sound");
+            await clock.advance(1_000);
+            assert.deepEqual(ids(), ["a", "b"]);
+            store.put("up/a", upstream("a"));
+            await clock.advance(3_000);
+            assert.deepEqual(ids(), ["a"], "b did not return and is gone");
+        });
+
+        it("asks the store once for many that want to know, and not again right after a failure", async () => {
+            const { clock, store, follower, log } = createFixture();
+            follower.start();
+            await clock.advance(10);
+            store.setMode("down");
+            const answers = await Promise.all([follower.confirm(), follower.confirm(), follower.confirm()]);
+            assert.deepEqual(answers, [false, false, false]);
+            assert.equal(log.count("store-lost"), 1);
+        });
+    });
+});
--- a/packages/catalog/src/CatalogFollower.ts
+++ b/packages/catalog/src/CatalogFollower.ts
@@ -31,6 +31,8 @@
     readonly maxBackoffMs: number;
     /** Longest time that `confirm` takes. */
     readonly confirmTimeoutMs: number;
+    /** Time after a failed `confirm` in which no other is sent, so that requests do not flood a store in trouble. */
+    readonly confirmPauseMs: number;
 }
 
 export const defaultFollowerTiming: FollowerTiming = {
@@ -46,6 +48,7 @@
     minBackoffMs: 60,
     maxBackoffMs: 500,
     confirmTimeoutMs: 400,
+    confirmPauseMs: 500,
 };
 
 /** Follows the store: holds the newest snapshot and knows how old it is. */
@@ -79,6 +82,7 @@
     let graceUntilMs = Number.NEGATIVE_INFINITY;
     let failures = 0;
     let confirming: Promise<boolean> | undefined;
+    let lastRefusalMs = Number.NEGATIVE_INFINITY;
     let disposed = false;
 
     function apply(changes: readonly PlacedChange[]): void {
@@ -228,11 +232,13 @@
         isComplete: () => Number.isFinite(confirmedMs),
         ageMs: () => clock.nowMs() - confirmedMs,
         confirm() {
-            if (position === undefined) {
+            if (position === undefined || clock.nowMs() - lastRefusalMs < timing.confirmPauseMs) {
                 return Promise.resolve(false);
             }
-            confirming ??= watch(position, 0, timing.confirmTimeoutMs).finally(() => {
+            confirming ??= watch(position, 0, timing.confirmTimeoutMs).then(confirmed => {
                 confirming = undefined;
+                lastRefusalMs = confirmed ? lastRefusalMs : clock.nowMs();
+                return confirmed;
             });
             return confirming;
         },
--- a/scripts/run-tests.mjs
+++ b/scripts/run-tests.mjs
@@ -5,9 +5,10 @@
 import { join } from "node:path";
 
 function testFiles() {
-    return readdirSync("packages").flatMap(name =>
+    const workspaces = [...readdirSync("packages").map(name => join("packages", name)), "platform"];
+    return workspaces.flatMap(workspace =>
         ["unit", "integration"].flatMap(kind => {
-            const folder = join("packages", name, "dist", "__tests__", kind);
+            const folder = join(workspace, "dist", "__tests__", kind);
             return existsSync(folder)
                 ? readdirSync(folder).filter(file => file.endsWith(".test.js")).map(file => join(folder, file))
                 : [];
