--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -12,6 +12,8 @@
     /** Takes no new callers, finishes the requests in hand, and resolves when all are done or the grace has passed. */
     drain(): Promise<void>;
     isReady(): boolean;
+    /** Closes everything at once, cutting requests in hand. */
+    close(): void;
 }
 
 /** Header bytes of callers that are accepted; the platform's configurations state the same. */
@@ -58,7 +60,7 @@
             },
         );
     });
-    follower.snapshot.changes.subscribe(({ inForce }) => {
+    const subscription = follower.snapshot.changes.subscribe(({ inForce }) => {
         if (inForce) {
             entry.headersTimeout = inForce.config.limits.headerTimeoutMs;
             entry.keepAliveTimeout = inForce.config.limits.idleTimeoutMs;
@@ -70,6 +72,14 @@
             && follower.snapshot.read().inForce !== undefined && freshness.acceptsKeysNow();
     }
 
+    function close(): void {
+        subscription.unsubscribe();
+        [entry, readiness, metricsServer].forEach(server => {
+            server.close();
+            server.closeAllConnections();
+        });
+    }
+
     function delay(ms: number): Promise<void> {
         return new Promise(resolve => clock.setTimer(ms, resolve));
     }
@@ -97,9 +107,9 @@
                 await delay(drainPollMs);
             }
             log.state("drained", { cut: inFlight.size });
-            entry.close();
-            entry.closeAllConnections();
+            close();
         },
+        close,
     };
 }
 
