--- /dev/null
+++ b/packages/core/src/Hash.ts
@@ -0,0 +1,14 @@
+const fnvOffset = 0x811c9dc5;
+const fnvPrime = 0x01000193;
+
+/** A 32-bit hash of a text, the same in every process. Not for untrusted input that could choose collisions. */
+export function hash32(text: string, seed: number = fnvOffset): number {
+    let hash = seed;
+    for (let i = 0; i < text.length; i++) {
+        hash = Math.imul(hash ^ text.charCodeAt(i), fnvPrime);
+    }
+    // Finalizer of MurmurHash3: FNV alone leaves the order of similar texts correlated.
+    hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+    hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+    return (hash ^ (hash >>> 16)) >>> 0;
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./Clock.js";
 export * from "./Gossip.js";
+export * from "./Hash.js";
 export * from "./Ids.js";
 export * from "./Invariant.js";
 export * from "./Peer.js";
--- a/packages/dispatch/__tests__/unit/Placement.test.ts
+++ b/packages/dispatch/__tests__/unit/Placement.test.ts
@@ -12,6 +12,7 @@
     unreadTokens: 0,
     newTokens: 1_000,
     failureShare: 0,
+    slowness: 1,
     homeRank: 1,
     ...more,
 });
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,10 +1,12 @@
 import type * as catalog from "@peridotloft/catalog";
-import type * as core from "@peridotloft/core";
+import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
 import { err, ok, type Result } from "neverthrow";
+import { createCustomerUsage } from "./CustomerUsage.js";
+import { admitsPrompt, type EngineAdmissionInput, retryAfterOf } from "./EngineAdmission.js";
 import type { FleetView } from "./FleetView.js";
-import type { DispatchRefusal, Job, Lease } from "./Job.js";
-import { type Candidate, type Choice, chooseEngine, chooseService, type EngineSpeed } from "./Placement.js";
+import type { DispatchRefusal, Job, Lease, Prompt } from "./Job.js";
+import { type Candidate, type Choice, chooseEngine, chooseService } from "./Placement.js";
 import { rankByRendezvous } from "./Rendezvous.js";
 import { createRetryBudget, type RetryBudget } from "./RetryBudget.js";
 import { createUpstreamTable, type UpstreamState } from "./UpstreamTable.js";
@@ -29,10 +31,6 @@
     dispose(): void;
 }
 
-/** Ratio of the reading speed of an engine to its part of the throughput that the configuration states. */
-const readSpeedRatio = 1.7;
-/** Reading speed in tokens/ms where the configuration states no throughput. */
-const defaultReadTokensPerMs = 50;
 /** Retry-After in ms while no upstream is known: registrations return within about 2 s. */
 const noUpstreamRetryMs = 500;
 /** Retry-After in ms when all upstreams are full or cold. */
@@ -41,7 +39,12 @@
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
     const { clock, random, fleet, log } = options;
     const table = createUpstreamTable(options);
+    const usage = createCustomerUsage();
     const budgets = new Map<core.PoolId, RetryBudget>();
+    const removeListener = fleet.registerListener((placement, weight) => {
+        table.stateOfHash(placement.upstreamHash)?.notePeerPlacement(placement, weight);
+        usage.note(placement.customerHash, placement.cost * weight, clock.nowMs());
+    });
 
     function budgetOf(pool: core.PoolId): RetryBudget {
         const budget = budgets.get(pool) ?? createRetryBudget();
@@ -49,76 +52,112 @@
         return budget;
     }
 
-    function speedOf(snapshot: catalog.CatalogSnapshot, pool: core.PoolId): EngineSpeed {
-        const tokensPerS = snapshot.inForce?.config.limits.tokensPerS;
-        const count = table.largestPoolSize(pool);
-        return {
-            readTokensPerMs: tokensPerS === undefined || count === 0
-                ? defaultReadTokensPerMs
-                : (tokensPerS / 1_000 / count) * readSpeedRatio,
-        };
-    }
-
-    function choose(job: Job, usable: readonly UpstreamState[], snapshot: catalog.CatalogSnapshot) {
+    function choose(job: Job, usable: readonly UpstreamState[]): Choice | undefined {
         const candidates = candidatesOf(job, usable);
         return job.prompt
-            ? chooseEngine(candidates, speedOf(snapshot, job.pool))
+            ? chooseEngine(candidates, { readTokensPerMs: table.readTokensPerMs(job.pool) })
             : chooseService(candidates, random);
     }
 
     function candidatesOf(job: Job, usable: readonly UpstreamState[]): Candidate[] {
         const { prompt } = job;
-        const ranked = prompt ? rankByRendezvous(sessionOf(job), usable, state => state.upstream.id) : usable;
-        return ranked.map((state, homeRank) => {
-            const peers = fleet.loadOf(state.upstream.id);
-            return {
-                id: state.upstream.id,
-                running: state.running + peers.running,
-                slots: state.upstream.slots,
-                unreadTokens: state.unreadTokens + peers.unreadTokens,
-                newTokens: prompt ? newTokensOf(job, state) : 0,
-                failureShare: state.health.failureShare(),
-                homeRank,
-            };
+        const nowMs = clock.nowMs();
+        const session = sessionOf(job);
+        const sessionHash = core.hash32(session);
+        const ranked = prompt ? rankByRendezvous(session, usable, state => state.upstream.id) : usable;
+        return ranked.map((state, homeRank) => ({
+            id: state.upstream.id,
+            running: state.running(nowMs),
+            slots: state.upstream.slots,
+            unreadTokens: state.unreadTokens(nowMs),
+            newTokens: prompt
+                ? Math.max(0, prompt.inputTokens - state.cache.keptTokens(prompt.parts, sessionHash, nowMs))
+                : 0,
+            failureShare: state.health.failureShare(),
+            slowness: state.slowness(nowMs),
+            homeRank,
+        }));
+    }
+
+    function admissionOf(job: Job, { expectedMs }: Choice): EngineAdmissionInput {
+        return {
+            expectedMs,
+            elapsedMs: clock.nowMs() - job.arrivedMs,
+            objectiveMs: job.route.objectiveMs,
+            relativeUsage: usage.relative(customerHashOf(job), clock.nowMs()),
+        };
+    }
+
+    function refuseOverload(job: Job, choice: Choice, input: EngineAdmissionInput): DispatchRefusal {
+        const retryAfterMs = retryAfterOf(input, random);
+        log.failure("admission-refused", {
+            requestId: job.requestId,
+            upstream: choice.candidate.id,
+            expectedMs: Math.round(input.expectedMs),
+            objectiveMs: input.objectiveMs,
+            relativeUsage: input.relativeUsage,
+            unreadTokens: Math.round(choice.candidate.unreadTokens),
+            slowness: choice.candidate.slowness,
         });
+        return { reason: "overloaded", retryAfterMs };
     }
 
-    function place(job: Job, { candidate, expectedMs }: Choice, snapshot: catalog.CatalogSnapshot): Lease {
-        const state = table.stateOf(candidate.id);
+    function place(job: Job, { candidate, expectedMs }: Choice): Lease {
+        const { newTokens } = candidate;
+        const customerHash = customerHashOf(job);
+        const cost = costOf(job.prompt);
         log.decision("placed", {
             requestId: job.requestId,
             upstream: candidate.id,
             homeRank: candidate.homeRank,
-            newTokens: candidate.newTokens,
+            newTokens,
             unreadTokens: Math.round(candidate.unreadTokens),
-            running: candidate.running,
+            running: Math.round(candidate.running),
+            slowness: candidate.slowness,
             expectedMs: Math.round(expectedMs),
-            version: snapshot.inForce?.config.version,
         });
-        return state.occupy(job, candidate.newTokens);
+        usage.note(customerHash, cost, clock.nowMs());
+        fleet.announce({
+            upstreamHash: core.hash32(candidate.id),
+            newTokens,
+            sessionHash: job.prompt ? core.hash32(sessionOf(job)) : 0,
+            customerHash,
+            cost,
+        });
+        return table.stateOf(candidate.id).occupy(job, newTokens, expectedMs);
     }
 
     return {
         acquire(job, tried) {
-            const snapshot = options.catalog.read();
             const budget = budgetOf(job.pool);
             if (tried.size === 0) {
                 budget.earn();
             }
-            const all = table.usableOf(job.pool, snapshot, tried);
-            if (all.length === 0) {
+            const usable = table.usableOf(job.pool, options.catalog.read(), tried);
+            if (usable.length === 0) {
                 return err({ reason: "no-upstream", retryAfterMs: noUpstreamRetryMs });
             }
-            const choice = choose(job, preferred(all, clock.nowMs()), snapshot);
+            const choice = choose(job, preferred(usable, clock.nowMs()));
             if (!choice) {
                 return err({ reason: "overloaded", retryAfterMs: overloadRetryMs });
             }
-            if (tried.size > 0 && !budget.trySpend()) {
-                return err({ reason: "retry-budget", retryAfterMs: overloadRetryMs });
+            if (tried.size > 0) {
+                return budget.trySpend()
+                    ? ok(place(job, choice))
+                    : err({ reason: "retry-budget", retryAfterMs: overloadRetryMs });
             }
-            return ok(place(job, choice, snapshot));
+            if (job.prompt) {
+                const input = admissionOf(job, choice);
+                if (!admitsPrompt(input)) {
+                    return err(refuseOverload(job, choice, input));
+                }
+            }
+            return ok(place(job, choice));
+        },
+        dispose() {
+            removeListener();
+            table.dispose();
         },
-        dispose: () => table.dispose(),
     };
 }
 
@@ -127,8 +166,13 @@
     return prompt?.parts.at(-2)?.id ?? prompt?.parts.at(-1)?.id ?? requestId;
 }
 
-function newTokensOf({ prompt }: Job, state: UpstreamState): number {
-    return prompt ? Math.max(0, prompt.inputTokens - state.cache.keptTokens(prompt.parts)) : 0;
+function customerHashOf({ customer }: Job): number {
+    return customer === undefined ? 0 : core.hash32(customer);
+}
+
+/** Cost in tokens as the platform counts throughput: each token read once, each generated token twice. */
+function costOf(prompt: Prompt | undefined): number {
+    return prompt ? prompt.inputTokens + 2 * prompt.maxOutputTokens : 0;
 }
 
 /** Half of a pool at most is out because of its answers: more failing at once is no fault of single upstreams. */
--- a/packages/dispatch/src/FleetView.ts
+++ b/packages/dispatch/src/FleetView.ts
@@ -1,17 +1,28 @@
-import type * as core from "@peridotloft/core";
-
-/** Load of one upstream that other VMs caused. */
-export interface PeerLoad {
-    readonly running: number;
-    readonly unreadTokens: number;
+/** A request that a VM sent to an upstream, as other VMs hear of it. Ids are 32-bit hashes. */
+export interface Placement {
+    readonly upstreamHash: number;
+    /** Prompt tokens that the upstream has to read. */
+    readonly newTokens: number;
+    /** 0 for requests without a prompt. */
+    readonly sessionHash: number;
+    /** 0 on open routes. */
+    readonly customerHash: number;
+    /** Cost in tokens. */
+    readonly cost: number;
 }
 
-/** What a VM knows of the other VMs. Everything in it is a hint. */
+/** The other VMs as the dispatcher needs them. Everything heard is a hint. */
 export interface FleetView {
     /** VMs that are alive, this one included. */
     vmCount(): number;
-    loadOf(upstream: core.UpstreamId): PeerLoad;
+    announce(placement: Placement): void;
+    /** Calls `listener` for each placement of another VM that is heard; it stands for `weight` placements. */
+    registerListener(listener: (placement: Placement, weight: number) => void): () => void;
 }
 
 /** The view of a VM that hears of no other. */
-export const lonelyView: FleetView = { vmCount: () => 1, loadOf: () => ({ running: 0, unreadTokens: 0 }) };
+export const lonelyView: FleetView = {
+    vmCount: () => 1,
+    announce: () => undefined,
+    registerListener: () => () => undefined,
+};
--- a/packages/dispatch/src/Placement.ts
+++ b/packages/dispatch/src/Placement.ts
@@ -12,6 +12,8 @@
     readonly newTokens: number;
     /** Share of recent requests that failed, 0 to 1. */
     readonly failureShare: number;
+    /** Ratio of the time to the first event that was seen of late to the expected one; 1 is as expected. */
+    readonly slowness: number;
     /** Place in the order in which VMs agree without messages; 0 is the home of the request's session. */
     readonly homeRank: number;
 }
@@ -32,7 +34,7 @@
  * Weight of the time that an engine spends on tokens which are kept elsewhere. Reading them delays every other request
  * there, not only this one.
  */
-const rereadWeight = 2;
+const rereadWeight = 3;
 /** Time in ms by which each running request delays the step of an engine. */
 const runningMs = 0.1;
 /** Expected time in ms to the first event of a short prompt at an idle engine. */
@@ -57,8 +59,8 @@
 
 /** Expected time in ms from sending a request to its first event. */
 export function expectedFirstEventMs(candidate: Candidate, { readTokensPerMs }: EngineSpeed): number {
-    const { unreadTokens, newTokens, running } = candidate;
-    return baseFirstEventMs + (unreadTokens + newTokens) / readTokensPerMs + running * runningMs;
+    const { unreadTokens, newTokens, running, slowness } = candidate;
+    return (baseFirstEventMs + (unreadTokens + newTokens) / readTokensPerMs + running * runningMs) * slowness;
 }
 
 /** Chooses the plain service with the smallest part of its slots in use, as far as known; ties by chance. */
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -2,8 +2,9 @@
 import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
 import { type ColdLimiter, createColdLimiter } from "./ColdLimiter.js";
-import type { FleetView } from "./FleetView.js";
+import type { FleetView, Placement } from "./FleetView.js";
 import type { AttemptOutcome, Job, Lease } from "./Job.js";
+import { type Backlog, createBacklog, createFadingSum, type FadingSum } from "./LoadModel.js";
 import { createPrefixCache, type PrefixCache } from "./PrefixCache.js";
 import { createUpstreamHealth, type UpstreamHealth } from "./UpstreamHealth.js";
 
@@ -15,29 +16,33 @@
     readonly metrics: telemetry.Metrics;
 }
 
-/** What this VM knows of one upstream from its own requests. */
+/** What this VM knows of one upstream. */
 export interface UpstreamState {
     readonly upstream: catalog.KnownUpstream;
     readonly health: UpstreamHealth;
     readonly cache: PrefixCache;
-    /** Requests of this VM that run there. */
-    readonly running: number;
-    /** Prompt tokens of this VM's requests that wait for their first event there. */
-    readonly unreadTokens: number;
-    occupy(job: Job, newTokens: number): Lease;
+    /** Requests that run there, from all VMs as far as known. */
+    running(nowMs: number): number;
+    /** Prompt tokens that wait to be read there, from all VMs as far as known. */
+    unreadTokens(nowMs: number): number;
+    /** Ratio of the time to the first event that was seen of late to the expected one. */
+    slowness(nowMs: number): number;
+    notePeerPlacement(placement: Placement, weight: number): void;
+    occupy(job: Job, newTokens: number, expectedMs: number): Lease;
 }
 
 /** The state of each registered upstream. */
 export interface UpstreamTable {
     stateOf(id: core.UpstreamId): UpstreamState;
+    stateOfHash(idHash: number): UpstreamState | undefined;
     /** Upstreams of a pool that may be sent to now: not leaving, not evacuated, within the cold limit, not tried. */
     usableOf(
         pool: core.PoolId,
         snapshot: catalog.CatalogSnapshot,
         tried: ReadonlySet<core.UpstreamId>,
     ): readonly UpstreamState[];
-    /** Most upstreams that the pool had at once since the start of this process. */
-    largestPoolSize(pool: core.PoolId): number;
+    /** Prompt tokens that an engine of the pool reads per ms. */
+    readTokensPerMs(pool: core.PoolId): number;
     dispose(): void;
 }
 
@@ -45,74 +50,125 @@
 const coldRateShare = 0.8;
 /** VMs assumed where none were heard, so that a VM that starts alone cannot overload a cold upstream. */
 const assumedVms = 10;
+/**
+ * Ratio of the reading speed that is counted on to an engine's part of the stated throughput. Engines read about 1.7
+ * times as fast; the rest of their time is left to the tokens of running requests.
+ */
+const readSpeedRatio = 1.3;
+/** Reading speed in tokens/ms where the configuration states no throughput. */
+const defaultReadTokensPerMs = 40;
+/** Mean time in ms for which a request of another VM is taken to run. */
+const peerRunMs = 1_500;
+/** Weight of the newest request in the slowness of an upstream, and its bounds. */
+const slownessWeight = 0.15;
+const minSlowness = 0.7;
+const maxSlowness = 8;
+/** Time in ms after which the slowness of an upstream that got no request is forgotten by half. */
+const slownessHalfLifeMs = 1_500;
 
 export function createUpstreamTable(options: UpstreamTableOptions): UpstreamTable {
     const { clock, log, metrics, fleet } = options;
     const states = new Map<core.UpstreamId, MutableState>();
+    const byHash = new Map<number, MutableState>();
     const largest = new Map<core.PoolId, number>();
 
     function poolOf(id: core.PoolId): catalog.Pool | undefined {
         return options.catalog.read().inForce?.pools.get(id);
     }
 
+    function readTokensPerMs(pool: core.PoolId): number {
+        const tokensPerS = options.catalog.read().inForce?.config.limits.tokensPerS;
+        const count = largest.get(pool) ?? 0;
+        return tokensPerS === undefined || count === 0
+            ? defaultReadTokensPerMs
+            : (tokensPerS / 1_000 / count) * readSpeedRatio;
+    }
+
     const subscription = options.catalog.changes.subscribe(snapshot => {
-        [...states.keys()].filter(id => !snapshot.upstreams.has(id)).forEach(id => states.delete(id));
+        snapshot.upstreamsByPool.forEach((list, pool) =>
+            largest.set(pool, Math.max(largest.get(pool) ?? 0, list.length))
+        );
+        [...states.keys()].filter(id => !snapshot.upstreams.has(id)).forEach(id => {
+            states.delete(id);
+            byHash.delete(core.hash32(id));
+        });
         snapshot.upstreams.forEach(upstream => {
             const known = states.get(upstream.id);
             if (known && isSameRun(known.upstream, upstream)) {
                 known.upstream = upstream;
+                return;
             }
-            else {
-                // An upstream that starts again under its id holds nothing of its earlier run.
-                states.set(upstream.id, createState(upstream));
-            }
+            // An upstream that starts again under its id holds nothing of its earlier run.
+            const state = createState(upstream);
+            states.set(upstream.id, state);
+            byHash.set(core.hash32(upstream.id), state);
         });
-        snapshot.upstreamsByPool.forEach((list, pool) =>
-            largest.set(pool, Math.max(largest.get(pool) ?? 0, list.length))
-        );
     });
 
     function createState(upstream: catalog.KnownUpstream): MutableState {
         const cacheTokens = (): number =>
             (poolOf(upstream.pool)?.engine?.cacheTokens ?? 0) / Math.max(1, fleet.vmCount());
+        const slowness = createSlowness();
         const state: MutableState = {
             upstream,
-            running: 0,
-            unreadTokens: 0,
+            ownRunning: 0,
+            ownUnreadTokens: 0,
             cold: undefined,
+            backlog: createBacklog(() => readTokensPerMs(upstream.pool)),
+            peerRunning: createFadingSum(peerRunMs),
             cache: createPrefixCache(cacheTokens),
             health: createUpstreamHealth((forMs, failureShare) => {
                 metrics.count("ejections");
                 log.state("upstream-ejected", { upstream: upstream.id, forMs, failureShare });
             }),
-            occupy: (job, newTokens) => occupy(state, job, newTokens),
+            running: nowMs => state.ownRunning + state.peerRunning.value(nowMs),
+            // Requests that have waited longer than the model expects still wait.
+            unreadTokens: nowMs => Math.max(state.backlog.tokens(nowMs), state.ownUnreadTokens),
+            slowness: slowness.value,
+            noteFirstByte: slowness.note,
+            notePeerPlacement(placement, weight) {
+                const nowMs = clock.nowMs();
+                state.backlog.add(placement.newTokens * weight, nowMs);
+                state.peerRunning.add(weight, nowMs);
+                if (placement.sessionHash !== 0) {
+                    state.cache.touchSession(placement.sessionHash, nowMs);
+                }
+            },
+            occupy: (job, newTokens, expectedMs) => occupy(state, job, newTokens, expectedMs),
         };
         return state;
     }
 
-    function occupy(state: MutableState, job: Job, newTokens: number): Lease {
+    function occupy(state: MutableState, job: Job, newTokens: number, expectedMs: number): Lease {
+        const placedMs = clock.nowMs();
+        const placedAt = state.upstream;
         let unread = newTokens;
         let open = true;
-        const placedAt = state.upstream;
-        state.running++;
-        state.unreadTokens += unread;
-        state.health.notePlaced(clock.nowMs());
+        state.ownRunning++;
+        state.ownUnreadTokens += unread;
+        state.backlog.add(newTokens, placedMs);
+        state.health.notePlaced(placedMs);
         if (job.prompt) {
             state.cache.touch(job.prompt.parts);
         }
         const read = (): void => {
-            state.unreadTokens -= unread;
+            state.ownUnreadTokens -= unread;
             unread = 0;
         };
         return {
             upstream: placedAt,
             mayWrite: () => states.get(placedAt.id) === state && isOpenTo(state.upstream, options.catalog.read()),
-            noteFirstByte: read,
+            noteFirstByte() {
+                read();
+                if (job.prompt) {
+                    state.noteFirstByte(clock.nowMs() - placedMs, expectedMs, clock.nowMs());
+                }
+            },
             end(outcome: AttemptOutcome) {
                 core.invariant(open, "a lease ends once");
                 open = false;
                 read();
-                state.running--;
+                state.ownRunning--;
                 state.health.note(outcome, clock.nowMs());
                 metrics.count("attempts", { outcome });
             },
@@ -140,6 +196,7 @@
             core.invariant(state, "the upstream was chosen from the table");
             return state;
         },
+        stateOfHash: idHash => byHash.get(idHash),
         usableOf(pool, snapshot, tried) {
             const open = (snapshot.upstreamsByPool.get(pool) ?? [])
                 .filter(upstream => isOpenTo(upstream, snapshot) && !tried.has(upstream.id))
@@ -149,16 +206,36 @@
             // Cold upstreams bear little; they are used only where no other is left.
             return warm.length > 0 ? warm : open.filter(isWithinColdLimit);
         },
-        largestPoolSize: pool => largest.get(pool) ?? 0,
+        readTokensPerMs,
         dispose: () => subscription.unsubscribe(),
     };
 }
 
 interface MutableState extends UpstreamState {
     upstream: catalog.KnownUpstream;
-    running: number;
-    unreadTokens: number;
+    ownRunning: number;
+    ownUnreadTokens: number;
     cold: ColdLimiter | undefined;
+    readonly backlog: Backlog;
+    readonly peerRunning: FadingSum;
+    noteFirstByte(tookMs: number, expectedMs: number, nowMs: number): void;
+}
+
+function createSlowness() {
+    let ratio = 1;
+    let lastMs = Number.NEGATIVE_INFINITY;
+    const valueAt = (nowMs: number): number =>
+        Number.isFinite(lastMs) ? 1 + (ratio - 1) * 0.5 ** ((nowMs - lastMs) / slownessHalfLifeMs) : 1;
+    return {
+        note(tookMs: number, expectedMs: number, nowMs: number): void {
+            const seen = Math.min(maxSlowness, Math.max(minSlowness, tookMs / Math.max(1, expectedMs)));
+            const before = valueAt(nowMs);
+            // The expectation was made with the slowness of its time, so what is seen is a correction of it.
+            ratio = Math.min(maxSlowness, Math.max(minSlowness, before * (1 + slownessWeight * (seen - 1))));
+            lastMs = nowMs;
+        },
+        value: valueAt,
+    };
 }
 
 function isSameRun(left: catalog.KnownUpstream, right: catalog.KnownUpstream): boolean {
--- /dev/null
+++ b/packages/fleet/src/Announcement.ts
@@ -0,0 +1,76 @@
+import * as protobuf from "@bufbuild/protobuf";
+import { AnnouncementSchema } from "./gen/announcement_pb.js";
+
+/** A request that a VM sent to an upstream, as other VMs hear of it. Ids are 32-bit hashes. */
+export interface Placement {
+    readonly upstreamHash: number;
+    /** Prompt tokens that the upstream has to read. */
+    readonly newTokens: number;
+    /** 0 for requests without a prompt. */
+    readonly sessionHash: number;
+    /** 0 on open routes. */
+    readonly customerHash: number;
+    /** Cost in tokens. */
+    readonly cost: number;
+}
+
+/** What one VM tells others at once. */
+export interface Announcement {
+    readonly incarnation: bigint;
+    /** Share of the VMs known to the sender that hear this announcement, above 0 and at most 1. */
+    readonly sampling: number;
+    readonly placements: readonly Placement[];
+    /** IPv4 addresses of other VMs. */
+    readonly members: readonly string[];
+}
+
+export function encodeAnnouncement(announcement: Announcement): Uint8Array {
+    const { incarnation, sampling, placements, members } = announcement;
+    const message = protobuf.create(AnnouncementSchema, {
+        incarnation,
+        sampling,
+        upstreams: placements.map(({ upstreamHash }) => upstreamHash),
+        newTokens: placements.map(({ newTokens }) => Math.round(newTokens)),
+        sessions: placements.map(({ sessionHash }) => sessionHash),
+        customers: placements.map(({ customerHash }) => customerHash),
+        costs: placements.map(({ cost }) => Math.round(cost)),
+        members: members.map(packAddress),
+    });
+    return protobuf.toBinary(AnnouncementSchema, message);
+}
+
+/** Reads a datagram; undefined if it is no announcement. */
+export function decodeAnnouncement(bytes: Uint8Array): Announcement | undefined {
+    try {
+        const message = protobuf.fromBinary(AnnouncementSchema, bytes);
+        const { upstreams, newTokens, sessions, customers, costs, sampling } = message;
+        const isEven = [newTokens, sessions, customers, costs].every(({ length }) => length === upstreams.length);
+        if (!isEven || !(sampling > 0 && sampling <= 1)) {
+            return undefined;
+        }
+        return {
+            incarnation: message.incarnation,
+            sampling,
+            placements: upstreams.map((upstreamHash, index) => ({
+                upstreamHash,
+                newTokens: newTokens[index] ?? 0,
+                sessionHash: sessions[index] ?? 0,
+                customerHash: customers[index] ?? 0,
+                cost: costs[index] ?? 0,
+            })),
+            members: message.members.map(unpackAddress),
+        };
+    }
+    catch {
+        // Anyone may send bytes to the port; the receiver counts what it cannot read.
+        return undefined;
+    }
+}
+
+function packAddress(address: string): number {
+    return address.split(".").reduce((packed, part) => ((packed << 8) | Number(part)) >>> 0, 0);
+}
+
+function unpackAddress(packed: number): string {
+    return [24, 16, 8, 0].map(shift => (packed >>> shift) & 0xff).join(".");
+}
--- /dev/null
+++ b/packages/fleet/src/FleetNode.ts
@@ -0,0 +1,170 @@
+import * as core from "@peridotloft/core";
+import type * as telemetry from "@peridotloft/telemetry";
+import { type Announcement, decodeAnnouncement, encodeAnnouncement, type Placement } from "./Announcement.js";
+import type { DatagramSocket } from "./DatagramSocket.js";
+
+export interface FleetNodeOptions {
+    /** IPv4 address of this VM. */
+    readonly address: string;
+    /** IPv4 addresses of some VMs to begin with; they may be stale or down. */
+    readonly seeds: readonly string[];
+    readonly incarnation: bigint;
+    readonly socket: DatagramSocket;
+    readonly clock: core.Clock;
+    readonly random: core.Random;
+    readonly log: telemetry.EventLog;
+    readonly metrics: telemetry.Metrics;
+    /** Bytes per second, with datagram headers, that announcements may take. */
+    readonly budgetBytesPerS?: number;
+}
+
+/** A placement of another VM. It stands for `weight` placements, since not every VM hears of each. */
+export type PlacementListener = (placement: Placement, weight: number) => void;
+
+/** This VM among the others: who is alive, and what everyone places where. Everything heard is a hint. */
+export interface FleetNode {
+    /** VMs heard of late, this one included. */
+    vmCount(): number;
+    /** Tells other VMs of a placement, at most 100 ms later. */
+    announce(placement: Placement): void;
+    /** Returns a function that removes the listener. */
+    registerListener(listener: PlacementListener): () => void;
+    start(): void;
+    dispose(): void;
+}
+
+/** The letter's bound on control traffic per VM. */
+const defaultBudgetBytesPerS = 5_000;
+/** Period in ms in which placements are collected. Load that is older than this misleads placement. */
+const periodMs = 100;
+/** Time in ms after which a VM with nothing to tell shows that it is alive. */
+const heartbeatMs = 500;
+/** Time in ms after which a silent VM counts as gone. Covers six lost heartbeats in a small fleet. */
+const aliveMs = 3_000;
+/** Time in ms after which a silent VM is forgotten and no longer written to. */
+const forgetMs = 30_000;
+/** Bytes of Ethernet, IP and UDP headers of a datagram. */
+const datagramOverheadBytes = 42;
+/** Placements in one datagram; more would not fit into one frame. */
+const maxPlacements = 60;
+/** Addresses of other VMs in each announcement. */
+const membersPerAnnouncement = 3;
+
+interface Peer {
+    lastHeardMs: number;
+    incarnation: bigint;
+}
+
+export function createFleetNode(options: FleetNodeOptions): FleetNode {
+    const { clock, random, socket, log, metrics } = options;
+    const budgetBytesPerS = options.budgetBytesPerS ?? defaultBudgetBytesPerS;
+    const peers = new Map<string, Peer>();
+    const listeners = new Set<PlacementListener>();
+    let pending: Placement[] = [];
+    let allowanceBytes = budgetBytesPerS;
+    let lastTickMs = clock.nowMs();
+    let lastSentMs = Number.NEGATIVE_INFINITY;
+    let stop: (() => void) | undefined;
+
+    const isAlive = ({ lastHeardMs }: Peer): boolean => clock.nowMs() - lastHeardMs <= aliveMs;
+
+    function meet(address: string): void {
+        if (address !== options.address && !peers.has(address)) {
+            peers.set(address, { lastHeardMs: Number.NEGATIVE_INFINITY, incarnation: 0n });
+        }
+    }
+
+    function receive(bytes: Uint8Array, from: string): void {
+        const announcement = decodeAnnouncement(bytes);
+        if (!announcement) {
+            metrics.count("peerMessages", { direction: "malformed" });
+            return;
+        }
+        metrics.count("peerMessages", { direction: "received" });
+        meet(from);
+        announcement.members.forEach(meet);
+        noteHeard(from, announcement);
+        announcement.placements.forEach(placement =>
+            listeners.forEach(listener => listener(placement, 1 / announcement.sampling))
+        );
+    }
+
+    function noteHeard(from: string, { incarnation }: Announcement): void {
+        const peer = peers.get(from);
+        if (!peer) {
+            return;
+        }
+        if (!isAlive(peer) || peer.incarnation !== incarnation) {
+            log.state("peer-heard", { peer: from, incarnation: String(incarnation), vmCount: vmCount() });
+        }
+        peer.lastHeardMs = clock.nowMs();
+        peer.incarnation = incarnation;
+    }
+
+    function vmCount(): number {
+        return 1 + [...peers.values()].filter(isAlive).length;
+    }
+
+    function tick(): void {
+        const nowMs = clock.nowMs();
+        allowanceBytes = Math.min(
+            budgetBytesPerS,
+            allowanceBytes + (budgetBytesPerS * (nowMs - lastTickMs)) / 1_000,
+        );
+        lastTickMs = nowMs;
+        options.seeds.forEach(meet);
+        [...peers]
+            .filter(([, { lastHeardMs }]) => Number.isFinite(lastHeardMs) && nowMs - lastHeardMs > forgetMs)
+            .forEach(([address]) => {
+                peers.delete(address);
+                log.state("peer-forgotten", { peer: address, silentMs: forgetMs });
+            });
+        if (pending.length > 0 || nowMs - lastSentMs >= heartbeatMs) {
+            send();
+        }
+    }
+
+    function send(): void {
+        const known = [...peers.keys()];
+        if (known.length === 0) {
+            pending = [];
+            return;
+        }
+        const placements = pending.splice(0, maxPlacements);
+        const members = core.shuffle(known.filter(address => isAlive(peers.get(address) as Peer)), random)
+            .slice(0, membersPerAnnouncement);
+        const encode = (sampling: number): Uint8Array =>
+            encodeAnnouncement({ incarnation: options.incarnation, sampling, placements, members });
+        const sizeBytes = encode(1).length + datagramOverheadBytes;
+        const count = Math.min(known.length, Math.floor(allowanceBytes / sizeBytes));
+        if (count === 0) {
+            // Kept for the next period, within one datagram: older placements say little of the present load.
+            pending = [...placements, ...pending].slice(-maxPlacements);
+            return;
+        }
+        const bytes = encode(count / known.length);
+        core.shuffle(known, random).slice(0, count).forEach(address => socket.send(bytes, address));
+        metrics.count("peerMessages", { direction: "sent" }, count);
+        allowanceBytes -= count * sizeBytes;
+        lastSentMs = clock.nowMs();
+    }
+
+    return {
+        vmCount,
+        announce(placement) {
+            pending.push(placement);
+        },
+        registerListener(listener) {
+            listeners.add(listener);
+            return () => void listeners.delete(listener);
+        },
+        start() {
+            socket.onMessage(receive);
+            stop = core.setRepeatingTimer(clock, periodMs, tick);
+        },
+        dispose() {
+            stop?.();
+            socket.close();
+        },
+    };
+}
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,3 @@
+export type { Placement } from "./Announcement.js";
+export * from "./DatagramSocket.js";
+export * from "./FleetNode.js";
--- a/packages/gateway/src/AnswerRelay.ts
+++ b/packages/gateway/src/AnswerRelay.ts
@@ -8,15 +8,22 @@
 
 /** Reads a whole answer. A body that ends with its connection counts as complete unless the connection was reset. */
 export function relayWhole(message: http.IncomingMessage): Promise<Result<Buffer, "broken">> {
+    const isWhole = completenessOf(message);
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
         message.on("data", (chunk: Buffer) => chunks.push(chunk));
-        message.once("end", () => resolve(message.complete ? ok(Buffer.concat(chunks)) : err("broken")));
+        message.once("end", () => resolve(isWhole() ? ok(Buffer.concat(chunks)) : err("broken")));
         message.once("error", () => resolve(err("broken")));
         message.once("close", () => resolve(err("broken")));
     });
 }
 
+/** Node.js reports a body without a length as complete also when its connection was reset. */
+function completenessOf(message: http.IncomingMessage): () => boolean {
+    const { socket } = message;
+    return () => message.complete && !socket.errored;
+}
+
 export interface StreamTarget {
     readonly answer: CallerAnswer;
     /** Sends the head of the answer; called once, before the first event. */
@@ -31,6 +38,7 @@
     target: StreamTarget,
 ): Promise<RelayEnd> {
     const { answer } = target;
+    const isWhole = completenessOf(message);
     let first = true;
     return new Promise(resolve => {
         message.on("data", (chunk: Buffer) => {
@@ -50,7 +58,7 @@
             }
         });
         message.once("end", () => {
-            if (!message.complete || splitter.rest().length > 0) {
+            if (!isWhole() || splitter.rest().length > 0) {
                 resolve("broken");
                 return;
             }
