dispatch: keep sessions where their prefix is kept; admit by the wait

Change: reading again what another engine keeps weighs by load; a wait in the safe part of the objective weighs little; admission bounds the wait, not the time to the first event.

--- a/packages/dispatch/__tests__/unit/Placement.test.ts
+++ b/packages/dispatch/__tests__/unit/Placement.test.ts
@@ -11,6 +11,7 @@
     slots: 8,
     unreadTokens: 0,
     newTokens: 1_000,
+    rereadTokens: 0,
     failureShare: 0,
     slowness: 1,
     homeRank: 1,
@@ -23,30 +24,39 @@
     describe("of prompts", () => {
         it("keeps a session at the engine that holds its prefix while that is only a little busier", () => {
             const home = candidate("home", { newTokens: 500, unreadTokens: 4_000 });
-            const other = candidate("other", { newTokens: 6_000 });
-            assert.equal(chooseEngine([home, other], speed)?.candidate.id, "home");
+            const other = candidate("other", { newTokens: 6_000, rereadTokens: 5_500 });
+            assert.equal(chooseEngine([home, other], speed, 500)?.candidate.id, "home");
         });
 
         it("leaves an engine whose backlog costs more than reading the prefix again", () => {
             const home = candidate("home", { newTokens: 500, unreadTokens: 40_000 });
-            const other = candidate("other", { newTokens: 6_000 });
-            assert.equal(chooseEngine([home, other], speed)?.candidate.id, "other");
+            const other = candidate("other", { newTokens: 6_000, rereadTokens: 5_500 });
+            assert.equal(chooseEngine([home, other], speed, 500)?.candidate.id, "other");
         });
 
         it("sends the first request of a session to its home", () => {
             const home = candidate("home", { homeRank: 0, unreadTokens: 1_000 });
-            assert.equal(chooseEngine([candidate("other"), home], speed)?.candidate.id, "home");
+            assert.equal(chooseEngine([candidate("other", { rereadTokens: 500 }), home], speed, 500)?.candidate.id, "home");
+        });
+
+        it("moves a session sooner while engines are idle than under load", () => {
+            const home = candidate("home", { newTokens: 500, unreadTokens: 18_000 });
+            const others = (unreadTokens: number) =>
+                Array.from({ length: 6 }, (_, index) =>
+                    candidate(`other-${index}`, { newTokens: 6_000, rereadTokens: 5_500, unreadTokens }));
+            assert.notEqual(chooseEngine([home, ...others(0)], speed, 500)?.candidate.id, "home");
+            assert.equal(chooseEngine([home, ...others(12_000)], speed, 500)?.candidate.id, "home");
         });
 
         it("passes over an engine without a free slot", () => {
             const full = candidate("full", { homeRank: 0, running: 8, newTokens: 0 });
-            assert.equal(chooseEngine([full, candidate("other")], speed)?.candidate.id, "other");
-            assert.equal(chooseEngine([full], speed), undefined);
+            assert.equal(chooseEngine([full, candidate("other")], speed, 500)?.candidate.id, "other");
+            assert.equal(chooseEngine([full], speed, 500), undefined);
         });
 
         it("prefers an engine that answers over one that fails part of its requests", () => {
             const failing = candidate("failing", { homeRank: 0, newTokens: 0, failureShare: 0.4 });
-            assert.equal(chooseEngine([failing, candidate("sound")], speed)?.candidate.id, "sound");
+            assert.equal(chooseEngine([failing, candidate("sound")], speed, 500)?.candidate.id, "sound");
         });
     });
 
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -55,7 +55,7 @@
     function choose(job: Job, usable: readonly UpstreamState[]): Choice | undefined {
         const candidates = candidatesOf(job, usable);
         return job.prompt
-            ? chooseEngine(candidates, { readTokensPerMs: table.readTokensPerMs(job.pool) })
+            ? chooseEngine(candidates, { readTokensPerMs: table.readTokensPerMs(job.pool) }, job.route.objectiveMs)
             : chooseService(candidates, random);
     }
 
@@ -65,23 +65,27 @@
         const session = sessionOf(job);
         const sessionHash = core.hash32(session);
         const ranked = prompt ? rankByRendezvous(session, usable, state => state.upstream.id) : usable;
-        return ranked.map((state, homeRank) => ({
-            id: state.upstream.id,
-            running: state.running(nowMs),
-            slots: state.upstream.slots,
-            unreadTokens: state.unreadTokens(nowMs),
-            newTokens: prompt
-                ? Math.max(0, prompt.inputTokens - state.cache.keptTokens(prompt.parts, sessionHash, nowMs))
-                : 0,
-            failureShare: state.health.failureShare(),
-            slowness: state.slowness(nowMs),
-            homeRank,
-        }));
+        const sharedTokens = prompt ? sharedTokensOf(prompt) : 0;
+        return ranked.map((state, homeRank) => {
+            const keptTokens = prompt ? state.cache.keptTokens(prompt.parts, sessionHash, nowMs) : 0;
+            return {
+                id: state.upstream.id,
+                running: state.running(nowMs),
+                slots: state.upstream.slots,
+                unreadTokens: state.unreadTokens(nowMs),
+                newTokens: prompt ? Math.max(0, prompt.inputTokens - keptTokens) : 0,
+                // The home reads a session that is new to it sooner or later, so that is no loss there.
+                rereadTokens: homeRank === 0 ? 0 : Math.max(0, sharedTokens - keptTokens),
+                failureShare: state.health.failureShare(),
+                slowness: state.slowness(nowMs),
+                homeRank,
+            };
+        });
     }
 
-    function admissionOf(job: Job, { expectedMs }: Choice): EngineAdmissionInput {
+    function admissionOf(job: Job, choice: Choice): EngineAdmissionInput {
         return {
-            expectedMs,
+            waitMs: waitOf(choice.candidate, table.readTokensPerMs(job.pool)),
             elapsedMs: clock.nowMs() - job.arrivedMs,
             objectiveMs: job.route.objectiveMs,
             relativeUsage: usage.relative(customerHashOf(job), clock.nowMs()),
@@ -93,7 +97,8 @@
         log.failure("admission-refused", {
             requestId: job.requestId,
             upstream: choice.candidate.id,
-            expectedMs: Math.round(input.expectedMs),
+            waitMs: Math.round(input.waitMs),
+            expectedMs: Math.round(choice.expectedMs),
             objectiveMs: input.objectiveMs,
             relativeUsage: input.relativeUsage,
             unreadTokens: Math.round(choice.candidate.unreadTokens),
@@ -166,6 +171,15 @@
     return prompt?.parts.at(-2)?.id ?? prompt?.parts.at(-1)?.id ?? requestId;
 }
 
+function sharedTokensOf({ parts }: Prompt): number {
+    return parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
+}
+
+/** Expected time in ms that a prompt waits at an engine before it is read. */
+function waitOf({ unreadTokens, slowness }: Candidate, readTokensPerMs: number): number {
+    return (unreadTokens / readTokensPerMs) * slowness;
+}
+
 function customerHashOf({ customer }: Job): number {
     return customer === undefined ? 0 : core.hash32(customer);
 }
--- a/packages/dispatch/src/Placement.ts
+++ b/packages/dispatch/src/Placement.ts
@@ -10,6 +10,8 @@
     readonly unreadTokens: number;
     /** Tokens of this request's prompt that the engine must read. */
     readonly newTokens: number;
+    /** Tokens of this request's prompt that the engine must read although another one probably keeps them. */
+    readonly rereadTokens: number;
     /** Share of recent requests that failed, 0 to 1. */
     readonly failureShare: number;
     /** Ratio of the time to the first event that was seen of late to the expected one; 1 is as expected. */
@@ -30,33 +32,58 @@
     readonly expectedMs: number;
 }
 
-/**
- * Weight of the time that an engine spends on tokens which are kept elsewhere. Reading them delays every other request
- * there, not only this one.
- */
-const rereadWeight = 3;
-/** Time in ms by which each running request delays the step of an engine. */
-const runningMs = 0.1;
 /** Expected time in ms to the first event of a short prompt at an idle engine. */
 const baseFirstEventMs = 80;
-/** Handicap in ms of an upstream that is not the home of a session which this VM has not seen yet. */
-const awayMs = 60;
+/** Time in ms by which each running request delays the step of an engine. */
+const runningMs = 0.1;
+/** Part of the objective up to which a longer wait harms little. */
+const safeObjectiveShare = 0.6;
+/** Harm in ms of each expected ms, below and above the safe part of the objective. */
+const safeWaitWeight = 0.25;
+const riskyWaitWeight = 2;
+/** Harm in ms of each ms that an engine spends on tokens which another one keeps: without load, and added by load. */
+const rereadWeight = 1.5;
+const rereadLoadWeight = 4;
+/** Mean wait in ms at which engines count as fully loaded. */
+const fullLoadWaitMs = 150;
+/** Handicap in ms of an upstream that is not the home of the session, so that VMs agree where nothing else decides. */
+const awayMs = 5;
 /** Handicap in ms at a failure share of 1: about a second attempt. */
 const failureMs = 1_000;
 
-/** Chooses the engine with the least expected harm. Answers sessions that are spread unevenly over engines. */
-export function chooseEngine(candidates: readonly Candidate[], speed: EngineSpeed): Choice | undefined {
+/**
+ * Chooses the engine with the least expected harm. Answers sessions that are spread unevenly over engines: reading a
+ * session's prefix again takes time from every other request, the more so under load, so a request leaves the engine
+ * that keeps its prefix only if it would be late there or engines are idle.
+ */
+export function chooseEngine(
+    candidates: readonly Candidate[],
+    speed: EngineSpeed,
+    objectiveMs: number,
+): Choice | undefined {
     const free = candidates.filter(({ running, slots }) => running < slots);
-    const leastNewTokens = Math.min(...free.map(({ newTokens }) => newTokens));
+    const load = loadOf(candidates, speed);
     const harmOf = (candidate: Candidate): number =>
-        expectedFirstEventMs(candidate, speed)
-        + ((candidate.newTokens - leastNewTokens) / speed.readTokensPerMs) * (rereadWeight - 1)
+        waitHarm(expectedFirstEventMs(candidate, speed), objectiveMs)
+        + (candidate.rereadTokens / speed.readTokensPerMs) * (rereadWeight + rereadLoadWeight * load)
         + (candidate.homeRank === 0 ? 0 : awayMs)
         + candidate.failureShare * failureMs;
     const best = leastBy(free, harmOf);
     return best && { candidate: best, expectedMs: expectedFirstEventMs(best, speed) };
 }
 
+function waitHarm(expectedMs: number, objectiveMs: number): number {
+    const safeMs = objectiveMs * safeObjectiveShare;
+    return Math.min(expectedMs, safeMs) * safeWaitWeight + Math.max(0, expectedMs - safeMs) * riskyWaitWeight;
+}
+
+/** Load of a pool of engines, 0 to 1. */
+function loadOf(candidates: readonly Candidate[], { readTokensPerMs }: EngineSpeed): number {
+    const waitMs = candidates.reduce((sum, { unreadTokens }) => sum + unreadTokens, 0)
+        / readTokensPerMs / Math.max(1, candidates.length);
+    return Math.min(1, waitMs / fullLoadWaitMs);
+}
+
 /** Expected time in ms from sending a request to its first event. */
 export function expectedFirstEventMs(candidate: Candidate, { readTokensPerMs }: EngineSpeed): number {
     const { unreadTokens, newTokens, running, slowness } = candidate;
