--- a/packages/bench/src/benchFleet.ts
+++ b/packages/bench/src/benchFleet.ts
@@ -1,7 +1,7 @@
 import * as core from "@peridotloft/core";
 import type * as documents from "@peridotloft/document";
-import * as membership from "@peridotloft/membership";
 import * as feeds from "@peridotloft/document-feed";
+import * as membership from "@peridotloft/membership";
 import * as testing from "@peridotloft/testing";
 
 export interface BenchFleetOptions {
--- a/packages/dispatch/__tests__/unit/Placement.test.ts
+++ b/packages/dispatch/__tests__/unit/Placement.test.ts
@@ -36,14 +36,19 @@
 
         it("sends the first request of a session to its home", () => {
             const home = candidate("home", { homeRank: 0, unreadTokens: 1_000 });
-            assert.equal(chooseEngine([candidate("other", { rereadTokens: 500 }), home], speed, 500)?.candidate.id, "home");
+            assert.equal(
+                chooseEngine([candidate("other", { rereadTokens: 500 }), home], speed, 500)?.candidate.id,
+                "home",
+            );
         });
 
         it("moves a session sooner while engines are idle than under load", () => {
             const home = candidate("home", { newTokens: 500, unreadTokens: 18_000 });
             const others = (unreadTokens: number) =>
-                Array.from({ length: 6 }, (_, index) =>
-                    candidate(`other-${index}`, { newTokens: 6_000, rereadTokens: 5_500, unreadTokens }));
+                Array.from(
+                    { length: 6 },
+                    (_, index) => candidate(`other-${index}`, { newTokens: 6_000, rereadTokens: 5_500, unreadTokens }),
+                );
             assert.notEqual(chooseEngine([home, ...others(0)], speed, 500)?.candidate.id, "home");
             assert.equal(chooseEngine([home, ...others(12_000)], speed, 500)?.candidate.id, "home");
         });
@@ -68,8 +73,10 @@
 
         it("spreads requests over services that are equally loaded", () => {
             const random = testing.createSeededRandom(2);
-            const chosen = Array.from({ length: 60 }, () =>
-                chooseService([candidate("a"), candidate("b"), candidate("c")], random)?.candidate.id);
+            const chosen = Array.from(
+                { length: 60 },
+                () => chooseService([candidate("a"), candidate("b"), candidate("c")], random)?.candidate.id,
+            );
             ["a", "b", "c"].forEach(id => {
                 const count = chosen.filter(other => other === id).length;
                 assert.ok(count >= 10, `${id} got ${count} of 60`);
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -3,7 +3,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type * as http from "node:http";
 import { type AllowedRequest, allowRequest, choosePool } from "./Admission.js";
-import { relayStream, relayWhole, type RelayEnd } from "./AnswerRelay.js";
+import { type RelayEnd, relayStream, relayWhole } from "./AnswerRelay.js";
 import { createCallerAnswer } from "./CallerAnswer.js";
 import { createEventSplitter, type EventSplitter } from "./EventSplitter.js";
 import type { Freshness } from "./Freshness.js";
@@ -213,7 +213,10 @@
         return customer?.id === job.customer && freshness.acceptsKeysNow();
     }
 
-    function checkAnswer(job: dispatch.Job, message: http.IncomingMessage): Result<http.IncomingMessage, AttemptFailure> {
+    function checkAnswer(
+        job: dispatch.Job,
+        message: http.IncomingMessage,
+    ): Result<http.IncomingMessage, AttemptFailure> {
         const answerHead = codec.readAnswer(message.statusCode ?? 0, message.rawHeaders);
         const fail = (
             verdict: core.Verdict,
--- a/packages/gateway/src/UpstreamConnections.ts
+++ b/packages/gateway/src/UpstreamConnections.ts
@@ -26,7 +26,9 @@
 /** Delay in ms of TCP keep-alive probes on open connections. */
 const keepAliveDelayMs = 1_000;
 
-export function createUpstreamConnections(catalogCell: core.SnapshotCell<catalog.CatalogSnapshot>): UpstreamConnections {
+export function createUpstreamConnections(
+    catalogCell: core.SnapshotCell<catalog.CatalogSnapshot>,
+): UpstreamConnections {
     const agents = new Map<string, http.Agent>();
     const keyOf = ({ id, host, port }: catalog.Upstream): string => `${id}/${host}:${port}`;
     const subscription = catalogCell.changes.subscribe(({ upstreams }) => {
--- a/packages/router/src/ConfigurationWatch.ts
+++ b/packages/router/src/ConfigurationWatch.ts
@@ -1,7 +1,7 @@
 import * as core from "@peridotloft/core";
 import type * as documents from "@peridotloft/document";
-import * as keys from "@peridotloft/keys";
 import type * as feeds from "@peridotloft/document-feed";
+import * as keys from "@peridotloft/keys";
 import type { AuditTrail } from "./AuditTrail.js";
 import type { InFlightRequests } from "./InFlightRequests.js";
 import { metricNames } from "./Metrics.js";
--- a/packages/router/src/RouterAssembly.ts
+++ b/packages/router/src/RouterAssembly.ts
@@ -1,9 +1,9 @@
 import * as core from "@peridotloft/core";
 import type * as documents from "@peridotloft/document";
+import * as feeds from "@peridotloft/document-feed";
 import type * as idempotency from "@peridotloft/idempotency";
 import * as memberships from "@peridotloft/membership";
 import * as peering from "@peridotloft/peering";
-import * as feeds from "@peridotloft/document-feed";
 import { deferSlices } from "./DeferredSlices.js";
 import { createDocumentSlices, type DocumentSlices } from "./DocumentSlices.js";
 import type { Logger } from "./Logging.js";
--- a/packages/router/src/RouterContext.ts
+++ b/packages/router/src/RouterContext.ts
@@ -1,8 +1,8 @@
 import type * as core from "@peridotloft/core";
+import type * as feeds from "@peridotloft/document-feed";
 import type * as idempotency from "@peridotloft/idempotency";
 import type * as keys from "@peridotloft/keys";
 import type * as limits from "@peridotloft/limits";
-import type * as feeds from "@peridotloft/document-feed";
 import type * as scheduling from "@peridotloft/scheduling";
 import type { InFlightRequests } from "./InFlightRequests.js";
 import type { Logger } from "./Logging.js";
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -37,8 +37,11 @@
 
 export function createMetrics(): Metrics {
     const registry = new prom.Registry();
-    const counterOf = mapValues(counters, ([name, help, labelNames]) =>
-        new prom.Counter({ name: prefix + name, help, labelNames: [...labelNames], registers: [registry] }));
+    const counterOf = mapValues(
+        counters,
+        ([name, help, labelNames]) =>
+            new prom.Counter({ name: prefix + name, help, labelNames: [...labelNames], registers: [registry] }),
+    );
     const histogramOf = mapValues(histograms, ([name, help, labelNames]) =>
         new prom.Histogram({
             name: prefix + name,
--- a/packages/testing/src/RecordingTelemetry.ts
+++ b/packages/testing/src/RecordingTelemetry.ts
@@ -7,7 +7,8 @@
 /** A log that keeps its lines, for tests. */
 export function createRecordingLog() {
     const lines: RecordedLine[] = [];
-    const record = (event: string, fields: Readonly<Record<string, unknown>>): void => void lines.push({ event, fields });
+    const record = (event: string, fields: Readonly<Record<string, unknown>>): void =>
+        void lines.push({ event, fields });
     return {
         lines,
         state: record,
