--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -89,6 +89,7 @@
             elapsedMs: clock.nowMs() - job.arrivedMs,
             objectiveMs: job.route.objectiveMs,
             relativeUsage: usage.relative(customerHashOf(job), clock.nowMs()),
+            load: choice.load,
         };
     }
 
@@ -101,6 +102,7 @@
             expectedMs: Math.round(choice.expectedMs),
             objectiveMs: input.objectiveMs,
             relativeUsage: input.relativeUsage,
+            load: input.load,
             unreadTokens: Math.round(choice.candidate.unreadTokens),
             slowness: choice.candidate.slowness,
         });
--- a/packages/dispatch/src/EngineAdmission.ts
+++ b/packages/dispatch/src/EngineAdmission.ts
@@ -8,11 +8,13 @@
     readonly objectiveMs: number;
     /** Usage of the customer as a part of that of the largest one, 0 to 1. */
     readonly relativeUsage: number;
+    /** Load of all engines of the pool, 0 to 1. */
+    readonly load: number;
 }
 
 /** Part of the objective that may pass in waiting. The rest is for reading the prompt and for what is not known. */
-const waitShare = 0.5;
-/** Part of the allowed wait that the customer with the largest usage loses, so that it is the first to be refused. */
+const waitShare = 0.6;
+/** Part of the allowed wait that the largest user loses when all engines are loaded: it is the first to be refused. */
 const largestUserCut = 0.6;
 /** Wait in ms that no prompt is refused for: a prompt or two are being read. */
 const freeWaitMs = 60;
@@ -23,15 +25,16 @@
  *
  * The bound is on the wait and not on the time to the first event, so long prompts are served as often as short ones.
  * Each customer has its own bound. That of the customer with the largest usage is the lowest, so under load the largest
- * users are refused until their usage is equal, and the others are served.
+ * users are refused until their usage is equal, and the others are served. While other engines are idle, nobody's use
+ * is at another's cost.
  */
 export function admitsPrompt(input: EngineAdmissionInput): boolean {
     return input.waitMs <= boundOf(input);
 }
 
-function boundOf({ elapsedMs, objectiveMs, relativeUsage }: EngineAdmissionInput): number {
+function boundOf({ elapsedMs, objectiveMs, relativeUsage, load }: EngineAdmissionInput): number {
     const allowedMs = Math.max(0, objectiveMs * waitShare - elapsedMs - freeWaitMs);
-    return freeWaitMs + allowedMs * (1 - largestUserCut * relativeUsage);
+    return freeWaitMs + allowedMs * (1 - largestUserCut * relativeUsage * load);
 }
 
 /** Bounds in ms of the time after which a refused caller may come back. */
--- a/packages/dispatch/src/Placement.ts
+++ b/packages/dispatch/src/Placement.ts
@@ -30,6 +30,8 @@
     readonly candidate: Candidate;
     /** Expected time in ms to the first event. */
     readonly expectedMs: number;
+    /** Load of the pool's engines, 0 to 1. */
+    readonly load: number;
 }
 
 /** Expected time in ms to the first event of a short prompt at an idle engine. */
@@ -69,7 +71,7 @@
         + (candidate.homeRank === 0 ? 0 : awayMs)
         + candidate.failureShare * failureMs;
     const best = leastBy(free, harmOf);
-    return best && { candidate: best, expectedMs: expectedFirstEventMs(best, speed) };
+    return best && { candidate: best, expectedMs: expectedFirstEventMs(best, speed), load };
 }
 
 function waitHarm(expectedMs: number, objectiveMs: number): number {
@@ -96,7 +98,7 @@
         candidates,
         ({ running, slots, failureShare }) => running / Math.max(1, slots) + failureShare + random() * 0.01,
     );
-    return best && { candidate: best, expectedMs: 0 };
+    return best && { candidate: best, expectedMs: 0, load: 0 };
 }
 
 function leastBy<T>(items: readonly T[], valueOf: (item: T) => number): T | undefined {
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -54,7 +54,7 @@
  * Ratio of the reading speed that is counted on to an engine's part of the stated throughput. Engines read about 1.7
  * times as fast; the rest of their time is left to the tokens of running requests.
  */
-const readSpeedRatio = 1.3;
+const readSpeedRatio = 1.5;
 /** Reading speed in tokens/ms where the configuration states no throughput. */
 const defaultReadTokensPerMs = 40;
 /** Mean time in ms for which a request of another VM is taken to run. */
