gateway: survive connections that went silent, and streams that stall

Cause: a kept connection can be dead without a sign; a request on it waited until its deadline, and a resumable stream at a dark upstream until its caller left. Change: idle connections are closed when an answer is overdue, repeatable requests go elsewhere, resumable streams go on elsewhere after 2.5 pauses, and requests are taken for 2.8 s only.

--- a/packages/dispatch/src/Job.ts
+++ b/packages/dispatch/src/Job.ts
@@ -63,6 +63,8 @@
 /** A place at an upstream. */
 export interface Lease {
     readonly upstream: catalog.KnownUpstream;
+    /** Expected time in ms to the first byte of the answer. */
+    readonly expectedMs: number;
     /** Whether the upstream may still be sent to. Asked directly before the request is written. */
     mayWrite(): boolean;
     /** The first event of a stream, or the head of an answer, has arrived. */
--- a/packages/dispatch/src/Placement.ts
+++ b/packages/dispatch/src/Placement.ts
@@ -92,13 +92,16 @@
     return (baseFirstEventMs + (unreadTokens + newTokens) / readTokensPerMs + running * runningMs) * slowness;
 }
 
+/** Expected time in ms to the answer of a plain service. */
+const serviceExpectedMs = 100;
+
 /** Chooses the plain service with the smallest part of its slots in use, as far as known; ties by chance. */
 export function chooseService(candidates: readonly Candidate[], random: core.Random): Choice | undefined {
     const best = leastBy(
         candidates,
         ({ running, slots, failureShare }) => running / Math.max(1, slots) + failureShare + random() * 0.01,
     );
-    return best && { candidate: best, expectedMs: 0, load: 0 };
+    return best && { candidate: best, expectedMs: serviceExpectedMs, load: 0 };
 }
 
 function leastBy<T>(items: readonly T[], valueOf: (item: T) => number): T | undefined {
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -157,6 +157,7 @@
         };
         return {
             upstream: placedAt,
+            expectedMs,
             mayWrite: () => states.get(placedAt.id) === state && isOpenTo(state.upstream, options.catalog.read()),
             noteFirstByte() {
                 read();
--- a/packages/gateway/src/AnswerRelay.ts
+++ b/packages/gateway/src/AnswerRelay.ts
@@ -1,3 +1,4 @@
+import type * as core from "@peridotloft/core";
 import { err, ok, type Result } from "neverthrow";
 import type * as http from "node:http";
 import type { CallerAnswer } from "./CallerAnswer.js";
@@ -29,6 +30,14 @@
     /** Sends the head of the answer; called once, before the first event. */
     begin(): void;
     onFirstEvent(): void;
+    /** Called when no event has come for too long; ends the relay as broken. Undefined to wait on. */
+    readonly stall: StallWatch | undefined;
+}
+
+export interface StallWatch {
+    readonly clock: core.Clock;
+    readonly afterMs: number;
+    onStalled(): void;
 }
 
 /** Passes complete events to the caller as they arrive. A stream that ends inside an event is broken. */
@@ -40,8 +49,14 @@
     const { answer } = target;
     const isWhole = completenessOf(message);
     let first = true;
-    return new Promise(resolve => {
+    return new Promise(done => {
+        const watch = startStallTimer(target.stall, () => resolve("broken"));
+        const resolve = (end: RelayEnd): void => {
+            watch.stop();
+            done(end);
+        };
         message.on("data", (chunk: Buffer) => {
+            watch.restart();
             const events = splitter.push(chunk);
             if (events.length === 0 || answer.hasEnded()) {
                 return;
@@ -72,3 +87,18 @@
         message.once("close", () => resolve("broken"));
     });
 }
+
+function startStallTimer(stall: StallWatch | undefined, onStalled: () => void) {
+    let stop: () => void = () => undefined;
+    const restart = (): void => {
+        stop();
+        stop = stall
+            ? stall.clock.setTimer(stall.afterMs, () => {
+                stall.onStalled();
+                onStalled();
+            })
+            : stop;
+    };
+    restart();
+    return { restart, stop: () => stop() };
+}
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -15,8 +15,18 @@
 /** Answers one request of a caller. Never rejects. */
 export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse) => void;
 
-/** After a signal to stop, time in ms in which requests on open connections are still taken. */
-const drainAcceptMs = 3_500;
+/**
+ * After a signal to stop, time in ms in which requests are still taken. Those sent within 3 s of the signal may be cut
+ * at the end of the grace while their upstream still works; later ones may not.
+ */
+const drainAcceptMs = 2_800;
+/** An answer on a kept connection is overdue after this many times its expected time, and the slack in ms. */
+const silenceFactor = 3;
+const silenceSlackMs = 400;
+/** A resumable stream goes on elsewhere after this many times the longest pause that is on time. */
+const stallFactor = 2.5;
+/** Longest pause in ms between events where the route states none. */
+const defaultEventGapMs = 1_000;
 /** Part in ms of a caller's patience that is kept for the way of the answer. */
 const answerWayMs = 5;
 
@@ -193,17 +203,52 @@
                 }),
             mayWrite: () => lease.mayWrite() && mayStillRun(job),
         }, clock);
+        const stopWatching = watchForSilence(attempt, lease, job, repeatable);
         const answered = await attempt.answered;
+        stopWatching();
         const checked = answered.andThen(message => checkAnswer(job, message));
         if (checked.isErr()) {
             lease.end(checked.error.outcome);
-            if (checked.error.outcome === "broken" || checked.error.outcome === "connect-failed") {
+            if (
+                checked.error.outcome === "silent" || checked.error.outcome === "broken"
+                || checked.error.outcome === "connect-failed"
+            ) {
                 context.connections.discard(upstream);
             }
         }
         return checked;
     }
 
+    /**
+     * A kept connection may be dead without a sign. If no answer comes for long after it was expected, idle connections
+     * are given up, since they may be dead as well, and a request that may be repeated is sent again.
+     */
+    function watchForSilence(
+        running: Attempt,
+        lease: dispatch.Lease,
+        job: dispatch.Job,
+        repeatable: boolean,
+    ): () => void {
+        const waitMs = lease.expectedMs * silenceFactor + silenceSlackMs;
+        return clock.setTimer(waitMs, () => {
+            if (!running.isReused()) {
+                return;
+            }
+            context.connections.discardAll();
+            const leftMs = job.deadlineMs - clock.nowMs();
+            const givesUp = repeatable && leftMs > lease.expectedMs;
+            log.failure("no-answer", {
+                requestId: job.requestId,
+                upstream: lease.upstream.id,
+                waitMs: Math.round(waitMs),
+                givesUp,
+            });
+            if (givesUp) {
+                running.giveUp();
+            }
+        });
+    }
+
     // The key may have been withdrawn, or the knowledge grown too old, while the request waited.
     function mayStillRun(job: dispatch.Job): boolean {
         if (job.customer === undefined) {
@@ -336,6 +381,7 @@
             lease.end("failed");
             return "broken";
         }
+        let stalled = false;
         const end = await relayStream(answered, splitter, {
             answer,
             begin: () => answer.begin(statusCode, codec.callerHeaders(answered.rawHeaders)),
@@ -343,8 +389,18 @@
                 lease.noteFirstByte();
                 noteFirstEvent(job, lease);
             },
+            stall: job.route.resumable
+                ? {
+                    clock,
+                    afterMs: (job.route.maxEventGapMs ?? defaultEventGapMs) * stallFactor,
+                    onStalled: () => {
+                        stalled = true;
+                        attempt?.cancel("stalled");
+                    },
+                }
+                : undefined,
         });
-        lease.end(end === "complete" ? "ok" : isOver() ? "abandoned" : "broken");
+        lease.end(end === "complete" ? "ok" : isOver() ? "abandoned" : stalled ? "silent" : "broken");
         return end;
     }
 
--- a/packages/gateway/src/UpstreamAttempt.ts
+++ b/packages/gateway/src/UpstreamAttempt.ts
@@ -32,6 +32,10 @@
     readonly answered: Promise<Result<http.IncomingMessage, AttemptFailure>>;
     /** Whether any byte of the request was sent. */
     isSent(): boolean;
+    /** Whether it uses a connection that was kept from an earlier request. */
+    isReused(): boolean;
+    /** Gives the attempt up as one that gets no answer, and closes the connection. */
+    giveUp(): void;
     /** Closes the connection, which tells the upstream to stop; settles `answered` as abandoned. */
     cancel(cause: string): void;
 }
@@ -100,6 +104,11 @@
     return {
         answered,
         isSent: () => sent,
+        isReused: () => request.reusedSocket,
+        giveUp() {
+            fail("silent", "no-answer");
+            request.destroy();
+        },
         cancel(cause) {
             fail("abandoned", cause);
             request.destroy();
--- a/packages/gateway/src/UpstreamConnections.ts
+++ b/packages/gateway/src/UpstreamConnections.ts
@@ -14,6 +14,8 @@
     agentOf(upstream: catalog.Upstream, careful: boolean): http.Agent;
     /** Closes the idle connections to an upstream. */
     discard(upstream: catalog.Upstream): void;
+    /** Closes all idle connections, since something on the path may have lost track of them. At most once a second. */
+    discardAll(): void;
     dispose(): void;
 }
 
@@ -26,10 +28,15 @@
 /** Delay in ms of TCP keep-alive probes on open connections. */
 const keepAliveDelayMs = 1_000;
 
+/** Time in ms between two closings of all idle connections; slow answers alone must not cost a connection each. */
+const discardAllPauseMs = 1_000;
+
 export function createUpstreamConnections(
     catalogCell: core.SnapshotCell<catalog.CatalogSnapshot>,
+    clock: core.Clock,
 ): UpstreamConnections {
     const agents = new Map<string, http.Agent>();
+    let discardedAllMs = Number.NEGATIVE_INFINITY;
     const keyOf = ({ id, host, port }: catalog.Upstream): string => `${id}/${host}:${port}`;
     const subscription = catalogCell.changes.subscribe(({ upstreams }) => {
         const live = new Set([...upstreams.values()].map(keyOf));
@@ -50,6 +57,12 @@
         discard(upstream) {
             ["c", "n"].forEach(prefix => closeIdle(agents.get(prefix + keyOf(upstream))));
         },
+        discardAll() {
+            if (clock.nowMs() - discardedAllMs >= discardAllPauseMs) {
+                discardedAllMs = clock.nowMs();
+                agents.forEach(closeIdle);
+            }
+        },
         dispose() {
             subscription.unsubscribe();
             agents.forEach(agent => agent.destroy());
