catalog, fleet: VMs learn the store's changes from two readers of their zone

Change: a connect-es relay; two VMs of each zone read the store, the others ask them; a VM that lost the store asks any peer and counts age from its own question. Tests in CatalogRelay, FleetNode.

--- /dev/null
+++ b/packages/catalog/__tests__/integration/CatalogRelay.test.ts
@@ -0,0 +1,132 @@
+import * as core from "@peridotloft/core";
+import * as testing from "@peridotloft/testing";
+import { err, ok } from "neverthrow";
+import * as assert from "node:assert/strict";
+import * as http from "node:http";
+import type * as net from "node:net";
+import { afterEach, describe, it } from "node:test";
+import * as catalog from "../../src/index.js";
+
+const evacuated = (zone: string, position: number): catalog.PlacedChange => ({
+    item: `zone/${zone}`,
+    position,
+    change: { kind: "zone-evacuated", zone: core.zoneId(zone) },
+});
+
+/** A store that VMs may be cut from. */
+function createSource() {
+    const items: catalog.PlacedChange[] = [evacuated("a", 5)];
+    const waiters = new Set<() => void>();
+    let down = false;
+    let calls = 0;
+    const unreachable = () => err({ kind: "unreachable" as const, message: "down" });
+    const position = (): number => items.at(-1)?.position ?? 0;
+    const source: catalog.CatalogSource = {
+        async list() {
+            calls++;
+            return down ? unreachable() : ok({ position: position(), items });
+        },
+        async watch(after, waitMs) {
+            calls++;
+            if (!down && position() <= after) {
+                await new Promise<void>(resolve => {
+                    setTimeout(resolve, waitMs);
+                    waiters.add(resolve);
+                });
+            }
+            return down
+                ? unreachable()
+                : ok({ position: position(), changes: items.filter(item => item.position > after) });
+        },
+    };
+    return {
+        source,
+        calls: () => calls,
+        setDown: (value: boolean): void => void (down = value),
+        put(change: catalog.PlacedChange): void {
+            items.push(change);
+            waiters.forEach(wake => wake());
+        },
+    };
+}
+
+describe("CatalogRelay", () => {
+    const cleanUps: (() => void)[] = [];
+    afterEach(() => cleanUps.splice(0).forEach(cleanUp => cleanUp()));
+
+    function startFollower(source: catalog.CatalogSource, chooseRelay?: () => catalog.CatalogRelaySource | undefined) {
+        const follower = catalog.createCatalogFollower({
+            source,
+            ...(chooseRelay ? { chooseRelay } : {}),
+            clock: core.createSystemClock(),
+            random: testing.createSeededRandom(1),
+            log: testing.createRecordingLog(),
+            metrics: testing.createNoMetrics(),
+        });
+        follower.start();
+        cleanUps.push(() => follower.dispose());
+        return follower;
+    }
+
+    async function serve(follower: catalog.CatalogFollower): Promise<catalog.CatalogRelaySource> {
+        const server = catalog.createRelayServer(follower);
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const agent = new http.Agent({ keepAlive: true });
+        cleanUps.push(() => {
+            agent.destroy();
+            server.close();
+            server.closeAllConnections();
+        });
+        return catalog.createRelaySource("127.0.0.1", (server.address() as net.AddressInfo).port, agent);
+    }
+
+    const zonesOf = (follower: catalog.CatalogFollower): string[] =>
+        [...follower.snapshot.read().evacuatedZones].sort();
+    const pause = (ms: number): Promise<void> => new Promise(resolve => setTimeout(resolve, ms));
+
+    it("passes on all items first, then changes as they are made, with no call to the store", async () => {
+        const store = createSource();
+        const relay = await serve(startFollower(store.source));
+        const own = createSource();
+        const follower = startFollower(own.source, () => relay);
+        await pause(200);
+        assert.deepEqual(zonesOf(follower), ["a"]);
+        store.put(evacuated("b", 6));
+        await pause(100);
+        assert.deepEqual(zonesOf(follower), ["a", "b"]);
+        assert.equal(own.calls(), 0);
+        await pause(2_000);
+        assert.ok(follower.ageMs() < 3_300, `age ${follower.ageMs()}`);
+    });
+
+    it("reads the store itself when the other VM's knowledge grows old", async () => {
+        const store = createSource();
+        const relay = await serve(startFollower(store.source));
+        const own = createSource();
+        const follower = startFollower(own.source, () => relay);
+        await pause(200);
+        store.setDown(true);
+        await pause(3_500);
+        assert.ok(own.calls() > 0);
+        assert.ok(follower.ageMs() < 2_500, `age ${follower.ageMs()}`);
+    });
+
+    it("keeps a VM that is cut from the store current, through a VM that is not", async () => {
+        const store = createSource();
+        const relay = await serve(startFollower(store.source));
+        const own = createSource();
+        let useRelay = false;
+        const follower = startFollower(own.source, () => useRelay ? relay : undefined);
+        await pause(100);
+        own.setDown(true);
+        useRelay = true;
+        store.put(evacuated("b", 6));
+        await pause(3_000);
+        assert.deepEqual(zonesOf(follower), ["a", "b"]);
+        assert.ok(follower.ageMs() < 3_300, `age ${follower.ageMs()}`);
+        const calls = own.calls();
+        own.setDown(false);
+        await pause(1_500);
+        assert.ok(own.calls() > calls, "the store is asked again while another VM helps");
+    });
+});
--- a/packages/catalog/src/CatalogFollower.ts
+++ b/packages/catalog/src/CatalogFollower.ts
@@ -2,10 +2,23 @@
 import type * as telemetry from "@peridotloft/telemetry";
 import type { CatalogChange, PlacedChange, Position } from "./Catalog.js";
 import { applyChanges, type CatalogSnapshot, emptySnapshot } from "./CatalogSnapshot.js";
-import type { CatalogSource, ChangeBatch, Listing, SourceError } from "./CatalogSource.js";
+import type {
+    CatalogRelaySource,
+    CatalogSource,
+    ChangeBatch,
+    Listing,
+    RelayedBatch,
+    SourceError,
+} from "./CatalogSource.js";
 
 export interface CatalogFollowerOptions {
     readonly source: CatalogSource;
+    /**
+     * Another VM to learn from instead of the store; undefined to read the store. Asked before each call.
+     *
+     * @param storeIsLost whether this VM gets no answer from the store.
+     */
+    readonly chooseRelay?: (storeIsLost: boolean) => CatalogRelaySource | undefined;
     /** A clock that counts time in which the VM was suspended. */
     readonly clock: core.Clock;
     readonly random: core.Random;
@@ -14,8 +27,18 @@
     readonly timing?: Partial<FollowerTiming>;
 }
 
-/** All in ms. */
+/** All in ms, but for `historyLength`. */
 export interface FollowerTiming {
+    /** Longest wait of one question to another VM. Its answer is at least that old, so it is short. */
+    readonly relayWaitMs: number;
+    /** Another VM's knowledge that is older than this is no substitute for the store's. */
+    readonly maxRelayAgeMs: number;
+    /** Time for which a VM that did not answer, or whose knowledge was old, is not asked again. */
+    readonly relayPauseMs: number;
+    /** Time after which a VM that lost the store, and learns from another VM meanwhile, asks the store again. */
+    readonly storeRetryMs: number;
+    /** Changes that are kept for other VMs. */
+    readonly historyLength: number;
     /** Longest wait of one watch. An empty answer at its end confirms that nothing changed. */
     readonly watchWaitMs: number;
     /** Time beyond the wait after which a watch without an answer is given up with its connection. */
@@ -36,6 +59,12 @@
 }
 
 export const defaultFollowerTiming: FollowerTiming = {
+    relayWaitMs: 400,
+    // A watch and its lag, and a little for the answer.
+    maxRelayAgeMs: 2_300,
+    relayPauseMs: 2_000,
+    storeRetryMs: 1_000,
+    historyLength: 500,
     // Bounds how old the knowledge of a VM is while nothing changes; half of the 2 s in which changes must apply.
     watchWaitMs: 1_000,
     answerSlackMs: 800,
@@ -60,6 +89,8 @@
     ageMs(): number;
     /** Asks the store at once; false if it gave no answer in time. Calls at the same time share one question. */
     confirm(): Promise<boolean>;
+    /** Answers another VM: waits up to `waitMs` for changes after `after`; undefined before the first listing. */
+    relay(after: Position, waitMs: number): Promise<RelayedBatch | undefined>;
     start(): void;
     dispose(): void;
 }
@@ -67,7 +98,7 @@
 /** What was last applied for an item of the store. */
 interface HeldItem {
     readonly position: Position;
-    readonly undo: CatalogChange | undefined;
+    readonly change: CatalogChange;
 }
 
 export function createCatalogFollower(options: CatalogFollowerOptions): CatalogFollower {
@@ -76,7 +107,13 @@
     const snapshot = core.createSnapshotCell<CatalogSnapshot>(emptySnapshot);
     const items = new Map<string, HeldItem>();
     const cancels = new Set<() => void>();
+    const waiters = new Set<() => void>();
+    const relayPausedUntilMs = new Map<string, number>();
+    /** Applied changes in order; complete after the position `historyFrom`. */
+    let history: readonly PlacedChange[] = [];
+    let historyFrom: Position = 0;
     let position: Position | undefined;
+    let askedStoreMs = Number.NEGATIVE_INFINITY;
     let confirmedMs = Number.NEGATIVE_INFINITY;
     let failingSinceMs: number | undefined;
     let graceUntilMs = Number.NEGATIVE_INFINITY;
@@ -90,9 +127,11 @@
         if (fresh.length === 0) {
             return;
         }
-        fresh.forEach(({ item, position: at, change }) => items.set(item, { position: at, undo: undoOf(change) }));
+        fresh.forEach(({ item, position: at, change }) => items.set(item, { position: at, change }));
         snapshot.update(current => applyChanges(current, fresh, clock.nowMs()));
         fresh.forEach(noteChange);
+        history = [...history, ...fresh].slice(-timing.historyLength);
+        waiters.forEach(wake => wake());
     }
 
     function noteChange({ item, position: at, change }: PlacedChange): void {
@@ -130,10 +169,14 @@
         apply(listing.items);
         const listed = new Set(listing.items.map(({ item }) => item));
         const missing = [...items].filter(([item]) => !listed.has(item));
-        applyRemovals(
-            missing.flatMap(([item, { undo }]) => undo ? [{ item, position: listing.position, change: undo }] : []),
-        );
+        applyRemovals(missing.flatMap(([item, { change }]) => {
+            const undo = undoOf(change);
+            return undo ? [{ item, position: listing.position, change: undo }] : [];
+        }));
         position = Math.max(listing.position, position ?? 0);
+        // Changes between an earlier position and this listing were not seen one by one.
+        history = [];
+        historyFrom = position;
     }
 
     function takeBatch(batch: ChangeBatch): void {
@@ -205,8 +248,52 @@
         });
     }
 
+    /** Learns from another VM; false if that VM is no substitute for the store now. */
+    async function learnFrom(relay: CatalogRelaySource): Promise<boolean> {
+        const sentMs = clock.nowMs();
+        const timeoutMs = timing.relayWaitMs + timing.answerSlackMs;
+        const result = await relay.watch(position ?? 0, timing.relayWaitMs, timeoutMs);
+        if (disposed) {
+            return false;
+        }
+        const failure = result.match(
+            batch => batch.ageMs > timing.maxRelayAgeMs ? `knowledge is ${batch.ageMs} ms old` : undefined,
+            error => error.message,
+        );
+        if (result.isErr() || failure !== undefined) {
+            relayPausedUntilMs.set(relay.address, clock.nowMs() + timing.relayPauseMs);
+            log.state("relay-lost", { peer: relay.address, reason: failure });
+            return false;
+        }
+        const batch = result.value;
+        // The answer was made after the question, so the knowledge is at most as old as the age counted from there.
+        confirmedMs = Math.max(confirmedMs, sentMs - batch.ageMs);
+        if (batch.complete) {
+            takeListing({ position: batch.position, items: batch.changes });
+        }
+        else {
+            takeBatch(batch);
+        }
+        return true;
+    }
+
+    function usableRelay(): CatalogRelaySource | undefined {
+        const storeIsLost = failingSinceMs !== undefined;
+        if (storeIsLost && clock.nowMs() - askedStoreMs >= timing.storeRetryMs) {
+            return undefined;
+        }
+        const relay = options.chooseRelay?.(storeIsLost);
+        const pausedUntilMs = relay && relayPausedUntilMs.get(relay.address);
+        return pausedUntilMs !== undefined && clock.nowMs() < pausedUntilMs ? undefined : relay;
+    }
+
     async function follow(): Promise<void> {
         while (!disposed) {
+            const relay = usableRelay();
+            if (relay && await learnFrom(relay)) {
+                continue;
+            }
+            askedStoreMs = clock.nowMs();
             const done = position === undefined
                 ? await list()
                 : await watch(position, timing.watchWaitMs, timing.watchWaitMs + timing.answerSlackMs);
@@ -242,6 +329,32 @@
             });
             return confirming;
         },
+        async relay(after, waitMs) {
+            const known = (): boolean => position !== undefined && position > after;
+            if (!known() && position !== undefined) {
+                await new Promise<void>(resolve => {
+                    const cancel = clock.setTimer(waitMs, () => wake());
+                    const wake = (): void => {
+                        cancel();
+                        waiters.delete(wake);
+                        resolve();
+                    };
+                    waiters.add(wake);
+                });
+            }
+            if (position === undefined) {
+                return undefined;
+            }
+            const complete = after < historyFrom;
+            const all = (): PlacedChange[] =>
+                [...items].map(([item, { position: at, change }]) => ({ item, position: at, change }));
+            return {
+                position,
+                ageMs: clock.nowMs() - confirmedMs,
+                complete,
+                changes: complete ? all() : history.filter(change => change.position > after),
+            };
+        },
         start: () => void follow(),
         dispose() {
             disposed = true;
--- /dev/null
+++ b/packages/catalog/src/CatalogRelay.ts
@@ -0,0 +1,82 @@
+import { createClient } from "@connectrpc/connect";
+import * as connectNode from "@connectrpc/connect-node";
+import { err, ok, type Result } from "neverthrow";
+import * as http from "node:http";
+import type { CatalogChange, PlacedChange } from "./Catalog.js";
+import type { CatalogFollower } from "./CatalogFollower.js";
+import type { CatalogRelaySource, SourceError } from "./CatalogSource.js";
+import { CatalogRelay } from "./gen/relay_pb.js";
+
+/** Largest reply in bytes: a configuration of 1 MB and the upstreams of a large fleet. */
+const maxReplyBytes = 16 * 1024 * 1024;
+/** Longest wait in ms that a caller may ask for. */
+const maxWaitMs = 5_000;
+
+/** Answers other VMs with what `follower` knows. */
+export function createRelayServer(follower: Pick<CatalogFollower, "relay">): http.Server {
+    return http.createServer(connectNode.connectNodeAdapter({
+        routes: router =>
+            router.service(CatalogRelay, {
+                async watch({ after, waitMs }) {
+                    const batch = await follower.relay(Number(after), Math.min(waitMs, maxWaitMs));
+                    return batch
+                        ? {
+                            position: BigInt(batch.position),
+                            ageMs: Math.min(0xffffffff, Math.ceil(batch.ageMs)),
+                            complete: batch.complete,
+                            changes: batch.changes.map(({ item, position, change }) => ({
+                                item,
+                                position: BigInt(position),
+                                change: JSON.stringify(change),
+                            })),
+                        }
+                        : { ageMs: 0xffffffff };
+                },
+            }),
+        grpc: false,
+        grpcWeb: false,
+        acceptCompression: [],
+    }));
+}
+
+/** Asks another VM at an IPv4 address. */
+export function createRelaySource(address: string, port: number, agent: http.Agent): CatalogRelaySource {
+    const client = createClient(
+        CatalogRelay,
+        connectNode.createConnectTransport({
+            httpVersion: "1.1",
+            baseUrl: `http://${address}:${port}`,
+            nodeOptions: { agent },
+            useBinaryFormat: true,
+            readMaxBytes: maxReplyBytes,
+        }),
+    );
+    return {
+        address,
+        async watch(position, waitMs, timeoutMs) {
+            try {
+                const reply = await client.watch({ after: BigInt(position), waitMs }, { timeoutMs });
+                const changes = reply.changes.map(({ item, position: at, change }) =>
+                    readChange(item, Number(at), change)
+                );
+                return ok({
+                    position: Number(reply.position),
+                    ageMs: reply.ageMs,
+                    complete: reply.complete,
+                    changes,
+                });
+            }
+            catch (error) {
+                return fail(String(error));
+            }
+        },
+    };
+}
+
+function readChange(item: string, position: number, text: string): PlacedChange {
+    return { item, position, change: JSON.parse(text) as CatalogChange };
+}
+
+function fail(message: string): Result<never, SourceError> {
+    return err({ kind: "unreachable", message });
+}
--- a/packages/catalog/src/CatalogSource.ts
+++ b/packages/catalog/src/CatalogSource.ts
@@ -25,6 +25,22 @@
     readonly changes: readonly PlacedChange[];
 }
 
+/** What another VM knows of the store. */
+export interface RelayedBatch extends ChangeBatch {
+    /** Age in ms of the other VM's knowledge when it answered. */
+    readonly ageMs: number;
+    /** Whether the changes are all items, and items that are missing are gone. */
+    readonly complete: boolean;
+}
+
+/** Reads from another VM what that VM learned from the store. Never throws or rejects. */
+export interface CatalogRelaySource {
+    /** Address of the other VM, for log lines. */
+    readonly address: string;
+    /** Waits up to `waitMs` for changes after `position`; 0 asks for all items. */
+    watch(position: Position, waitMs: number, timeoutMs: number): Promise<Result<RelayedBatch, SourceError>>;
+}
+
 /** Reads and watches what the platform publishes. Never throws or rejects. */
 export interface CatalogSource {
     list(timeoutMs: number): Promise<Result<Listing, SourceError>>;
--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -1,3 +1,4 @@
+import * as core from "@peridotloft/core";
 import * as testing from "@peridotloft/testing";
 import * as fc from "fast-check";
 import * as assert from "node:assert/strict";
@@ -25,6 +26,7 @@
     const nodes = addresses.map(address =>
         fleet.createFleetNode({
             address,
+            zone: core.zoneId(`z${Number(address.split(".").at(-1)) % 3}`),
             seeds: addresses.slice(0, seedCount),
             incarnation: 1n,
             socket: {
@@ -75,6 +77,26 @@
         assert.equal(nodes[0]!.vmCount(), 6);
     });
 
+    it("agrees on two VMs of each zone that read the store, and on others when they are gone", async () => {
+        const { clock, nodes, cut, addresses } = createNetwork(12, 1);
+        await clock.advance(5_000);
+        const readersOf = (zone: number) =>
+            nodes.flatMap((node, index) =>
+                index % 3 === zone && !cut.has(addresses[index]!) ? [node.storeReaders()] : []
+            );
+        const before = readersOf(1);
+        assert.equal(before[0]?.length, 2);
+        before.forEach(readers => assert.deepEqual(readers, before[0]));
+        before[0]?.forEach(address => cut.add(address));
+        await clock.advance(4_000);
+        const after = readersOf(1);
+        assert.equal(after.length, 2);
+        after.forEach(readers => {
+            assert.deepEqual(readers, after[0]);
+            assert.ok(readers.every(address => !cut.has(address)));
+        });
+    });
+
     it("tells all VMs of a small fleet of each placement within 150 ms", async () => {
         const { clock, nodes } = createNetwork(6, 1);
         await clock.advance(3_000);
@@ -118,6 +140,7 @@
             sampling: 0.25,
             placements: [placement(1), placement(0xffffffff)],
             members: ["10.1.0.33", "255.0.1.254"],
+            zoneHash: 42,
         };
         assert.deepEqual(decodeAnnouncement(encodeAnnouncement(announcement)), announcement);
     });
--- a/packages/fleet/src/Announcement.ts
+++ b/packages/fleet/src/Announcement.ts
@@ -22,10 +22,12 @@
     readonly placements: readonly Placement[];
     /** IPv4 addresses of other VMs. */
     readonly members: readonly string[];
+    /** Hash of the sender's availability zone. */
+    readonly zoneHash: number;
 }
 
 export function encodeAnnouncement(announcement: Announcement): Uint8Array {
-    const { incarnation, sampling, placements, members } = announcement;
+    const { incarnation, sampling, placements, members, zoneHash } = announcement;
     const message = protobuf.create(AnnouncementSchema, {
         incarnation,
         sampling,
@@ -35,6 +37,7 @@
         customers: placements.map(({ customerHash }) => customerHash),
         costs: placements.map(({ cost }) => Math.round(cost)),
         members: members.map(packAddress),
+        zone: zoneHash,
     });
     return protobuf.toBinary(AnnouncementSchema, message);
 }
@@ -59,6 +62,7 @@
                 cost: costs[index] ?? 0,
             })),
             members: message.members.map(unpackAddress),
+            zoneHash: message.zone,
         };
     }
     catch {
--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -6,6 +6,7 @@
 export interface FleetNodeOptions {
     /** IPv4 address of this VM. */
     readonly address: string;
+    readonly zone: core.ZoneId;
     /** IPv4 addresses of some VMs to begin with; they may be stale or down. */
     readonly seeds: readonly string[];
     readonly incarnation: bigint;
@@ -25,6 +26,15 @@
 export interface FleetNode {
     /** VMs heard of late, this one included. */
     vmCount(): number;
+    /** IPv4 addresses of the VMs heard of late, without this one. */
+    peers(): readonly string[];
+    /**
+     * IPv4 addresses of the VMs of this zone that read the store for the others, this VM perhaps among them. VMs that
+     * hear of each other agree on them without messages.
+     */
+    storeReaders(): readonly string[];
+    /** Adds addresses to begin with. */
+    addSeeds(addresses: readonly string[]): void;
     /** Tells other VMs of a placement, at most 100 ms later. */
     announce(placement: Placement): void;
     /** Returns a function that removes the listener. */
@@ -40,24 +50,33 @@
 /** Time in ms after which a VM with nothing to tell shows that it is alive. */
 const heartbeatMs = 500;
 /** Time in ms after which a silent VM counts as gone. Covers six lost heartbeats in a small fleet. */
-const aliveMs = 3_000;
+const minAliveMs = 3_000;
+/** In a large fleet the budget spaces out what one VM hears from another; this many times that distance must pass. */
+const aliveDistances = 5;
+/** Bytes of a heartbeat with its datagram headers. */
+const heartbeatBytes = 80;
 /** Time in ms after which a silent VM is forgotten and no longer written to. */
 const forgetMs = 30_000;
 /** Bytes of Ethernet, IP and UDP headers of a datagram. */
 const datagramOverheadBytes = 42;
 /** Placements in one datagram; more would not fit into one frame. */
 const maxPlacements = 60;
+/** VMs of each zone that read the store; two, so that the loss of one is no loss of knowledge. */
+const readersPerZone = 2;
 /** Addresses of other VMs in each announcement. */
 const membersPerAnnouncement = 3;
 
 interface Peer {
     lastHeardMs: number;
     incarnation: bigint;
+    zoneHash: number;
 }
 
 export function createFleetNode(options: FleetNodeOptions): FleetNode {
     const { clock, random, socket, log, metrics } = options;
     const budgetBytesPerS = options.budgetBytesPerS ?? defaultBudgetBytesPerS;
+    const zoneHash = core.hash32(options.zone);
+    const seeds = new Set(options.seeds);
     const peers = new Map<string, Peer>();
     const listeners = new Set<PlacementListener>();
     let pending: Placement[] = [];
@@ -66,11 +85,13 @@
     let lastSentMs = Number.NEGATIVE_INFINITY;
     let stop: (() => void) | undefined;
 
-    const isAlive = ({ lastHeardMs }: Peer): boolean => clock.nowMs() - lastHeardMs <= aliveMs;
+    const aliveMs = (): number =>
+        Math.max(minAliveMs, ((peers.size * heartbeatBytes) / budgetBytesPerS) * 1_000 * aliveDistances);
+    const isAlive = ({ lastHeardMs }: Peer): boolean => clock.nowMs() - lastHeardMs <= aliveMs();
 
     function meet(address: string): void {
         if (address !== options.address && !peers.has(address)) {
-            peers.set(address, { lastHeardMs: Number.NEGATIVE_INFINITY, incarnation: 0n });
+            peers.set(address, { lastHeardMs: Number.NEGATIVE_INFINITY, incarnation: 0n, zoneHash: 0 });
         }
     }
 
@@ -89,7 +110,7 @@
         );
     }
 
-    function noteHeard(from: string, { incarnation }: Announcement): void {
+    function noteHeard(from: string, { incarnation, zoneHash }: Announcement): void {
         const peer = peers.get(from);
         if (!peer) {
             return;
@@ -99,10 +120,22 @@
         }
         peer.lastHeardMs = clock.nowMs();
         peer.incarnation = incarnation;
+        peer.zoneHash = zoneHash;
     }
 
-    function vmCount(): number {
-        return 1 + [...peers.values()].filter(isAlive).length;
+    function alivePeers(): readonly string[] {
+        return [...peers].filter(([, peer]) => isAlive(peer)).map(([address]) => address);
+    }
+
+    const vmCount = (): number => 1 + alivePeers().length;
+
+    function storeReaders(): readonly string[] {
+        const inZone = alivePeers().filter(address => peers.get(address)?.zoneHash === zoneHash);
+        return [options.address, ...inZone]
+            .map(address => ({ address, rank: core.hash32(address) }))
+            .sort((left, right) => left.rank - right.rank)
+            .slice(0, readersPerZone)
+            .map(({ address }) => address);
     }
 
     function tick(): void {
@@ -112,7 +145,7 @@
             allowanceBytes + (budgetBytesPerS * (nowMs - lastTickMs)) / 1_000,
         );
         lastTickMs = nowMs;
-        options.seeds.forEach(meet);
+        seeds.forEach(meet);
         [...peers]
             .filter(([, { lastHeardMs }]) => Number.isFinite(lastHeardMs) && nowMs - lastHeardMs > forgetMs)
             .forEach(([address]) => {
@@ -131,10 +164,10 @@
             return;
         }
         const placements = pending.splice(0, maxPlacements);
-        const members = core.shuffle(known.filter(address => isAlive(peers.get(address) as Peer)), random)
+        const members = core.shuffle(alivePeers(), random)
             .slice(0, membersPerAnnouncement);
         const encode = (sampling: number): Uint8Array =>
-            encodeAnnouncement({ incarnation: options.incarnation, sampling, placements, members });
+            encodeAnnouncement({ incarnation: options.incarnation, sampling, placements, members, zoneHash });
         const sizeBytes = encode(1).length + datagramOverheadBytes;
         const count = Math.min(known.length, Math.floor(allowanceBytes / sizeBytes));
         if (count === 0) {
@@ -151,6 +184,9 @@
 
     return {
         vmCount,
+        peers: alivePeers,
+        storeReaders,
+        addSeeds: addresses => addresses.forEach(address => seeds.add(address)),
         announce(placement) {
             pending.push(placement);
         },
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -113,7 +113,8 @@
     };
 }
 
-function listen(server: http.Server, { host, port }: Endpoint): Promise<Result<void, string>> {
+/** Listens at an endpoint; fails with the endpoint and the reason. */
+export function listen(server: http.Server, { host, port }: Endpoint): Promise<Result<void, string>> {
     return new Promise(resolve => {
         server.once("error", error => resolve(err(`${host}:${port}: ${String(error)}`)));
         server.listen(port, host, () => resolve(ok(undefined)));
