dispatch: protect small users more, and let them leave a loaded engine

Change: the largest user's bound is cut by 0.85 (0.6); users below 0.3 may go to an engine that reads their prefix again.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -3,7 +3,7 @@
 import type * as telemetry from "@peridotloft/telemetry";
 import { err, ok, type Result } from "neverthrow";
 import { createCustomerUsage } from "./CustomerUsage.js";
-import { admitsPrompt, type EngineAdmissionInput, retryAfterOf } from "./EngineAdmission.js";
+import { admitsPrompt, type EngineAdmissionInput, longestWaitMs, maySpill, retryAfterOf } from "./EngineAdmission.js";
 import type { FleetView } from "./FleetView.js";
 import type { DispatchRefusal, Job, Lease, Prompt } from "./Job.js";
 import { type Candidate, type Choice, chooseEngine, chooseService } from "./Placement.js";
@@ -59,6 +59,19 @@
             : chooseService(candidates, random);
     }
 
+    /** Chooses among the engines where the wait is short enough. */
+    function chooseWithin(
+        job: Job,
+        usable: readonly UpstreamState[],
+        input: EngineAdmissionInput,
+    ): Choice | undefined {
+        const readTokensPerMs = table.readTokensPerMs(job.pool);
+        const mostMs = longestWaitMs(input);
+        const open = candidatesOf(job, preferred(usable, clock.nowMs()))
+            .filter(candidate => waitOf(candidate, readTokensPerMs) <= mostMs);
+        return chooseEngine(open, { readTokensPerMs }, job.route.objectiveMs);
+    }
+
     function candidatesOf(job: Job, usable: readonly UpstreamState[]): Candidate[] {
         const { prompt } = job;
         const nowMs = clock.nowMs();
@@ -153,13 +166,16 @@
                     ? ok(place(job, choice))
                     : err({ reason: "retry-budget", retryAfterMs: overloadRetryMs });
             }
-            if (job.prompt) {
-                const input = admissionOf(job, choice);
-                if (!admitsPrompt(input)) {
-                    return err(refuseOverload(job, choice, input));
-                }
+            if (!job.prompt) {
+                return ok(place(job, choice));
             }
-            return ok(place(job, choice));
+            const input = admissionOf(job, choice);
+            const admitted = admitsPrompt(input)
+                ? choice
+                : maySpill(input)
+                ? chooseWithin(job, usable, input)
+                : undefined;
+            return admitted ? ok(place(job, admitted)) : err(refuseOverload(job, choice, input));
         },
         dispose() {
             removeListener();
--- a/packages/dispatch/src/EngineAdmission.ts
+++ b/packages/dispatch/src/EngineAdmission.ts
@@ -15,7 +15,7 @@
 /** Part of the objective that may pass in waiting. The rest is for reading the prompt and for what is not known. */
 const waitShare = 0.6;
 /** Part of the allowed wait that the largest user loses when all engines are loaded: it is the first to be refused. */
-const largestUserCut = 0.6;
+const largestUserCut = 0.85;
 /** Wait in ms that no prompt is refused for: a prompt or two are being read. */
 const freeWaitMs = 60;
 
@@ -29,20 +29,35 @@
  * is at another's cost.
  */
 export function admitsPrompt(input: EngineAdmissionInput): boolean {
-    return input.waitMs <= boundOf(input);
+    return input.waitMs <= longestWaitMs(input);
 }
 
-function boundOf({ elapsedMs, objectiveMs, relativeUsage, load }: EngineAdmissionInput): number {
+/** The longest wait in ms at an engine for which the prompt is sent there. */
+export function longestWaitMs(
+    { elapsedMs, objectiveMs, relativeUsage, load }: Omit<EngineAdmissionInput, "waitMs">,
+): number {
     const allowedMs = Math.max(0, objectiveMs * waitShare - elapsedMs - freeWaitMs);
     return freeWaitMs + allowedMs * (1 - largestUserCut * relativeUsage * load);
 }
 
+/** Usage, weighed by load, up to which a prompt whose best engine has no room is sent to another one. */
+const maxSpillUsage = 0.3;
+
+/**
+ * Whether a prompt may be sent to an engine that has to read its prefix again, when the one that keeps it has no room.
+ * Small users may, so that nobody is refused for the load of one engine alone. For large users under load, the time
+ * that the prefix takes would be missing for more requests than the one that it serves.
+ */
+export function maySpill({ relativeUsage, load }: Pick<EngineAdmissionInput, "relativeUsage" | "load">): boolean {
+    return relativeUsage * load <= maxSpillUsage;
+}
+
 /** Bounds in ms of the time after which a refused caller may come back. */
 const minRetryMs = 150;
 const maxRetryMs = 1_500;
 
 /** Time in ms after which a refused caller may come back: when the excess has drained, spread by chance. */
 export function retryAfterOf(input: EngineAdmissionInput, random: () => number): number {
-    const excessMs = Math.max(0, input.waitMs - boundOf(input));
+    const excessMs = Math.max(0, input.waitMs - longestWaitMs(input));
     return Math.min(maxRetryMs, minRetryMs + excessMs * (1 + random()));
 }
