--- a/packages/gateway/src/AnswerRelay.ts
+++ b/packages/gateway/src/AnswerRelay.ts
@@ -9,22 +9,41 @@
 
 /** Reads a whole answer. A body that ends with its connection counts as complete unless the connection was reset. */
 export function relayWhole(message: http.IncomingMessage): Promise<Result<Buffer, "broken">> {
-    const isWhole = completenessOf(message);
+    const isWhole = watchEnd(message);
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
         message.on("data", (chunk: Buffer) => chunks.push(chunk));
-        message.once("end", () => resolve(isWhole() ? ok(Buffer.concat(chunks)) : err("broken")));
+        message.once(
+            "end",
+            () => void isWhole().then(whole => resolve(whole ? ok(Buffer.concat(chunks)) : err("broken"))),
+        );
         message.once("error", () => resolve(err("broken")));
-        message.once("close", () => resolve(err("broken")));
+        message.once("close", () => message.readableEnded || resolve(err("broken")));
     });
 }
 
-/** Node.js reports a body without a length as complete also when its connection was reset. */
-function completenessOf(message: http.IncomingMessage): () => boolean {
-    const { socket } = message;
-    return () => message.complete && !socket.errored;
+/**
+ * Returns a function that tells, when an answer has ended, whether it is whole.
+ *
+ * Node.js reports a body without a length as complete also when its connection was reset: libuv takes a reset that comes
+ * together with the last bytes for the end of the stream. A write tells them apart, since it fails only after a reset.
+ */
+function watchEnd(message: http.IncomingMessage): () => Promise<boolean> {
+    const { socket, headers } = message;
+    if (headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined) {
+        return () => Promise.resolve(message.complete);
+    }
+    const ended = new Promise<boolean>(resolve => {
+        socket.prependOnceListener("end", () => socket.write(emptyLine, error => resolve(!error)));
+        socket.once("error", () => resolve(false));
+        socket.once("close", () => resolve(false));
+    });
+    return async () => message.complete && await ended && !socket.errored;
 }
 
+/** Servers skip an empty line before a request; here the other side has closed and reads nothing more. */
+const emptyLine = "\r\n";
+
 export interface StreamTarget {
     readonly answer: CallerAnswer;
     /** Sends the head of the answer; called once, before the first event. */
@@ -47,7 +66,7 @@
     target: StreamTarget,
 ): Promise<RelayEnd> {
     const { answer } = target;
-    const isWhole = completenessOf(message);
+    const isWhole = watchEnd(message);
     let first = true;
     return new Promise(done => {
         const watch = startStallTimer(target.stall, () => resolve("broken"));
@@ -72,8 +91,8 @@
                 message.pause();
             }
         });
-        message.once("end", () => {
-            if (!isWhole() || splitter.rest().length > 0) {
+        const finish = (whole: boolean): void => {
+            if (!whole || splitter.rest().length > 0 || answer.hasEnded()) {
                 resolve("broken");
                 return;
             }
@@ -82,9 +101,10 @@
             }
             answer.end();
             resolve("complete");
-        });
+        };
+        message.once("end", () => void isWhole().then(finish));
         message.once("error", () => resolve("broken"));
-        message.once("close", () => resolve("broken"));
+        message.once("close", () => message.readableEnded || resolve("broken"));
     });
 }
 
