--- a/packages/cli/src/Cli.ts
+++ b/packages/cli/src/Cli.ts
@@ -4,6 +4,7 @@
 import { fail, writeOutput } from "./CommandOutput.js";
 import { runConsole } from "./ConsoleCommand.js";
 import { diff } from "./DiffCommand.js";
+import { explain } from "./ExplainCommand.js";
 import { hashKey } from "./HashKeyCommand.js";
 import { runRouter } from "./RouterCommand.js";
 import { validate } from "./ValidateCommand.js";
@@ -18,6 +19,7 @@
     addProcessCommands(parser);
     addDocumentCommands(parser);
     addAdminCommands(parser);
+    addLogCommands(parser);
     addHelp(parser);
     try {
         await parser.parseAsync();
@@ -85,6 +87,18 @@
     );
 }
 
+function addLogCommands(parser: Argv): void {
+    parser.command(
+        "explain <logs..>",
+        "show the path of a request through the logs of gateways, and its likely cause",
+        command =>
+            command
+                .positional("logs", { type: "string", array: true, demandOption: true, describe: "log files" })
+                .option("request", { type: "string", demandOption: true, describe: "id of the request" }),
+        ({ logs, request }) => writeOutput(explain(logs, request)),
+    );
+}
+
 function addHelp(parser: Argv): void {
     parser
         .example("$0 router --settings vm-1.json", "run the router of vm-1")
@@ -92,6 +106,7 @@
         .example("$0 diff published.json draft.json", "see what a draft changes")
         .example("$0 status http://127.0.0.1:7201", "is the router ready, and with which version")
         .example("$0 audit http://127.0.0.1:7201 --json", "the last changes, for other programs")
+        .example("$0 explain vm-*.log --request 9c41d07be2a35f68", "why was this request refused")
         .example("$0 hash-key --generate", "make a key; its hash goes into the document")
         .epilogue(
             "Exit codes: 0 done; 1 failed; 2 wrong arguments, missing file, bad JSON, or invalid document or settings; "
