dispatch, fleet: stop requests that crash the upstreams that run them

A request that was running at three crashes is refused by every VM; VMs tell each other of crashes by datagram, each mark four times. Tests: PoisonGuard, CrashDetector, FleetNode 'tells all VMs of a crash', Exchange 'sends such a request to no upstream after its third crash'.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -7,6 +7,7 @@
 import type { FleetView } from "./FleetView.js";
 import type { DispatchRefusal, Job, Lease, Prompt } from "./Job.js";
 import { type Candidate, type Choice, chooseEngine, chooseService } from "./Placement.js";
+import { type CrashMark, createPoisonGuard } from "./PoisonGuard.js";
 import { rankByRendezvous } from "./Rendezvous.js";
 import { createRetryBudget, type RetryBudget } from "./RetryBudget.js";
 import { createUpstreamTable, type UpstreamState } from "./UpstreamTable.js";
@@ -38,7 +39,8 @@
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
     const { clock, random, fleet, log } = options;
-    const table = createUpstreamTable(options);
+    const poison = createPoisonGuard();
+    const table = createUpstreamTable({ ...options, onCrash });
     const usage = createCustomerUsage();
     const budgets = new Map<core.PoolId, RetryBudget>();
     const removeListener = fleet.registerListener((placement, weight) => {
@@ -46,6 +48,26 @@
         usage.note(placement.customerHash, placement.cost * weight, clock.nowMs());
     });
 
+    const removeCrashListener = fleet.registerCrashListener(noteCrash);
+
+    function noteCrash(mark: CrashMark): void {
+        if (poison.note(mark, clock.nowMs())) {
+            log.state("request-quarantined", { fingerprint: mark.fingerprint });
+        }
+    }
+
+    function onCrash(job: Job, upstream: catalog.KnownUpstream): void {
+        const mark = { fingerprint: job.fingerprint(), upstreamHash: core.hash32(upstream.id) };
+        log.failure("ran-at-crash", { requestId: job.requestId, upstream: upstream.id, fingerprint: mark.fingerprint });
+        noteCrash(mark);
+        fleet.announceCrash(mark);
+    }
+
+    function isQuarantined(job: Job): boolean {
+        const nowMs = clock.nowMs();
+        return poison.isWatching(nowMs) && poison.isPoisonous(job.fingerprint(), nowMs);
+    }
+
     function budgetOf(pool: core.PoolId): RetryBudget {
         const budget = budgets.get(pool) ?? createRetryBudget();
         budgets.set(pool, budget);
@@ -149,6 +171,9 @@
 
     return {
         acquire(job, tried) {
+            if (isQuarantined(job)) {
+                return err({ reason: "quarantined", retryAfterMs: undefined });
+            }
             const budget = budgetOf(job.pool);
             if (tried.size === 0) {
                 budget.earn();
@@ -179,6 +204,7 @@
         },
         dispose() {
             removeListener();
+            removeCrashListener();
             table.dispose();
         },
     };
--- a/packages/dispatch/src/Job.ts
+++ b/packages/dispatch/src/Job.ts
@@ -30,8 +30,8 @@
     readonly arrivedMs: number;
     /** Time in ms on the steady clock after which nobody waits for an answer. */
     readonly deadlineMs: number;
-    /** Identifies the work, not the attempt: the same for each attempt of a caller. */
-    readonly fingerprint: string;
+    /** Identifies the work, not the attempt: the same for each attempt of a caller. Computed when it is needed. */
+    fingerprint(): number;
 }
 
 /** Why a request gets no place. It has not run. */
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -2,6 +2,7 @@
 import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
 import { type ColdLimiter, createColdLimiter } from "./ColdLimiter.js";
+import { createCrashDetector } from "./CrashDetector.js";
 import type { FleetView, Placement } from "./FleetView.js";
 import type { AttemptOutcome, Job, Lease } from "./Job.js";
 import { type Backlog, createBacklog, createFadingSum, type FadingSum } from "./LoadModel.js";
@@ -14,6 +15,8 @@
     readonly fleet: FleetView;
     readonly log: telemetry.EventLog;
     readonly metrics: telemetry.Metrics;
+    /** Called for each request that ran at an upstream which seems to have crashed. */
+    readonly onCrash: (job: Job, upstream: catalog.KnownUpstream) => void;
 }
 
 /** What this VM knows of one upstream. */
@@ -109,6 +112,7 @@
         const cacheTokens = (): number =>
             (poolOf(upstream.pool)?.engine?.cacheTokens ?? 0) / Math.max(1, fleet.vmCount());
         const slowness = createSlowness();
+        const crashes = createCrashDetector();
         const state: MutableState = {
             upstream,
             ownRunning: 0,
@@ -126,6 +130,7 @@
             unreadTokens: nowMs => Math.max(state.backlog.tokens(nowMs), state.ownUnreadTokens),
             slowness: slowness.value,
             noteFirstByte: slowness.note,
+            noteBroken: nowMs => crashes.noteBroken(state.ownRunning, nowMs),
             notePeerPlacement(placement, weight) {
                 const nowMs = clock.nowMs();
                 state.backlog.add(placement.newTokens * weight, nowMs);
@@ -169,6 +174,9 @@
                 core.invariant(open, "a lease ends once");
                 open = false;
                 read();
+                if (outcome === "broken" && state.noteBroken(clock.nowMs())) {
+                    options.onCrash(job, placedAt);
+                }
                 state.ownRunning--;
                 state.health.note(outcome, clock.nowMs());
                 metrics.count("attempts", { outcome });
@@ -220,6 +228,7 @@
     readonly backlog: Backlog;
     readonly peerRunning: FadingSum;
     noteFirstByte(tookMs: number, expectedMs: number, nowMs: number): void;
+    noteBroken(nowMs: number): boolean;
 }
 
 function createSlowness() {
--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -109,6 +109,17 @@
         assert.deepEqual([...heard.values()], [1, 1, 1, 1, 1]);
     });
 
+    it("tells all VMs of a crash, although datagrams are lost", async () => {
+        const { clock, nodes, lose } = createNetwork(9, 1);
+        await clock.advance(3_000);
+        lose(0.3);
+        const heard = new Set<number>();
+        nodes.slice(1).forEach((node, index) => node.registerCrashListener(() => void heard.add(index)));
+        nodes[0]!.announceCrash({ fingerprint: 1, upstreamHash: 2 });
+        await clock.advance(1_000);
+        assert.equal(heard.size, 8);
+    });
+
     it("keeps to its budget in a large fleet, and weighs what is heard so that sums stay right", async () => {
         const size = 120;
         const budgetBytesPerS = 5_000;
@@ -139,6 +150,7 @@
             incarnation: 1_765_000_000_000n,
             sampling: 0.25,
             placements: [placement(1), placement(0xffffffff)],
+            crashMarks: [{ fingerprint: 5, upstreamHash: 6 }],
             members: ["10.1.0.33", "255.0.1.254"],
             zoneHash: 42,
         };
--- a/packages/fleet/src/Announcement.ts
+++ b/packages/fleet/src/Announcement.ts
@@ -14,12 +14,19 @@
     readonly cost: number;
 }
 
+/** A request that ran at an upstream when that upstream crashed. */
+export interface CrashMark {
+    readonly fingerprint: number;
+    readonly upstreamHash: number;
+}
+
 /** What one VM tells others at once. */
 export interface Announcement {
     readonly incarnation: bigint;
     /** Share of the VMs known to the sender that hear this announcement, above 0 and at most 1. */
     readonly sampling: number;
     readonly placements: readonly Placement[];
+    readonly crashMarks: readonly CrashMark[];
     /** IPv4 addresses of other VMs. */
     readonly members: readonly string[];
     /** Hash of the sender's availability zone. */
@@ -27,7 +34,7 @@
 }
 
 export function encodeAnnouncement(announcement: Announcement): Uint8Array {
-    const { incarnation, sampling, placements, members, zoneHash } = announcement;
+    const { incarnation, sampling, placements, crashMarks, members, zoneHash } = announcement;
     const message = protobuf.create(AnnouncementSchema, {
         incarnation,
         sampling,
@@ -38,6 +45,8 @@
         costs: placements.map(({ cost }) => Math.round(cost)),
         members: members.map(packAddress),
         zone: zoneHash,
+        crashFingerprints: crashMarks.map(({ fingerprint }) => fingerprint),
+        crashUpstreams: crashMarks.map(({ upstreamHash }) => upstreamHash),
     });
     return protobuf.toBinary(AnnouncementSchema, message);
 }
@@ -61,6 +70,10 @@
                 customerHash: customers[index] ?? 0,
                 cost: costs[index] ?? 0,
             })),
+            crashMarks: message.crashFingerprints.map((fingerprint, index) => ({
+                fingerprint,
+                upstreamHash: message.crashUpstreams[index] ?? 0,
+            })),
             members: message.members.map(unpackAddress),
             zoneHash: message.zone,
         };
--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -1,6 +1,12 @@
 import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
-import { type Announcement, decodeAnnouncement, encodeAnnouncement, type Placement } from "./Announcement.js";
+import {
+    type Announcement,
+    type CrashMark,
+    decodeAnnouncement,
+    encodeAnnouncement,
+    type Placement,
+} from "./Announcement.js";
 import type { DatagramSocket } from "./DatagramSocket.js";
 
 export interface FleetNodeOptions {
@@ -37,8 +43,12 @@
     addSeeds(addresses: readonly string[]): void;
     /** Tells other VMs of a placement, at most 100 ms later. */
     announce(placement: Placement): void;
+    /** Tells all other VMs of a request that ran at an upstream when it crashed. */
+    announceCrash(mark: CrashMark): void;
     /** Returns a function that removes the listener. */
     registerListener(listener: PlacementListener): () => void;
+    /** Calls `listener` for each crash mark of another VM; returns a function that removes it. */
+    registerCrashListener(listener: (mark: CrashMark) => void): () => void;
     start(): void;
     dispose(): void;
 }
@@ -63,6 +73,11 @@
 const maxPlacements = 60;
 /** VMs of each zone that read the store; two, so that the loss of one is no loss of knowledge. */
 const readersPerZone = 2;
+/** Crash marks in one datagram, and marks that wait; a crash of an engine marks up to its slots. */
+const maxCrashMarks = 40;
+const maxPendingMarks = 400;
+/** Announcements that repeat a crash mark, since datagrams are lost and large fleets are told in parts. */
+const crashMarkSends = 4;
 /** Addresses of other VMs in each announcement. */
 const membersPerAnnouncement = 3;
 
@@ -79,7 +94,9 @@
     const seeds = new Set(options.seeds);
     const peers = new Map<string, Peer>();
     const listeners = new Set<PlacementListener>();
+    const crashListeners = new Set<(mark: CrashMark) => void>();
     let pending: Placement[] = [];
+    let pendingMarks: { readonly mark: CrashMark; sendsLeft: number; }[] = [];
     let allowanceBytes = budgetBytesPerS;
     let lastTickMs = clock.nowMs();
     let lastSentMs = Number.NEGATIVE_INFINITY;
@@ -108,6 +125,7 @@
         announcement.placements.forEach(placement =>
             listeners.forEach(listener => listener(placement, 1 / announcement.sampling))
         );
+        announcement.crashMarks.forEach(mark => crashListeners.forEach(listener => listener(mark)));
     }
 
     function noteHeard(from: string, { incarnation, zoneHash }: Announcement): void {
@@ -152,7 +170,7 @@
                 peers.delete(address);
                 log.state("peer-forgotten", { peer: address, silentMs: forgetMs });
             });
-        if (pending.length > 0 || nowMs - lastSentMs >= heartbeatMs) {
+        if (pending.length > 0 || pendingMarks.length > 0 || nowMs - lastSentMs >= heartbeatMs) {
             send();
         }
     }
@@ -164,10 +182,19 @@
             return;
         }
         const placements = pending.splice(0, maxPlacements);
+        const marks = pendingMarks.slice(0, maxCrashMarks);
+        const crashMarks = marks.map(({ mark }) => mark);
         const members = core.shuffle(alivePeers(), random)
             .slice(0, membersPerAnnouncement);
         const encode = (sampling: number): Uint8Array =>
-            encodeAnnouncement({ incarnation: options.incarnation, sampling, placements, members, zoneHash });
+            encodeAnnouncement({
+                incarnation: options.incarnation,
+                sampling,
+                placements,
+                crashMarks,
+                members,
+                zoneHash,
+            });
         const sizeBytes = encode(1).length + datagramOverheadBytes;
         const count = Math.min(known.length, Math.floor(allowanceBytes / sizeBytes));
         if (count === 0) {
@@ -178,6 +205,8 @@
         const bytes = encode(count / known.length);
         core.shuffle(known, random).slice(0, count).forEach(address => socket.send(bytes, address));
         metrics.count("peerMessages", { direction: "sent" }, count);
+        marks.forEach(sent => sent.sendsLeft--);
+        pendingMarks = pendingMarks.filter(({ sendsLeft }) => sendsLeft > 0);
         allowanceBytes -= count * sizeBytes;
         lastSentMs = clock.nowMs();
     }
@@ -190,6 +219,13 @@
         announce(placement) {
             pending.push(placement);
         },
+        announceCrash(mark) {
+            pendingMarks = [...pendingMarks, { mark, sendsLeft: crashMarkSends }].slice(-maxPendingMarks);
+        },
+        registerCrashListener(listener) {
+            crashListeners.add(listener);
+            return () => void crashListeners.delete(listener);
+        },
         registerListener(listener) {
             listeners.add(listener);
             return () => void listeners.delete(listener);
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -125,7 +125,7 @@
             prompt: head.prompt,
             arrivedMs,
             deadlineMs: arrivedMs + patienceMs,
-            fingerprint: path,
+            fingerprint: () => core.hash32(`${path} ${customer?.id ?? ""} ${body.toString("latin1")}`),
         };
         cancelExpiry = clock.setTimer(job.deadlineMs - clock.nowMs(), expire);
         return route.kind === "stream" ? serveStream(job, body) : serveWhole(job, body);
