--- a/packages/cli/src/ExplainCommand.ts
+++ b/packages/cli/src/ExplainCommand.ts
@@ -60,7 +60,7 @@
     }
     const last = own.at(-1) as LogLine;
     const states = lines
-        .filter(line => line.requestId === undefined && line.vm === first.vm)
+        .filter(line => line.requestId === undefined && line.vm === first.vm && line.event !== "log-lines-omitted")
         .filter(({ timeMs }) => timeMs >= first.timeMs - stateWindowMs && timeMs <= last.timeMs)
         .sort((left, right) => right.timeMs - left.timeMs)
         .slice(0, maxStates)
