--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -26,7 +26,7 @@
 /** Time in ms for which the balancer may still send new connections after readiness has turned to 503. */
 const balancerDelayMs = 3_000;
 /** Time in ms kept at the end of the grace for closing and exiting. */
-const exitMarginMs = 500;
+export const exitMarginMs = 500;
 const drainPollMs = 50;
 
 export function createGateway(context: GatewayContext, noteDraining: () => void): Gateway {
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -19,4 +19,6 @@
     readonly metrics: telemetry.Metrics;
     /** Time in ms since the signal to stop; undefined before it. */
     drainingForMs(): number | undefined;
+    /** Time in ms until what is still in hand is cut; undefined before the signal to stop. */
+    drainLeftMs(): number | undefined;
 }
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -16,10 +16,12 @@
 export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse) => void;
 
 /**
- * After a signal to stop, time in ms in which requests are still taken. Those sent within 3 s of the signal may be cut
- * at the end of the grace while their upstream still works; later ones may not.
+ * After a signal to stop, time in ms in which all requests are taken. Those sent within 3 s of the signal may be cut at
+ * the end of the grace while their upstream still works; later ones may not.
  */
 const drainAcceptMs = 2_800;
+/** Time in ms before the end of the drain by which a request that is taken later must be over. */
+const drainMarginMs = 200;
 /** An answer on a kept connection is overdue after this many times its expected time, and the slack in ms. */
 const silenceFactor = 3;
 const silenceSlackMs = 400;
@@ -90,14 +92,14 @@
         if (head.requestId === undefined) {
             return refuse(createRefusal("no-request-id"));
         }
-        if ((context.drainingForMs() ?? 0) > drainAcceptMs) {
-            return refuse(createRefusal("draining"));
-        }
         const allowed = await allowRequest(() => context.follower.snapshot.read(), freshness, head, path);
         if (allowed.isErr()) {
             return refuse(allowed.error);
         }
         kind = allowed.value.route.kind;
+        if (!isTakenWhileDraining(patienceOf(allowed.value.route))) {
+            return refuse(createRefusal("draining"));
+        }
         const maxBodyBytes = context.follower.snapshot.read().inForce?.config.limits.maxBodyBytes ?? 0;
         const body = await readBody(request, maxBodyBytes);
         if (body.isErr()) {
@@ -109,13 +111,24 @@
         return serve(head.requestId, allowed.value, body.value);
     }
 
+    /** Time in ms from the request's arrival after which nobody waits for its answer. */
+    function patienceOf(route: AllowedRequest["route"]): number {
+        return Math.min(route.timeoutMs, (head.patienceMs ?? route.timeoutMs) - answerWayMs);
+    }
+
+    /** The balancer sends requests to VMs that drain when too few others are left; those that end in time are served. */
+    function isTakenWhileDraining(patienceMs: number): boolean {
+        const drainLeftMs = context.drainLeftMs();
+        return drainLeftMs === undefined || (context.drainingForMs() ?? 0) <= drainAcceptMs
+            || patienceMs + drainMarginMs <= drainLeftMs;
+    }
+
     function serve(requestId: core.RequestId, allowed: AllowedRequest, body: Buffer): Promise<void> | void {
         const { route, customer } = allowed;
         const pool = choosePool(route, context.random);
         if (pool === undefined) {
             return refuse(createRefusal("no-upstream"));
         }
-        const patienceMs = Math.min(route.timeoutMs, (head.patienceMs ?? route.timeoutMs) - answerWayMs);
         const job: dispatch.Job = {
             requestId,
             route,
@@ -124,7 +137,7 @@
             priority: customer?.priority ?? route.priority,
             prompt: head.prompt,
             arrivedMs,
-            deadlineMs: arrivedMs + patienceMs,
+            deadlineMs: arrivedMs + patienceOf(route),
             fingerprint: () => core.hash32(`${path} ${customer?.id ?? ""} ${body.toString("latin1")}`),
         };
         cancelExpiry = clock.setTimer(job.deadlineMs - clock.nowMs(), expire);
