--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -21,7 +21,7 @@
     readonly random: core.Random;
     readonly log: telemetry.EventLog;
     readonly metrics: telemetry.Metrics;
-    /** Bytes per second, with datagram headers, that announcements may take. */
+    /** Bytes per second, with datagram headers, that announcements may take; more in small fleets by default. */
     readonly budgetBytesPerS?: number;
 }
 
@@ -53,8 +53,11 @@
     dispose(): void;
 }
 
-/** The letter's bound on control traffic per VM. */
+/** Bound on the control traffic of a VM at the target size of 360 VMs. */
 const defaultBudgetBytesPerS = 5_000;
+/** Fleets of up to this many VMs may use more: each VM places more requests/s, and all should hear of each. */
+const smallFleetVms = 12;
+const smallFleetBudgetBytesPerS = 15_000;
 /** Period in ms in which placements are collected. Load that is older than this misleads placement. */
 const periodMs = 100;
 /** Time in ms after which a VM with nothing to tell shows that it is alive. */
@@ -78,7 +81,7 @@
 const maxPendingMarks = 400;
 /** Announcements that repeat a crash mark, since datagrams are lost and large fleets are told in parts. */
 const crashMarkSends = 4;
-/** Addresses of other VMs in each announcement. */
+/** Addresses of other VMs in an announcement; one in each heartbeat period has them. */
 const membersPerAnnouncement = 3;
 
 interface Peer {
@@ -89,7 +92,6 @@
 
 export function createFleetNode(options: FleetNodeOptions): FleetNode {
     const { clock, random, socket, log, metrics } = options;
-    const budgetBytesPerS = options.budgetBytesPerS ?? defaultBudgetBytesPerS;
     const zoneHash = core.hash32(options.zone);
     const seeds = new Set(options.seeds);
     const peers = new Map<string, Peer>();
@@ -97,13 +99,17 @@
     const crashListeners = new Set<(mark: CrashMark) => void>();
     let pending: Placement[] = [];
     let pendingMarks: { readonly mark: CrashMark; sendsLeft: number; }[] = [];
-    let allowanceBytes = budgetBytesPerS;
+    let allowanceBytes = options.budgetBytesPerS ?? defaultBudgetBytesPerS;
+    let introducedMs = Number.NEGATIVE_INFINITY;
     let lastTickMs = clock.nowMs();
     let lastSentMs = Number.NEGATIVE_INFINITY;
     let stop: (() => void) | undefined;
 
+    const budgetBytesPerS = (): number =>
+        options.budgetBytesPerS
+            ?? (peers.size < smallFleetVms ? smallFleetBudgetBytesPerS : defaultBudgetBytesPerS);
     const aliveMs = (): number =>
-        Math.max(minAliveMs, ((peers.size * heartbeatBytes) / budgetBytesPerS) * 1_000 * aliveDistances);
+        Math.max(minAliveMs, ((peers.size * heartbeatBytes) / budgetBytesPerS()) * 1_000 * aliveDistances);
     const isAlive = ({ lastHeardMs }: Peer): boolean => clock.nowMs() - lastHeardMs <= aliveMs();
 
     function meet(address: string): void {
@@ -159,8 +165,8 @@
     function tick(): void {
         const nowMs = clock.nowMs();
         allowanceBytes = Math.min(
-            budgetBytesPerS,
-            allowanceBytes + (budgetBytesPerS * (nowMs - lastTickMs)) / 1_000,
+            budgetBytesPerS(),
+            allowanceBytes + (budgetBytesPerS() * (nowMs - lastTickMs)) / 1_000,
         );
         lastTickMs = nowMs;
         seeds.forEach(meet);
@@ -184,8 +190,8 @@
         const placements = pending.splice(0, maxPlacements);
         const marks = pendingMarks.slice(0, maxCrashMarks);
         const crashMarks = marks.map(({ mark }) => mark);
-        const members = core.shuffle(alivePeers(), random)
-            .slice(0, membersPerAnnouncement);
+        const introduces = clock.nowMs() - introducedMs >= heartbeatMs;
+        const members = introduces ? core.shuffle(alivePeers(), random).slice(0, membersPerAnnouncement) : [];
         const encode = (sampling: number): Uint8Array =>
             encodeAnnouncement({
                 incarnation: options.incarnation,
@@ -204,6 +210,7 @@
         }
         const bytes = encode(count / known.length);
         core.shuffle(known, random).slice(0, count).forEach(address => socket.send(bytes, address));
+        introducedMs = introduces ? clock.nowMs() : introducedMs;
         metrics.count("peerMessages", { direction: "sent" }, count);
         marks.forEach(sent => sent.sendsLeft--);
         pendingMarks = pendingMarks.filter(({ sendsLeft }) => sendsLeft > 0);
