gateway: refuse at once when the process gets too little processor time

Change: the lag of the event loop refuses large users from 100 ms and all from 300 ms, turns readiness to 503 when it lasts 0.7 s, and lets a request wait a turn in which its caller's leaving is noticed.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -29,6 +29,8 @@
      * @param tried upstreams that the request was sent to before; not empty for a retry.
      */
     acquire(job: Job, tried: ReadonlySet<core.UpstreamId>): Result<Lease, DispatchRefusal>;
+    /** Usage of a customer as a part of that of the largest one, 0 to 1. */
+    relativeUsage(customer: core.CustomerId | undefined): number;
     dispose(): void;
 }
 
@@ -68,6 +70,10 @@
         return poison.isWatching(nowMs) && poison.isPoisonous(job.fingerprint(), nowMs);
     }
 
+    function relativeUsage(customer: core.CustomerId | undefined): number {
+        return usage.relative(customerHashOf(customer), clock.nowMs());
+    }
+
     function budgetOf(pool: core.PoolId): RetryBudget {
         const budget = budgets.get(pool) ?? createRetryBudget();
         budgets.set(pool, budget);
@@ -123,7 +129,7 @@
             waitMs: waitOf(choice.candidate, table.readTokensPerMs(job.pool)),
             elapsedMs: clock.nowMs() - job.arrivedMs,
             objectiveMs: job.route.objectiveMs,
-            relativeUsage: usage.relative(customerHashOf(job), clock.nowMs()),
+            relativeUsage: relativeUsage(job.customer),
             load: choice.load,
         };
     }
@@ -146,7 +152,7 @@
 
     function place(job: Job, { candidate, expectedMs }: Choice): Lease {
         const { newTokens } = candidate;
-        const customerHash = customerHashOf(job);
+        const customerHash = customerHashOf(job.customer);
         const cost = costOf(job.prompt);
         log.decision("placed", {
             requestId: job.requestId,
@@ -202,6 +208,7 @@
                 : undefined;
             return admitted ? ok(place(job, admitted)) : err(refuseOverload(job, choice, input));
         },
+        relativeUsage,
         dispose() {
             removeListener();
             removeCrashListener();
@@ -224,7 +231,7 @@
     return (unreadTokens / readTokensPerMs) * slowness;
 }
 
-function customerHashOf({ customer }: Job): number {
+function customerHashOf(customer: core.CustomerId | undefined): number {
     return customer === undefined ? 0 : core.hash32(customer);
 }
 
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -69,7 +69,8 @@
 
     function isReady(): boolean {
         return context.drainingForMs() === undefined && follower.isComplete()
-            && follower.snapshot.read().inForce !== undefined && freshness.acceptsKeysNow();
+            && follower.snapshot.read().inForce !== undefined && freshness.acceptsKeysNow()
+            && !context.overload.isOverloaded();
     }
 
     function close(): void {
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -3,6 +3,7 @@
 import type * as dispatch from "@peridotloft/dispatch";
 import type * as telemetry from "@peridotloft/telemetry";
 import type { GatewaySettings } from "./GatewaySettings.js";
+import type { OverloadGuard } from "./OverloadGuard.js";
 import type { UpstreamConnections } from "./UpstreamConnections.js";
 import type { WireCodec } from "./WireCodec.js";
 
@@ -15,6 +16,7 @@
     readonly follower: catalog.CatalogFollower;
     readonly dispatcher: dispatch.Dispatcher;
     readonly connections: UpstreamConnections;
+    readonly overload: OverloadGuard;
     readonly log: telemetry.EventLog;
     readonly metrics: telemetry.Metrics;
     /** Time in ms since the signal to stop; undefined before it. */
--- a/packages/gateway/src/Refusal.ts
+++ b/packages/gateway/src/Refusal.ts
@@ -3,6 +3,7 @@
 /** Why this VM answers a request itself. */
 export type RefusalReason =
     | dispatch.DispatchRefusal["reason"]
+    | "processor-overloaded"
     | "starting"
     | "draining"
     | "stale-configuration"
@@ -31,6 +32,7 @@
     "retry-budget": 503,
     "quarantined": 503,
     "cancelled": 503,
+    "processor-overloaded": 503,
     "starting": 503,
     "draining": 503,
     "stale-configuration": 503,
@@ -46,6 +48,7 @@
 
 /** Retry-After in ms for reasons that pass as soon as another VM or a fresh answer of the store is found. */
 const defaultRetryMs: Partial<Readonly<Record<RefusalReason, number>>> = {
+    "processor-overloaded": 150,
     "starting": 200,
     "draining": 50,
     "stale-configuration": 200,
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -29,6 +29,8 @@
 const stallFactor = 2.5;
 /** Longest pause in ms between events where the route states none. */
 const defaultEventGapMs = 1_000;
+/** Lag in ms of the event loop from which a request waits until its caller's leaving could have been noticed. */
+const lagToYieldMs = 30;
 /** Part in ms of a caller's patience that is kept for the way of the answer. */
 const answerWayMs = 5;
 
@@ -100,11 +102,18 @@
         if (!isTakenWhileDraining(patienceOf(allowed.value.route))) {
             return refuse(createRefusal("draining"));
         }
+        if (context.overload.refuses(context.dispatcher.relativeUsage(allowed.value.customer?.id))) {
+            return refuse(createRefusal("processor-overloaded"));
+        }
         const maxBodyBytes = context.follower.snapshot.read().inForce?.config.limits.maxBodyBytes ?? 0;
         const body = await readBody(request, maxBodyBytes);
         if (body.isErr()) {
             return body.error === "too-large" ? refuse(createRefusal("body-too-large")) : undefined;
         }
+        if (context.overload.lagMs() >= lagToYieldMs) {
+            // What was sent long ago may have been followed by the end of the connection, which is read next.
+            await new Promise<void>(resolve => setImmediate(resolve));
+        }
         if (callerLeft) {
             return;
         }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./Gateway.js";
 export * from "./GatewayContext.js";
 export * from "./GatewaySettings.js";
+export * from "./OverloadGuard.js";
 export * from "./UpstreamConnections.js";
 export * from "./WireCodec.js";
