--- a/packages/catalog/src/CatalogFollower.ts
+++ b/packages/catalog/src/CatalogFollower.ts
@@ -91,7 +91,8 @@
     confirm(): Promise<boolean>;
     /** Answers another VM: waits up to `waitMs` for changes after `after`; undefined before the first listing. */
     relay(after: Position, waitMs: number): Promise<RelayedBatch | undefined>;
-    start(): void;
+    /** @param delayMs time in ms to wait first, in which other VMs may be heard of. */
+    start(delayMs?: number): void;
     dispose(): void;
 }
 
@@ -174,6 +175,7 @@
             return undo ? [{ item, position: listing.position, change: undo }] : [];
         }));
         position = Math.max(listing.position, position ?? 0);
+        waiters.forEach(wake => wake());
         // Changes between an earlier position and this listing were not seen one by one.
         history = [];
         historyFrom = position;
@@ -305,8 +307,12 @@
 
     function backOff(): Promise<void> {
         const limitMs = Math.min(timing.maxBackoffMs, timing.minBackoffMs * 2 ** Math.min(failures, 10));
+        return pause(limitMs * (0.5 + random() / 2));
+    }
+
+    function pause(ms: number): Promise<void> {
         return new Promise(resolve => {
-            const cancel = clock.setTimer(limitMs * (0.5 + random() / 2), () => {
+            const cancel = clock.setTimer(ms, () => {
                 cancels.delete(cancel);
                 resolve();
             });
@@ -330,8 +336,8 @@
             return confirming;
         },
         async relay(after, waitMs) {
-            const known = (): boolean => position !== undefined && position > after;
-            if (!known() && position !== undefined) {
+            // A VM that asks while this one reads its first listing is answered when that is done.
+            if (position === undefined || position <= after) {
                 await new Promise<void>(resolve => {
                     const cancel = clock.setTimer(waitMs, () => wake());
                     const wake = (): void => {
@@ -355,7 +361,7 @@
                 changes: complete ? all() : history.filter(change => change.position > after),
             };
         },
-        start: () => void follow(),
+        start: (delayMs = 0) => void pause(delayMs).then(follow),
         dispose() {
             disposed = true;
             cancels.forEach(cancel => cancel());
