gateway: count a busy event loop as overload, and send nothing on for callers that left

Change: the guard also takes the loop's utilization, and each request waits until sockets have been read once more.

--- a/packages/gateway/src/OverloadGuard.ts
+++ b/packages/gateway/src/OverloadGuard.ts
@@ -3,8 +3,8 @@
 
 /** Tells when this process gets less processor time than its callers ask for. */
 export interface OverloadGuard {
-    /** Time in ms by which the event loop is behind. */
-    lagMs(): number;
+    /** Whether what callers sent may have waited long before it was read. */
+    isBehind(): boolean;
     /** Whether new callers are better served by other VMs. */
     isOverloaded(): boolean;
     /**
@@ -16,10 +16,17 @@
     dispose(): void;
 }
 
-/** Period in ms of the timer whose delay shows the lag. */
-const periodMs = 50;
+/** Period in ms of the timer whose delay shows the lag, and over which the utilization is taken. */
+const periodMs = 100;
+/**
+ * Share of the time in which the event loop works from which the process counts as behind. Node.js accepts one connection
+ * in each turn of the loop, so under load connections wait to be accepted although timers run in time.
+ */
+const fullUtilization = 0.92;
 /** Lag in ms from which large users are refused: the objectives leave about that much for the way through a VM. */
 const largeUserLagMs = 100;
+/** Weight of the newest period in the utilization. */
+const utilizationWeight = 0.4;
 /** Usage from which a customer counts as a large user. */
 const largeUsage = 0.5;
 /** Lag in ms from which all are refused: callers would leave before their requests are sent on. */
@@ -27,7 +34,13 @@
 /** Time in ms for which the lag must last before the VM asks for no new callers, and be gone before it does again. */
 const settleMs = 700;
 
-export function createOverloadGuard(clock: core.Clock, log: telemetry.EventLog): OverloadGuard {
+/** @param utilization share of the time since the last call in which the event loop worked, 0 to 1. */
+export function createOverloadGuard(
+    clock: core.Clock,
+    log: telemetry.EventLog,
+    utilization: () => number,
+): OverloadGuard {
+    let recentUtilization = 0;
     let expectedMs = clock.nowMs() + periodMs;
     let recentMs = 0;
     let overloaded = false;
@@ -37,31 +50,46 @@
     // The lag of the period that runs now counts as soon as it is longer than the last one.
     const lagMs = (): number => Math.max(recentMs, clock.nowMs() - expectedMs);
 
+    const isBehind = (): boolean => recentMs >= largeUserLagMs || recentUtilization >= fullUtilization;
+
     function tick(): void {
         const nowMs = clock.nowMs();
         recentMs = Math.max(0, nowMs - expectedMs);
         expectedMs = nowMs + periodMs;
         stop = clock.setTimer(periodMs, tick);
-        const isBehind = recentMs >= largeUserLagMs;
-        if (isBehind === overloaded) {
+        recentUtilization += utilizationWeight * (utilization() - recentUtilization);
+        if (isBehind() === overloaded) {
             changingSinceMs = undefined;
             return;
         }
         changingSinceMs ??= nowMs;
         if (nowMs - changingSinceMs >= settleMs) {
-            overloaded = isBehind;
+            overloaded = !overloaded;
             changingSinceMs = undefined;
-            log.state(overloaded ? "processor-overloaded" : "processor-recovered", { lagMs: Math.round(recentMs) });
+            log.state(overloaded ? "processor-overloaded" : "processor-recovered", {
+                lagMs: Math.round(recentMs),
+                utilization: recentUtilization,
+            });
         }
     }
 
     return {
-        lagMs,
+        isBehind,
         isOverloaded: () => overloaded,
         refuses(relativeUsage) {
-            const lag = lagMs();
-            return lag >= refuseAllLagMs || (lag >= largeUserLagMs && relativeUsage >= largeUsage);
+            return lagMs() >= refuseAllLagMs || (isBehind() && relativeUsage >= largeUsage);
         },
         dispose: () => stop(),
     };
 }
+
+/** Measures how much of the time the event loop of this process works. */
+export function createLoopUtilization(): () => number {
+    let last = performance.eventLoopUtilization();
+    return () => {
+        const now = performance.eventLoopUtilization();
+        const { utilization } = performance.eventLoopUtilization(now, last);
+        last = now;
+        return Number.isFinite(utilization) ? utilization : 0;
+    };
+}
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -29,8 +29,6 @@
 const stallFactor = 2.5;
 /** Longest pause in ms between events where the route states none. */
 const defaultEventGapMs = 1_000;
-/** Lag in ms of the event loop from which a request waits until its caller's leaving could have been noticed. */
-const lagToYieldMs = 30;
 /** Part in ms of a caller's patience that is kept for the way of the answer. */
 const answerWayMs = 5;
 
@@ -110,11 +108,8 @@
         if (body.isErr()) {
             return body.error === "too-large" ? refuse(createRefusal("body-too-large")) : undefined;
         }
-        if (context.overload.lagMs() >= lagToYieldMs) {
-            // What was sent long ago may have been followed by the end of the connection, which is read next.
-            await new Promise<void>(resolve => setImmediate(resolve));
-        }
-        if (callerLeft) {
+        await nextReading();
+        if (callerLeft || request.socket.readableEnded) {
             return;
         }
         return serve(head.requestId, allowed.value, body.value);
@@ -447,6 +442,15 @@
     return { run, refuse };
 }
 
+/**
+ * Resolves when sockets have been read once more. A request that was sent long ago may have been followed by the end of
+ * its connection; it is then not sent on.
+ */
+function nextReading(): Promise<void> {
+    // The first callback runs before the next reading, the second after it.
+    return new Promise(resolve => setImmediate(() => setImmediate(resolve)));
+}
+
 /** Retry-After in ms after an upstream that was chosen as the best had no room. */
 const retryAfterShedMs = 200;
 
