--- a/packages/gateway/src/OverloadGuard.ts
+++ b/packages/gateway/src/OverloadGuard.ts
@@ -3,12 +3,11 @@
 
 /** Tells when this process gets less processor time than its callers ask for. */
 export interface OverloadGuard {
-    /** Whether what callers sent may have waited long before it was read. */
-    isBehind(): boolean;
     /** Whether new callers are better served by other VMs. */
     isOverloaded(): boolean;
     /**
-     * Whether a request is refused for lack of processor time. Large users are refused first.
+     * Whether a request is refused for lack of processor time. Large users are refused first. A busy loop that keeps its
+     * timers refuses nobody: what it has accepted it can also serve.
      *
      * @param relativeUsage usage of the customer as a part of that of the largest one, 0 to 1.
      */
@@ -74,10 +73,10 @@
     }
 
     return {
-        isBehind,
         isOverloaded: () => overloaded,
         refuses(relativeUsage) {
-            return lagMs() >= refuseAllLagMs || (isBehind() && relativeUsage >= largeUsage);
+            const lag = lagMs();
+            return lag >= refuseAllLagMs || (lag >= largeUserLagMs && relativeUsage >= largeUsage);
         },
         dispose: () => stop(),
     };
