--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,5 +1,6 @@
 import type * as catalog from "@peridotloft/catalog";
 import * as core from "@peridotloft/core";
+import type { CrashMark } from "@peridotloft/fleet";
 import type * as telemetry from "@peridotloft/telemetry";
 import { err, ok, type Result } from "neverthrow";
 import { createCustomerUsage } from "./CustomerUsage.js";
@@ -7,7 +8,7 @@
 import type { FleetView } from "./FleetView.js";
 import type { DispatchRefusal, Job, Lease, Prompt } from "./Job.js";
 import { type Candidate, type Choice, chooseEngine, chooseService } from "./Placement.js";
-import { type CrashMark, createPoisonGuard } from "./PoisonGuard.js";
+import { createPoisonGuard } from "./PoisonGuard.js";
 import { rankByRendezvous } from "./Rendezvous.js";
 import { createRetryBudget, type RetryBudget } from "./RetryBudget.js";
 import { createUpstreamTable, type UpstreamState } from "./UpstreamTable.js";
--- a/packages/dispatch/src/PoisonGuard.ts
+++ b/packages/dispatch/src/PoisonGuard.ts
@@ -1,10 +1,4 @@
-/** A request that ran at an upstream when that upstream crashed. */
-export interface CrashMark {
-    /** Identifies the work: path, customer and body, the same for each attempt of a caller. */
-    readonly fingerprint: number;
-    /** Hash of the upstream's id. */
-    readonly upstreamHash: number;
-}
+import type { CrashMark } from "@peridotloft/fleet";
 
 /** Finds requests that crash the upstreams that run them, so that they are not sent again. */
 export interface PoisonGuard {
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -1,9 +1,10 @@
 import type * as catalog from "@peridotloft/catalog";
 import * as core from "@peridotloft/core";
+import type { Placement } from "@peridotloft/fleet";
 import type * as telemetry from "@peridotloft/telemetry";
 import { type ColdLimiter, createColdLimiter } from "./ColdLimiter.js";
 import { createCrashDetector } from "./CrashDetector.js";
-import type { FleetView, Placement } from "./FleetView.js";
+import type { FleetView } from "./FleetView.js";
 import type { AttemptOutcome, Job, Lease } from "./Job.js";
 import { type Backlog, createBacklog, createFadingSum, type FadingSum } from "./LoadModel.js";
 import { createPrefixCache, type PrefixCache } from "./PrefixCache.js";
