--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -55,6 +55,8 @@
     const answer = createCallerAnswer(response, codec, () => context.drainingForMs() !== undefined);
     let kind = "unknown";
     let attempt: Attempt | undefined;
+    /** Whether an upstream may have run the request, at this attempt or an earlier one. */
+    let mayHaveRun = false;
     let callerLeft = false;
     let expired = false;
     let cancelExpiry: () => void = () => undefined;
@@ -150,9 +152,9 @@
 
     function expire(): void {
         expired = true;
-        const mayHaveRun = attempt?.isSent() === true;
+        const mayRunNow = mayHaveRun || attempt?.isSent() === true;
         attempt?.cancel("timeout");
-        refuse(mayHaveRun ? createFailure("upstream-timeout") : createRefusal("deadline"));
+        refuse(mayRunNow ? createFailure("upstream-timeout") : createRefusal("deadline"));
     }
 
     const isOver = (): boolean => callerLeft || expired;
@@ -165,7 +167,6 @@
         repeatable: boolean,
         lastEventId: string | undefined,
     ): Promise<Result<{ lease: dispatch.Lease; answered: http.IncomingMessage; }, Refusal>> {
-        let mayHaveRun = false;
         for (;;) {
             const lease = context.dispatcher.acquire(job, tried);
             if (lease.isErr()) {
@@ -183,7 +184,6 @@
                 verdict: failure.verdict,
                 attempts: tried.size,
             });
-            mayHaveRun ||= failure.verdict !== "not-run";
             if (failure.sent) {
                 tried.add(lease.value.upstream.id);
             }
@@ -224,6 +224,7 @@
         const answered = await attempt.answered;
         stopWatching();
         const checked = answered.andThen(message => checkAnswer(job, message));
+        mayHaveRun ||= checked.isOk() || checked.error.verdict !== "not-run";
         if (checked.isErr()) {
             lease.end(checked.error.outcome);
             if (
