catalog: pass on removals that were deferred

After an outage of the store edge-tw-north-a-1 deferred the removal of i-796ffe9c8b by 0.3 s, but told edge-tw-north-a-3, which learns from it, the position after the removal. When the removal was applied, it lay before that position and was never passed on. Change: the position that is told stays before deferred removals. Test: 'passes on a removal that it deferred' fails before.

--- a/packages/catalog/__tests__/unit/CatalogFollower.test.ts
+++ b/packages/catalog/__tests__/unit/CatalogFollower.test.ts
@@ -236,6 +236,26 @@
             assert.deepEqual(ids(), ["a"], "b did not return and is gone");
         });
 
+        it("passes on a removal that it deferred, also to a VM that asked meanwhile", async () => {
+            const { clock, store, follower } = createFixture();
+            store.put("up/a", upstream("a"));
+            store.put("up/b", upstream("b"));
+            follower.start();
+            await clock.advance(10);
+            store.setMode("down");
+            await clock.advance(5_000);
+            store.setMode("sound");
+            await clock.advance(600);
+            store.remove("up/a", { kind: "upstream-removed", id: core.upstreamId("a") });
+            store.put("up/c", upstream("c"));
+            await clock.advance(10);
+            const during = await follower.relay(0, 0);
+            assert.ok(during);
+            await clock.advance(2_500);
+            const after = await follower.relay(during.position, 0);
+            assert.ok(after?.changes.some(({ change }) => change.kind === "upstream-removed" && change.id === "a"));
+        });
+
         it("asks the store once for many that want to know, and not again right after a failure", async () => {
             const { clock, store, follower, log } = createFixture();
             follower.start();
--- a/packages/catalog/src/CatalogFollower.ts
+++ b/packages/catalog/src/CatalogFollower.ts
@@ -109,6 +109,7 @@
     const items = new Map<string, HeldItem>();
     const cancels = new Set<() => void>();
     const waiters = new Set<() => void>();
+    const deferred = new Set<readonly PlacedChange[]>();
     const relayPausedUntilMs = new Map<string, number>();
     /** Applied changes in order; complete after the position `historyFrom`. */
     let history: readonly PlacedChange[] = [];
@@ -159,8 +160,10 @@
             return;
         }
         log.state("removals-deferred", { count: changes.length, waitMs });
+        deferred.add(changes);
         const cancel = clock.setTimer(waitMs, () => {
             cancels.delete(cancel);
+            deferred.delete(changes);
             apply(changes);
         });
         cancels.add(cancel);
@@ -305,6 +308,12 @@
         }
     }
 
+    // A VM that is told a position is not told again of changes before it, so deferred ones hold the position back.
+    function relayedPosition(known: Position): Position {
+        const waiting = [...deferred].flatMap(changes => changes.map(({ position: at }) => at - 1));
+        return Math.min(known, ...waiting);
+    }
+
     function backOff(): Promise<void> {
         const limitMs = Math.min(timing.maxBackoffMs, timing.minBackoffMs * 2 ** Math.min(failures, 10));
         return pause(limitMs * (0.5 + random() / 2));
@@ -355,7 +364,7 @@
             const all = (): PlacedChange[] =>
                 [...items].map(([item, { position: at, change }]) => ({ item, position: at, change }));
             return {
-                position,
+                position: relayedPosition(position),
                 ageMs: clock.nowMs() - confirmedMs,
                 complete,
                 changes: complete ? all() : history.filter(change => change.position > after),
