--- a/packages/catalog/src/CatalogFollower.ts
+++ b/packages/catalog/src/CatalogFollower.ts
@@ -46,7 +46,10 @@
     readonly listTimeoutMs: number;
     /** Time by which a watch may lag behind the store's changes. */
     readonly watchLagMs: number;
-    /** Entries of live upstreams return within this time after an outage of the store. */
+    /**
+     * Entries of live upstreams return within about 2 s after an outage of the store. Shorter by what a removal may take to
+     * reach this VM, since an upstream that left must get nothing 2 s later; one that returns later is added again.
+     */
     readonly returnGraceMs: number;
     /** A shorter outage cannot have let entries of live upstreams lapse. */
     readonly lapsingOutageMs: number;
@@ -71,7 +74,7 @@
     listTimeoutMs: 2_000,
     // The platform states that its watches may hear nothing for a second before history is dropped.
     watchLagMs: 1_000,
-    returnGraceMs: 2_000,
+    returnGraceMs: 1_400,
     // Three missed heartbeats of 1.2 s let an entry lapse.
     lapsingOutageMs: 2_000,
     minBackoffMs: 60,
