gateway, dispatch: remove a setting and a method that nothing reads

Cause: reading the change again found GatewaySettings.metricsPath (the metrics server answers every path) and PrefixCache.clear (a new run of an upstream gets a new cache) without a use. Change: both removed; behaviour stays.

--- a/packages/dispatch/src/PrefixCache.ts
+++ b/packages/dispatch/src/PrefixCache.ts
@@ -8,7 +8,6 @@
     touch(parts: readonly PromptPart[]): void;
     /** Another VM sent a prompt of this session there. */
     touchSession(sessionHash: number, nowMs: number): void;
-    clear(): void;
 }
 
 /** Time in ms for which a session of another VM's request counts as kept. Engines keep parts that are in use for long. */
@@ -56,10 +55,5 @@
                 sessions.delete(oldest[0]);
             }
         },
-        clear() {
-            sessions.clear();
-            tokensOf.clear();
-            total = 0;
-        },
     };
 }
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -16,7 +16,6 @@
     readonly readiness: Endpoint;
     readonly readinessPath: string;
     readonly metrics: Endpoint;
-    readonly metricsPath: string;
     /** Time in ms from the signal to stop until the process is killed. */
     readonly stopGraceMs: number;
     /** Time in ms within which a withdrawn key must stop working. */
