gateway: observe the queue of connections that are not accepted yet

New: the line accept-queue-busy, once per second (time since the queue was last empty, longest turn, accepted connections), the gauge accept_queue_busy_seconds, the counter connections_total, and heldMs in the refusals at a connection. No decision changed.

--- /dev/null
+++ b/packages/gateway/__tests__/unit/AcceptQueueMonitor.test.ts
@@ -0,0 +1,67 @@
+import * as testing from "@peridotloft/testing";
+import * as assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createAcceptQueueMonitor } from "../../src/AcceptQueueMonitor.js";
+
+/** A monitor of an event loop whose turns the test runs. */
+function createMonitoredLoop() {
+    const clock = testing.createVirtualClock();
+    const log = testing.createRecordingLog();
+    let callbacks: (() => void)[] = [];
+    const monitor = createAcceptQueueMonitor({ clock, log, onTurnEnd: callback => void callbacks.push(callback) });
+    return {
+        monitor,
+        log,
+        clock,
+        /** Runs a turn of the event loop in which a connection is accepted or none. */
+        async turn(durationMs: number, accepts: boolean): Promise<void> {
+            if (accepts) {
+                monitor.recordAccepted();
+            }
+            await clock.advance(durationMs);
+            const due = callbacks;
+            callbacks = [];
+            due.forEach(callback => callback());
+        },
+        isIdle: () => callbacks.length === 0,
+    };
+}
+
+describe("AcceptQueueMonitor", () => {
+    it("counts the time in which each turn accepts a connection, and is empty after a turn that accepts none", async () => {
+        const loop = createMonitoredLoop();
+        for (let turn = 0; turn < 10; turn++) {
+            await loop.turn(20, true);
+        }
+        assert.equal(Math.round(loop.monitor.busyMs()), 200);
+        await loop.turn(20, false);
+        assert.equal(loop.monitor.busyMs(), 0);
+        assert.ok(loop.isIdle(), "no callback keeps the event loop awake");
+    });
+
+    it("starts anew with the next connection", async () => {
+        const loop = createMonitoredLoop();
+        await loop.turn(50, true);
+        await loop.turn(50, false);
+        await loop.clock.advance(500);
+        await loop.turn(30, true);
+        assert.equal(Math.round(loop.monitor.busyMs()), 30);
+    });
+
+    it("reports a busy queue once per second, with its longest turn, and a queue that empties in time not at all", async () => {
+        const loop = createMonitoredLoop();
+        for (let turn = 0; turn < 20; turn++) {
+            await loop.turn(25, true);
+            await loop.turn(25, false);
+        }
+        await loop.turn(1, false);
+        assert.equal(loop.log.count("accept-queue-busy"), 0);
+        for (let turn = 0; turn < 40; turn++) {
+            await loop.turn(turn === 30 ? 70 : 50, true);
+        }
+        assert.equal(loop.log.count("accept-queue-busy"), 2);
+        const { fields } = loop.log.lines.at(-1)!;
+        assert.deepEqual([fields.longestTurnMs, fields.accepted], [70, 20]);
+        loop.monitor.dispose();
+    });
+});
--- a/packages/gateway/src/ConnectionRefusal.ts
+++ b/packages/gateway/src/ConnectionRefusal.ts
@@ -7,7 +7,8 @@
     readonly clock: core.Clock;
     readonly codec: WireCodec;
     readonly maxHeaderBytes: number;
-    readonly onRefused: (request: CallerRequest, refusal: Refusal) => void;
+    /** @param heldMs time in ms since the connection was accepted. */
+    readonly onRefused: (request: CallerRequest, refusal: Refusal, heldMs: number) => void;
 }
 
 /** Time in ms after which a refused connection is closed if the caller has not closed it. */
@@ -19,6 +20,7 @@
  * parses the head without the HTTP server, whose objects account for most of the processor time of a request.
  */
 export function refuseConnection(socket: net.Socket, options: ConnectionRefusalOptions): void {
+    const acceptedMs = options.clock.nowMs();
     let head = "";
     const cancel = options.clock.setTimer(lingerMs, () => socket.destroy());
     socket.once("close", cancel);
@@ -39,7 +41,7 @@
         }
         const request = options.codec.readRequestHead(parseHeaders(head.slice(0, end)));
         const refusal = createRefusal("processor-overloaded");
-        options.onRefused(request, refusal);
+        options.onRefused(request, refusal, options.clock.nowMs() - acceptedMs);
         socket.end(formatRefusal(refusal, options.codec.refusalHeaders(request.requestId, refusal.retryAfterMs)));
     };
     socket.on("data", onData);
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import * as http from "node:http";
 import type * as net from "node:net";
+import { createAcceptQueueMonitor } from "./AcceptQueueMonitor.js";
 import { refuseConnection } from "./ConnectionRefusal.js";
 import { createFreshness } from "./Freshness.js";
 import type { GatewayContext } from "./GatewayContext.js";
@@ -53,7 +54,13 @@
         response.once("close", () => inFlight.delete(response));
         handleRequest(request, response);
     });
+    const acceptQueue = createAcceptQueueMonitor({ clock, log, onTurnEnd: callback => void setImmediate(callback) });
     refuseConnectionsUnderOverload(callerServer);
+    const removeAcceptQueueGauge = metrics.registerGauge(
+        "accept_queue_busy_seconds",
+        "Time since the queue of connections that are not accepted yet was last seen empty.",
+        () => acceptQueue.busyMs() / 1_000,
+    );
     const readinessServer = http.createServer((request, response) => {
         request.resume();
         response.writeHead(request.url === settings.readinessPath ? (isReady() ? 200 : 503) : 404).end();
@@ -79,10 +86,13 @@
         const defaultListeners = server.listeners("connection") as ((socket: net.Socket) => void)[];
         server.removeAllListeners("connection");
         server.on("connection", (socket: net.Socket) => {
+            acceptQueue.recordAccepted();
             if (context.overload.admitsConnection()) {
+                metrics.count("connections", { outcome: "admitted" });
                 defaultListeners.forEach(listener => listener.call(server, socket));
                 return;
             }
+            metrics.count("connections", { outcome: "refused" });
             refuseConnection(socket, {
                 clock,
                 codec: context.codec,
@@ -92,11 +102,18 @@
         });
     }
 
-    function recordRefusedConnection({ requestId }: CallerRequest, refusal: Refusal): void {
+    function recordRefusedConnection({ requestId }: CallerRequest, refusal: Refusal, heldMs: number): void {
         const { reason, statusCode, retryAfterMs } = refusal;
         metrics.count("requests", { kind: "unknown", outcome: String(statusCode) });
         metrics.count("refusals", { reason });
-        log.failure("request-refused", { requestId, reason, statusCode, retryAfterMs, atConnection: true });
+        log.failure("request-refused", {
+            requestId,
+            reason,
+            statusCode,
+            retryAfterMs,
+            heldMs: Math.round(heldMs),
+            atConnection: true,
+        });
     }
 
     function isReady(): boolean {
@@ -107,6 +124,8 @@
 
     function close(): void {
         subscription.unsubscribe();
+        removeAcceptQueueGauge();
+        acceptQueue.dispose();
         [callerServer, readinessServer, metricsServer].forEach(server => {
             server.close();
             server.closeAllConnections();
