gateway: bound the wait of connections in the accept queue

Their requests ended without a connection, at their deadline, or with a 503 after more than a second.

Cause: overload was judged behind the accept queue, which is first in, first out, and holds 511 connections. A VM of 0.324 cores that accepts 200 to 400 connections/s makes them wait 1.2 to 2.5 s; callers wait 1 s. Timers fire in time meanwhile, so readiness stayed on.

Change: AcceptQueueMonitor bounds the wait, by the time since the queue was last empty and the time in which a whole queue was accepted. From 300 ms on every new connection is refused, and readiness is turned off when that lasts for 700 ms, so that the load balancer chooses other VMs; from 500 ms on connections are closed unread until the wait is shorter.

--- a/packages/gateway/__tests__/unit/AcceptQueueMonitor.test.ts
+++ b/packages/gateway/__tests__/unit/AcceptQueueMonitor.test.ts
@@ -1,7 +1,7 @@
 import * as testing from "@peridotloft/testing";
 import * as assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createAcceptQueueMonitor } from "../../src/AcceptQueueMonitor.js";
+import { acceptBacklog, createAcceptQueueMonitor } from "../../src/AcceptQueueMonitor.js";
 
 /** A monitor of an event loop whose turns the test runs. */
 function createMonitoredLoop() {
@@ -33,9 +33,9 @@
         for (let turn = 0; turn < 10; turn++) {
             await loop.turn(20, true);
         }
-        assert.equal(Math.round(loop.monitor.busyMs()), 200);
+        assert.equal(Math.round(loop.monitor.longestWaitMs()), 200);
         await loop.turn(20, false);
-        assert.equal(loop.monitor.busyMs(), 0);
+        assert.equal(loop.monitor.longestWaitMs(), 0);
         assert.ok(loop.isIdle(), "no callback keeps the event loop awake");
     });
 
@@ -45,7 +45,15 @@
         await loop.turn(50, false);
         await loop.clock.advance(500);
         await loop.turn(30, true);
-        assert.equal(Math.round(loop.monitor.busyMs()), 30);
+        assert.equal(Math.round(loop.monitor.longestWaitMs()), 30);
+    });
+
+    it("bounds the wait by the time in which a whole queue was accepted", async () => {
+        const loop = createMonitoredLoop();
+        for (let turn = 0; turn < 2_000; turn++) {
+            await loop.turn(1, true);
+        }
+        assert.equal(Math.round(loop.monitor.longestWaitMs()), acceptBacklog + 2);
     });
 
     it("reports a busy queue once per second, with its longest turn, and a queue that empties in time not at all", async () => {
--- a/packages/gateway/__tests__/unit/OverloadGuard.test.ts
+++ b/packages/gateway/__tests__/unit/OverloadGuard.test.ts
@@ -1,7 +1,7 @@
 import * as testing from "@peridotloft/testing";
 import * as assert from "node:assert/strict";
-import { describe, it } from "node:test";
-import { createOverloadGuard } from "../../src/OverloadGuard.js";
+import { beforeEach, describe, it } from "node:test";
+import { createOverloadGuard, type OverloadGuard, type OverloadGuardOptions } from "../../src/OverloadGuard.js";
 
 /** A clock whose timers fire late, as they do when the process gets too little processor time. */
 function createLateClock() {
@@ -17,10 +17,18 @@
     };
 }
 
+const createGuard = (options: Partial<OverloadGuardOptions> & Pick<OverloadGuardOptions, "clock" | "utilization">) =>
+    createOverloadGuard({
+        log: testing.createRecordingLog(),
+        random: () => 0.5,
+        acceptQueue: { longestWaitMs: () => 0 },
+        ...options,
+    });
+
 describe("OverloadGuard", () => {
     it("refuses no requests while timers fire on time", async () => {
         const { clock, advance } = createLateClock();
-        const guard = createOverloadGuard(clock, testing.createRecordingLog(), () => 0.3, () => 0.5);
+        const guard = createGuard({ clock, utilization: () => 0.3 });
         await advance(2_000);
         assert.ok(!guard.refusesRequest(1));
         assert.ok(!guard.isOverloaded());
@@ -28,7 +36,7 @@
 
     it("refuses heavy customers when timers lag, and all customers when they lag further", async () => {
         const { clock, advance, setLate } = createLateClock();
-        const guard = createOverloadGuard(clock, testing.createRecordingLog(), () => 0.3, () => 0.5);
+        const guard = createGuard({ clock, utilization: () => 0.3 });
         setLate(150);
         await advance(600);
         assert.ok(guard.refusesRequest(0.9));
@@ -41,23 +49,58 @@
     it("refuses connections while the event loop is saturated although timers fire on time, then recovers", async () => {
         const { clock, advance } = createLateClock();
         let utilization = 0.5;
-        const guard = createOverloadGuard(clock, testing.createRecordingLog(), () => utilization, () => 0.5);
+        const guard = createGuard({ clock, utilization: () => utilization });
         await advance(2_000);
-        assert.ok(guard.admitsConnection());
+        assert.equal(guard.judgeConnection(), "serve");
         utilization = 1;
         await advance(2_500);
-        assert.ok(!guard.admitsConnection());
+        assert.equal(guard.judgeConnection(), "refuse");
         assert.ok(!guard.refusesRequest(0.9), "accepted requests are served");
         assert.ok(!guard.isOverloaded(), "readiness stays on; refused callers retry at other VMs");
         utilization = 0.5;
         await advance(1_800);
-        assert.ok(guard.admitsConnection());
+        assert.equal(guard.judgeConnection(), "serve");
+    });
+
+    describe("while connections wait to be accepted", () => {
+        let waitMs: number;
+        let late: ReturnType<typeof createLateClock>;
+        let guard: OverloadGuard;
+        beforeEach(() => {
+            waitMs = 0;
+            late = createLateClock();
+            guard = createGuard({
+                clock: late.clock,
+                utilization: () => 0.3,
+                acceptQueue: { longestWaitMs: () => waitMs },
+            });
+        });
+
+        it("refuses connections, closes them before their callers give up, and serves when none waits", () => {
+            const verdicts = [299, 300, 499, 500, 5_000, 0].map(ms => {
+                waitMs = ms;
+                return guard.judgeConnection();
+            });
+            assert.deepEqual(verdicts, ["serve", "refuse", "refuse", "close", "close", "serve"]);
+        });
+
+        it("is not ready while it refuses all new connections, although timers fire on time", async () => {
+            waitMs = 300;
+            await late.advance(600);
+            assert.ok(!guard.isOverloaded(), "a short queue does not turn readiness off");
+            await late.advance(600);
+            assert.ok(guard.isOverloaded());
+            assert.ok(!guard.refusesRequest(0.9), "requests on open connections are served");
+            waitMs = 0;
+            await late.advance(1_200);
+            assert.ok(!guard.isOverloaded());
+        });
     });
 
     it("turns readiness off after a persistent lag but not after a short one, and on again afterwards", async () => {
         const { clock, advance, setLate } = createLateClock();
         const log = testing.createRecordingLog();
-        const guard = createOverloadGuard(clock, log, () => 0.3, () => 0.5);
+        const guard = createGuard({ clock, utilization: () => 0.3, log });
         setLate(200);
         await advance(400);
         assert.ok(!guard.isOverloaded());
--- a/packages/gateway/src/AcceptQueueMonitor.ts
+++ b/packages/gateway/src/AcceptQueueMonitor.ts
@@ -9,41 +9,53 @@
 export interface AcceptQueueMonitor {
     /** Records that the server accepted a connection, whether it is served or not. */
     recordAccepted(): void;
-    /**
-     * Time in ms since the queue was last seen empty; 0 while it is empty. The connection accepted last has waited no
-     * longer than this.
-     */
-    busyMs(): number;
+    /** Records that an accepted connection was closed unread. */
+    recordClosed(): void;
+    /** Upper bound in ms on the time that the connection accepted last has waited; 0 while the queue is empty. */
+    longestWaitMs(): number;
     dispose(): void;
 }
 
 export interface AcceptQueueMonitorOptions {
     readonly clock: core.Clock;
     /** Calls back at the end of the current turn of the event loop, after the sockets have been polled. */
-    readonly onTurnEnd: (callback: () => void) => void;
+    readonly onTurnEnd?: (callback: () => void) => void;
     readonly log: telemetry.EventLog;
 }
 
-/** Busy time in ms from which the queue is reported: latency objectives leave about this much time to a VM. */
-const reportedBusyMs = 100;
+/** Maximum number of connections in the queue; the kernel drops further ones. */
+export const acceptBacklog = 511;
+/** Wait in ms from which the queue is reported: latency objectives leave about this much time to a VM. */
+const minReportedWaitMs = 100;
 /** Interval in ms of the reports. */
 const reportIntervalMs = 1_000;
 
-export function createAcceptQueueMonitor({ clock, onTurnEnd, log }: AcceptQueueMonitorOptions): AcceptQueueMonitor {
+export function createAcceptQueueMonitor(options: AcceptQueueMonitorOptions): AcceptQueueMonitor {
+    const { clock, log, onTurnEnd = setImmediate } = options;
     let acceptedCount = 0;
     let acceptedAtTurnEnd = 0;
     let acceptedAtReport = 0;
+    let closedSinceReport = 0;
     let busySinceMs: number | undefined;
+    // Times at which the latest connections were accepted. Linux queues one connection more than the backlog, so the oldest
+    // time is that of the connection that was accepted before the latest one can have joined the queue.
+    const acceptTimesMs = new Float64Array(acceptBacklog + 2).fill(Number.NEGATIVE_INFINITY);
     let lastTurnEndMs = 0;
-    let longestBusyMs = 0;
+    let reportedWaitMs = 0;
     let longestTurnMs = 0;
 
-    const busyMs = (): number => busySinceMs === undefined ? 0 : clock.nowMs() - busySinceMs;
+    const slotOf = (count: number): number => count % acceptTimesMs.length;
+
+    // The latest connection joined the queue after the queue was empty, and after a whole queue before it was accepted.
+    function longestWaitMs(): number {
+        const oldestAcceptMs = acceptTimesMs[slotOf(acceptedCount)] ?? Number.NEGATIVE_INFINITY;
+        return busySinceMs === undefined ? 0 : clock.nowMs() - Math.max(busySinceMs, oldestAcceptMs);
+    }
 
     function checkAtTurnEnd(): void {
         const nowMs = clock.nowMs();
         longestTurnMs = Math.max(longestTurnMs, nowMs - lastTurnEndMs);
-        longestBusyMs = Math.max(longestBusyMs, busyMs());
+        reportedWaitMs = Math.max(reportedWaitMs, longestWaitMs());
         lastTurnEndMs = nowMs;
         if (acceptedCount === acceptedAtTurnEnd) {
             busySinceMs = undefined;
@@ -54,20 +66,23 @@
     }
 
     const cancelReports = core.setRepeatingTimer(clock, reportIntervalMs, () => {
-        if (longestBusyMs >= reportedBusyMs) {
+        if (reportedWaitMs >= minReportedWaitMs) {
             log.state("accept-queue-busy", {
-                longestBusyMs: Math.round(longestBusyMs),
+                longestWaitMs: Math.round(reportedWaitMs),
                 longestTurnMs: Math.round(longestTurnMs),
                 accepted: acceptedCount - acceptedAtReport,
+                closedUnread: closedSinceReport,
             });
         }
         acceptedAtReport = acceptedCount;
-        longestBusyMs = 0;
+        closedSinceReport = 0;
+        reportedWaitMs = 0;
         longestTurnMs = 0;
     });
 
     return {
         recordAccepted() {
+            acceptTimesMs[slotOf(acceptedCount)] = clock.nowMs();
             acceptedCount++;
             if (busySinceMs === undefined) {
                 busySinceMs = clock.nowMs();
@@ -75,7 +90,8 @@
                 onTurnEnd(checkAtTurnEnd);
             }
         },
-        busyMs,
+        recordClosed: () => void closedSinceReport++,
+        longestWaitMs,
         dispose: cancelReports,
     };
 }
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,7 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import * as http from "node:http";
 import type * as net from "node:net";
-import { createAcceptQueueMonitor } from "./AcceptQueueMonitor.js";
+import { acceptBacklog } from "./AcceptQueueMonitor.js";
 import { refuseConnection } from "./ConnectionRefusal.js";
 import { createFreshness } from "./Freshness.js";
 import type { GatewayContext } from "./GatewayContext.js";
@@ -36,9 +36,10 @@
 /** Time in ms reserved at the end of the grace period for closing and exiting. */
 export const exitMarginMs = 500;
 const drainPollIntervalMs = 50;
+const connectionOutcomes = { serve: "served", refuse: "refused", close: "closed-unread" } as const;
 
 export function createGateway(context: GatewayContext, onDrainStarted: () => void): Gateway {
-    const { settings, clock, follower, log, metrics } = context;
+    const { settings, clock, follower, acceptQueue, log, metrics } = context;
     const freshness = createFreshness(follower, settings);
     const inFlight = new Set<http.ServerResponse>();
     const handleRequest = createRequestHandler(context, freshness);
@@ -54,12 +55,11 @@
         response.once("close", () => inFlight.delete(response));
         handleRequest(request, response);
     });
-    const acceptQueue = createAcceptQueueMonitor({ clock, log, onTurnEnd: callback => void setImmediate(callback) });
     refuseConnectionsUnderOverload(callerServer);
     const removeAcceptQueueGauge = metrics.registerGauge(
-        "accept_queue_busy_seconds",
-        "Time since the queue of connections that are not accepted yet was last seen empty.",
-        () => acceptQueue.busyMs() / 1_000,
+        "accept_queue_wait_seconds",
+        "Upper bound on the time that connections wait until they are accepted.",
+        () => acceptQueue.longestWaitMs() / 1_000,
     );
     const readinessServer = http.createServer((request, response) => {
         request.resume();
@@ -87,12 +87,17 @@
         server.removeAllListeners("connection");
         server.on("connection", (socket: net.Socket) => {
             acceptQueue.recordAccepted();
-            if (context.overload.admitsConnection()) {
-                metrics.count("connections", { outcome: "admitted" });
+            const verdict = context.overload.judgeConnection();
+            metrics.count("connections", { outcome: connectionOutcomes[verdict] });
+            if (verdict === "serve") {
                 defaultListeners.forEach(listener => listener.call(server, socket));
                 return;
             }
-            metrics.count("connections", { outcome: "refused" });
+            if (verdict === "close") {
+                acceptQueue.recordClosed();
+                socket.resetAndDestroy();
+                return;
+            }
             refuseConnection(socket, {
                 clock,
                 codec: context.codec,
@@ -125,7 +130,6 @@
     function close(): void {
         subscription.unsubscribe();
         removeAcceptQueueGauge();
-        acceptQueue.dispose();
         [callerServer, readinessServer, metricsServer].forEach(server => {
             server.close();
             server.closeAllConnections();
@@ -140,7 +144,7 @@
         isReady,
         async start() {
             const results = await Promise.all([
-                listen(callerServer, settings.entry),
+                listen(callerServer, settings.entry, acceptBacklog),
                 listen(readinessServer, settings.readiness),
                 listen(metricsServer, settings.metrics),
             ]);
@@ -166,9 +170,13 @@
 }
 
 /** Listens on an endpoint; fails with the endpoint and the reason. */
-export function listen(server: http.Server, { host, port }: Endpoint): Promise<Result<void, string>> {
+export function listen(
+    server: http.Server,
+    { host, port }: Endpoint,
+    backlog?: number,
+): Promise<Result<void, string>> {
     return new Promise(resolve => {
         server.once("error", error => resolve(err(`${host}:${port}: ${String(error)}`)));
-        server.listen(port, host, () => resolve(ok(undefined)));
+        server.listen({ port, host, backlog }, () => resolve(ok(undefined)));
     });
 }
--- a/packages/gateway/src/OverloadGuard.ts
+++ b/packages/gateway/src/OverloadGuard.ts
@@ -1,5 +1,14 @@
 import type * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
+import type { AcceptQueueMonitor } from "./AcceptQueueMonitor.js";
+
+/**
+ * What happens to a new connection. Its request does not run unless the connection is served.
+ *
+ * - `refuse`: the caller gets a 503, which costs a fraction of serving the request.
+ * - `close`: the connection is closed unread, which costs a fraction of refusing it.
+ */
+export type ConnectionVerdict = "serve" | "refuse" | "close";
 
 /** Detects that this process gets less processor time than its load requires, and decides what to refuse then. */
 export interface OverloadGuard {
@@ -13,10 +22,12 @@
      */
     refusesRequest(relativeUsage: number): boolean;
     /**
-     * Whether a new connection is served. Refusing a connection costs a fraction of serving it, and its caller can connect
-     * to another VM. So a VM to which callers keep connecting still serves on time what it has capacity for.
+     * Decides on a connection that was accepted just now.
+     *
+     * The VM serves, out of the connections that callers keep opening, what it has capacity for, and refuses the others
+     * while their callers still wait for a response.
      */
-    admitsConnection(): boolean;
+    judgeConnection(): ConnectionVerdict;
     dispose(): void;
 }
 
@@ -42,16 +53,25 @@
 const heavyCustomerUsage = 0.5;
 /** Lag in ms at which all requests are refused; callers would disconnect before their requests reach an upstream. */
 const refuseAllLagMs = 300;
-/** Time in ms for which the lag must persist before readiness is turned off, and be absent before it is turned on. */
+/**
+ * Wait in ms for being accepted after which connections are closed unread. Callers allow a VM 1 s to read their request. The
+ * queue is first in, first out: once the wait exceeds that, refusing the oldest ones delays the others until they are too old.
+ */
+const maxAcceptWaitMs = 500;
+/** Time in ms for which a lag or a wait must persist before readiness is turned off, and be absent before it is turned on. */
 const stateChangeDelayMs = 700;
 
-/** @param utilization returns the event loop utilization since its previous call, 0 to 1. */
-export function createOverloadGuard(
-    clock: core.Clock,
-    log: telemetry.EventLog,
-    utilization: () => number,
-    random: core.Random,
-): OverloadGuard {
+export interface OverloadGuardOptions {
+    readonly clock: core.Clock;
+    readonly log: telemetry.EventLog;
+    readonly random: core.Random;
+    /** Returns the event loop utilization since its previous call, 0 to 1. */
+    readonly utilization: () => number;
+    readonly acceptQueue: Pick<AcceptQueueMonitor, "longestWaitMs">;
+}
+
+export function createOverloadGuard(options: OverloadGuardOptions): OverloadGuard {
+    const { clock, log, random, utilization, acceptQueue } = options;
     let smoothedUtilization = 0;
     let refusedShare = 0;
     let expectedTickMs = clock.nowMs() + sampleIntervalMs;
@@ -64,6 +84,7 @@
     const lagMs = (): number => Math.max(lastLagMs, clock.nowMs() - expectedTickMs);
 
     const isLagging = (): boolean => lastLagMs >= heavyCustomerLagMs;
+    const isBehind = (): boolean => isLagging() || acceptQueue.longestWaitMs() >= refuseAllLagMs;
 
     function adjustRefusedShare(): void {
         const previousShare = refusedShare;
@@ -88,7 +109,7 @@
         cancelTimer = clock.setTimer(sampleIntervalMs, tick);
         smoothedUtilization += utilizationWeight * (utilization() - smoothedUtilization);
         adjustRefusedShare();
-        if (isLagging() === overloaded) {
+        if (isBehind() === overloaded) {
             changeSinceMs = undefined;
             return;
         }
@@ -98,6 +119,7 @@
             changeSinceMs = undefined;
             log.state(overloaded ? "processor-overloaded" : "processor-recovered", {
                 lagMs: Math.round(lastLagMs),
+                acceptWaitMs: Math.round(acceptQueue.longestWaitMs()),
                 utilization: smoothedUtilization,
             });
         }
@@ -109,7 +131,13 @@
             const lag = lagMs();
             return lag >= refuseAllLagMs || (lag >= heavyCustomerLagMs && relativeUsage >= heavyCustomerUsage);
         },
-        admitsConnection: () => refusedShare === 0 || random() >= refusedShare,
+        judgeConnection() {
+            const waitMs = acceptQueue.longestWaitMs();
+            if (waitMs >= maxAcceptWaitMs) {
+                return "close";
+            }
+            return waitMs >= refuseAllLagMs || (refusedShare > 0 && random() < refusedShare) ? "refuse" : "serve";
+        },
         dispose: () => cancelTimer(),
     };
 }
