--- a/packages/gateway/src/AcceptQueueMonitor.ts
+++ b/packages/core/src/AcceptQueueMonitor.ts
@@ -1,5 +1,4 @@
-import * as core from "@peridotloft/core";
-import type * as telemetry from "@peridotloft/telemetry";
+import { type Clock, setRepeatingTimer } from "./Clock.js";
 
 /**
  * Observes the accept queue of a listening socket: the connections that the kernel has established and this process has
@@ -16,11 +15,22 @@
     dispose(): void;
 }
 
+/** What happened since the previous report. */
+export interface AcceptQueueReport {
+    /** Longest wait in ms, as an upper bound. */
+    readonly longestWaitMs: number;
+    /** Longest turn of the event loop in ms while connections waited. */
+    readonly longestTurnMs: number;
+    readonly accepted: number;
+    readonly closedUnread: number;
+}
+
 export interface AcceptQueueMonitorOptions {
-    readonly clock: core.Clock;
+    readonly clock: Clock;
     /** Calls back at the end of the current turn of the event loop, after the sockets have been polled. */
     readonly onTurnEnd?: (callback: () => void) => void;
-    readonly log: telemetry.EventLog;
+    /** Called once per second if connections waited for 100 ms or more. */
+    readonly onReport: (report: AcceptQueueReport) => void;
 }
 
 /** Maximum number of connections in the queue; the kernel drops further ones. */
@@ -31,7 +41,7 @@
 const reportIntervalMs = 1_000;
 
 export function createAcceptQueueMonitor(options: AcceptQueueMonitorOptions): AcceptQueueMonitor {
-    const { clock, log, onTurnEnd = setImmediate } = options;
+    const { clock, onReport, onTurnEnd = setImmediate } = options;
     let acceptedCount = 0;
     let acceptedAtTurnEnd = 0;
     let acceptedAtReport = 0;
@@ -65,9 +75,9 @@
         onTurnEnd(checkAtTurnEnd);
     }
 
-    const cancelReports = core.setRepeatingTimer(clock, reportIntervalMs, () => {
+    const cancelReports = setRepeatingTimer(clock, reportIntervalMs, () => {
         if (reportedWaitMs >= minReportedWaitMs) {
-            log.state("accept-queue-busy", {
+            onReport({
                 longestWaitMs: Math.round(reportedWaitMs),
                 longestTurnMs: Math.round(longestTurnMs),
                 accepted: acceptedCount - acceptedAtReport,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./AcceptQueueMonitor.js";
 export * from "./Clock.js";
 export * from "./Gossip.js";
 export * from "./Hash.js";
--- a/packages/gateway/__tests__/unit/AcceptQueueMonitor.test.ts
+++ b/packages/gateway/__tests__/unit/AcceptQueueMonitor.test.ts
@@ -1,17 +1,21 @@
+import { acceptBacklog, type AcceptQueueReport, createAcceptQueueMonitor } from "@peridotloft/core";
 import * as testing from "@peridotloft/testing";
 import * as assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { acceptBacklog, createAcceptQueueMonitor } from "../../src/AcceptQueueMonitor.js";
 
 /** A monitor of an event loop whose turns the test runs. */
 function createMonitoredLoop() {
     const clock = testing.createVirtualClock();
-    const log = testing.createRecordingLog();
+    const reports: AcceptQueueReport[] = [];
     let callbacks: (() => void)[] = [];
-    const monitor = createAcceptQueueMonitor({ clock, log, onTurnEnd: callback => void callbacks.push(callback) });
+    const monitor = createAcceptQueueMonitor({
+        clock,
+        onTurnEnd: callback => void callbacks.push(callback),
+        onReport: report => void reports.push(report),
+    });
     return {
         monitor,
-        log,
+        reports,
         clock,
         /** Runs a turn of the event loop in which a connection is accepted or none. */
         async turn(durationMs: number, accepts: boolean): Promise<void> {
@@ -63,13 +67,13 @@
             await loop.turn(25, false);
         }
         await loop.turn(1, false);
-        assert.equal(loop.log.count("accept-queue-busy"), 0);
+        assert.equal(loop.reports.length, 0);
         for (let turn = 0; turn < 40; turn++) {
             await loop.turn(turn === 30 ? 70 : 50, true);
         }
-        assert.equal(loop.log.count("accept-queue-busy"), 2);
-        const { fields } = loop.log.lines.at(-1)!;
-        assert.deepEqual([fields.longestTurnMs, fields.accepted], [70, 20]);
+        assert.equal(loop.reports.length, 2);
+        const { longestTurnMs, accepted } = loop.reports.at(-1)!;
+        assert.deepEqual([longestTurnMs, accepted], [70, 20]);
         loop.monitor.dispose();
     });
 });
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,3 @@
-export * from "./AcceptQueueMonitor.js";
 export * from "./Gateway.js";
 export * from "./GatewayContext.js";
 export * from "./GatewaySettings.js";
