--- a/packages/router/src/EntryServer.ts
+++ b/packages/router/src/EntryServer.ts
@@ -1,3 +1,4 @@
+import * as core from "@peridotloft/core";
 import { randomUUID } from "node:crypto";
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
@@ -6,8 +7,15 @@
 import * as constants from "./RouterConstants.js";
 import { type EntrySettings, parseAddress } from "./Settings.js";
 
-/** Creates the HTTP server for callers, with limits on header size and on the time to send a request. */
-export function createEntryServer(settings: EntrySettings, onRequest: RequestListener): Server {
+/**
+ * Creates the HTTP server for callers, with limits on header size, on the time to send a request and on the time that
+ * connections wait to be accepted.
+ */
+export function createEntryServer(
+    settings: EntrySettings,
+    acceptQueue: core.AcceptQueueMonitor,
+    onRequest: RequestListener,
+): Server {
     const server = createServer({
         maxHeaderSize: settings.maxHeaderBytes,
         headersTimeout: settings.headersTimeoutMs,
@@ -15,6 +23,13 @@
         connectionsCheckingInterval: constants.timeoutCheckPeriodMs,
         keepAliveTimeout: constants.callerIdleTimeoutMs,
     }, onRequest);
+    server.prependListener("connection", socket => {
+        acceptQueue.recordAccepted();
+        if (acceptQueue.longestWaitMs() >= constants.maxAcceptWaitMs) {
+            acceptQueue.recordClosed();
+            socket.resetAndDestroy();
+        }
+    });
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => refuseConnection(error, socket as Socket));
     return server;
 }
@@ -24,7 +39,10 @@
     const { host, port } = parseAddress(address);
     return new Promise((resolve, reject) => {
         server.once("error", reject);
-        server.listen(port, host, () => resolve(`${host}:${(server.address() as AddressInfo).port}`));
+        server.listen(
+            { port, host, backlog: core.acceptBacklog },
+            () => resolve(`${host}:${(server.address() as AddressInfo).port}`),
+        );
     });
 }
 
