gateway: cut off responses of upstreams that do not end

Callers saw 504 at their route's timeout instead of 502 at once when an upstream sent a body, or an event, without end, and the gateway kept all of its bytes in memory until then (the process is killed beyond its limit). The body of a refusal (Not-Executed) was read and discarded for ever.

Cause: whole responses, partial events and discarded bodies had no maximum size. They now have 1 MB, like responses of non-idempotent routes in packages/router; beyond it the connection is closed, and answer-broken logs the cause. Heads were limited.

--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -4,6 +4,7 @@
 import type * as http from "node:http";
 import type { GatewayContext } from "./GatewayContext.js";
 import { createRefusal, createUpstreamFailure, type Refusal, type RefusalReason } from "./Refusal.js";
+import { discardResponse } from "./ResponseRelay.js";
 import { type Attempt, type AttemptFailure, startAttempt } from "./UpstreamAttempt.js";
 
 /** A caller's request in the form in which it is sent to upstreams. */
@@ -160,7 +161,7 @@
             cause: string,
         ): Result<never, AttemptFailure> => {
             if (verdict === "not-run") {
-                message.resume();
+                discardResponse(message);
             }
             else {
                 currentAttempt?.cancel(cause);
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -9,7 +9,7 @@
 import type { GatewayContext } from "./GatewayContext.js";
 import { createRefusal, createUpstreamFailure, type Refusal } from "./Refusal.js";
 import { readBody } from "./RequestBody.js";
-import { readCompleteResponse, type RelayOutcome, relayStream } from "./ResponseRelay.js";
+import { discardResponse, readCompleteResponse, type RelayOutcome, relayStream } from "./ResponseRelay.js";
 
 /** Serves one request of a caller. Never throws. */
 export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse) => void;
@@ -197,7 +197,11 @@
             sequence.excludeUpstream(lease);
             if (body.isErr()) {
                 context.connections.closeIdle(lease.upstream);
-                log.failure("answer-broken", { requestId: job.requestId, upstream: lease.upstream.id });
+                log.failure("answer-broken", {
+                    requestId: job.requestId,
+                    upstream: lease.upstream.id,
+                    cause: body.error,
+                });
                 if (sequence.mayRetry()) {
                     continue;
                 }
@@ -259,7 +263,7 @@
             return "broken";
         }
         if (statusCode >= 300) {
-            upstreamResponse.resume();
+            discardResponse(upstreamResponse);
             lease.end("failed");
             return "broken";
         }
--- a/packages/gateway/src/ResponseRelay.ts
+++ b/packages/gateway/src/ResponseRelay.ts
@@ -7,15 +7,27 @@
 /** Whether the upstream finished the stream. */
 export type RelayOutcome = "complete" | "broken";
 
+/** Maximum size in bytes of a response that is read whole, and of an event. */
+const maxResponseBytes = 1_000_000;
+
 /**
- * Reads a response to its end. A body that is delimited by the close of its connection counts as complete unless the
+ * Reads a response to its end, or closes its connection if it exceeds the maximum size. A body that is delimited by the close of its connection counts as complete unless the
  * connection was reset.
  */
-export function readCompleteResponse(message: http.IncomingMessage): Promise<Result<Buffer, "broken">> {
+export function readCompleteResponse(message: http.IncomingMessage): Promise<Result<Buffer, "broken" | "too-large">> {
     const checkComplete = trackCompleteness(message);
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
-        message.on("data", (chunk: Buffer) => chunks.push(chunk));
+        let sizeBytes = 0;
+        message.on("data", (chunk: Buffer) => {
+            sizeBytes += chunk.length;
+            if (sizeBytes > maxResponseBytes) {
+                resolve(err("too-large"));
+                message.destroy();
+                return;
+            }
+            chunks.push(chunk);
+        });
         message.once(
             "end",
             () =>
@@ -28,6 +40,17 @@
     });
 }
 
+/** Reads and discards a response, so that its connection can be reused, unless the response exceeds the maximum size. */
+export function discardResponse(message: http.IncomingMessage): void {
+    let sizeBytes = 0;
+    message.on("data", (chunk: Buffer) => {
+        sizeBytes += chunk.length;
+        if (sizeBytes > maxResponseBytes) {
+            message.destroy();
+        }
+    });
+}
+
 /**
  * Returns a function that reports whether a response is complete. Call it once the response has ended.
  *
@@ -69,7 +92,10 @@
     onStalled(): void;
 }
 
-/** Relays complete events to the caller as they arrive. A stream that ends within an event counts as broken. */
+/**
+ * Relays complete events to the caller as they arrive. A stream that ends within an event, or whose event exceeds the maximum
+ * size, counts as broken.
+ */
 export function relayStream(
     message: http.IncomingMessage,
     splitter: EventSplitter,
@@ -87,6 +113,11 @@
         message.on("data", (chunk: Buffer) => {
             stallTimer.restart();
             const events = splitter.push(chunk);
+            if (splitter.partialEvent().length > maxResponseBytes) {
+                resolve("broken");
+                message.destroy();
+                return;
+            }
             if (events.length === 0 || callerResponse.hasEnded()) {
                 return;
             }
