Revert "router: close connections that waited too long to be accepted"

What it assumed, that callers wait for 1 s, is a fact of the platform and not of this interface, whose callers may wait for minutes.

--- a/packages/router/src/EntryServer.ts
+++ b/packages/router/src/EntryServer.ts
@@ -1,4 +1,3 @@
-import * as core from "@peridotloft/core";
 import { randomUUID } from "node:crypto";
 import { createServer, type RequestListener, type Server } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
@@ -7,15 +6,8 @@
 import * as constants from "./RouterConstants.js";
 import { type EntrySettings, parseAddress } from "./Settings.js";
 
-/**
- * Creates the HTTP server for callers, with limits on header size, on the time to send a request and on the time that
- * connections wait to be accepted.
- */
-export function createEntryServer(
-    settings: EntrySettings,
-    acceptQueue: core.AcceptQueueMonitor,
-    onRequest: RequestListener,
-): Server {
+/** Creates the HTTP server for callers, with limits on header size and on the time to send a request. */
+export function createEntryServer(settings: EntrySettings, onRequest: RequestListener): Server {
     const server = createServer({
         maxHeaderSize: settings.maxHeaderBytes,
         headersTimeout: settings.headersTimeoutMs,
@@ -23,13 +15,6 @@
         connectionsCheckingInterval: constants.timeoutCheckPeriodMs,
         keepAliveTimeout: constants.callerIdleTimeoutMs,
     }, onRequest);
-    server.prependListener("connection", socket => {
-        acceptQueue.recordAccepted();
-        if (acceptQueue.longestWaitMs() >= constants.maxAcceptWaitMs) {
-            acceptQueue.recordClosed();
-            socket.resetAndDestroy();
-        }
-    });
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => refuseConnection(error, socket as Socket));
     return server;
 }
@@ -39,10 +24,7 @@
     const { host, port } = parseAddress(address);
     return new Promise((resolve, reject) => {
         server.once("error", reject);
-        server.listen(
-            { port, host, backlog: core.acceptBacklog },
-            () => resolve(`${host}:${(server.address() as AddressInfo).port}`),
-        );
+        server.listen(port, host, () => resolve(`${host}:${(server.address() as AddressInfo).port}`));
     });
 }
 
--- a/packages/router/src/Router.ts
+++ b/packages/router/src/Router.ts
@@ -49,18 +49,12 @@
         keyIndex: configuration.keyIndex,
         closesConnections: () => isDraining || configuration.isLeaving(),
     });
-    const acceptQueue = core.createAcceptQueueMonitor({
-        clock,
-        onReport: report => logger.warn("accept-queue-busy", report),
-    });
-    const entry = createEntryServer(settings.entry, acceptQueue, (request, response) => {
+    const entry = createEntryServer(settings.entry, (request, response) => {
         // A response that started before the drain has announced keep-alive, so its connection is closed here.
         response.once("close", () => isDraining && closeIdle(entry));
         handler(request, response);
     });
-    const isReady = () =>
-        feed.isReady() && !isDraining && !configuration.isLeaving()
-        && acceptQueue.longestWaitMs() < constants.maxAcceptWaitMs;
+    const isReady = () => feed.isReady() && !isDraining && !configuration.isLeaving();
     const admin = createAdminServer({
         isReady,
         status: () => ({
@@ -77,7 +71,6 @@
 
     function dispose(): void {
         isDraining = true;
-        acceptQueue.dispose();
         configuration.dispose();
         services.dispose();
         connections.dispose();
--- a/packages/router/src/RouterConstants.ts
+++ b/packages/router/src/RouterConstants.ts
@@ -9,11 +9,6 @@
 export const timeoutCheckPeriodMs = 500;
 /** Time in ms after which an idle connection of a caller is closed. */
 export const callerIdleTimeoutMs = 60_000;
-/**
- * Wait in ms for being accepted after which connections are closed unread; most callers give up after 1 s. The queue is first
- * in, first out, so serving the oldest ones would delay the others until they are too old as well.
- */
-export const maxAcceptWaitMs = 500;
 /** Limit in bytes on all buffered request bodies, a quarter of the VM's 256 MB; requests beyond it are refused. */
 export const maxBufferedBodyBytes = 64_000_000;
 /** Bytes of a response that are buffered until it is complete, so that a truncated one can still be retried. */
