--- a/packages/gateway/src/ResponseRelay.ts
+++ b/packages/gateway/src/ResponseRelay.ts
@@ -11,8 +11,8 @@
 const maxResponseBytes = 1_000_000;
 
 /**
- * Reads a response to its end, or closes its connection if it exceeds the maximum size. A body that is delimited by the close of its connection counts as complete unless the
- * connection was reset.
+ * Reads a response to its end, or closes its connection if it exceeds the maximum size. A body that is delimited by the close
+ * of its connection counts as complete unless the connection was reset.
  */
 export function readCompleteResponse(message: http.IncomingMessage): Promise<Result<Buffer, "broken" | "too-large">> {
     const checkComplete = trackCompleteness(message);
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,4 +1,3 @@
-export * from "./ConnectionLoad.js";
 export * from "./FakeEngine.js";
 export * from "./FakeGossip.js";
 export * from "./FakePlatform.js";
