gateway: move the accept queue's monitor back next to its only user

Only the gateway uses it, its test was in the gateway already, and both of its callers passed the same callback to the same log. It takes the log again, and the callback, the report type and the export are gone. Behaviour is unchanged; the test keeps its assertions.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,3 @@
-export * from "./AcceptQueueMonitor.js";
 export * from "./Clock.js";
 export * from "./Gossip.js";
 export * from "./Hash.js";
--- a/packages/gateway/__tests__/unit/AcceptQueueMonitor.test.ts
+++ b/packages/gateway/__tests__/unit/AcceptQueueMonitor.test.ts
@@ -1,21 +1,21 @@
-import { acceptBacklog, type AcceptQueueReport, createAcceptQueueMonitor } from "@peridotloft/core";
 import * as testing from "@peridotloft/testing";
 import * as assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { acceptBacklog, createAcceptQueueMonitor } from "../../src/AcceptQueueMonitor.js";
 
 /** A monitor of an event loop whose turns the test runs. */
 function createMonitoredLoop() {
     const clock = testing.createVirtualClock();
-    const reports: AcceptQueueReport[] = [];
+    const log = testing.createRecordingLog();
     let callbacks: (() => void)[] = [];
     const monitor = createAcceptQueueMonitor({
         clock,
+        log,
         onTurnEnd: callback => void callbacks.push(callback),
-        onReport: report => void reports.push(report),
     });
     return {
         monitor,
-        reports,
+        log,
         clock,
         /** Runs a turn of the event loop in which a connection is accepted or none. */
         async turn(durationMs: number, accepts: boolean): Promise<void> {
@@ -67,12 +67,12 @@
             await loop.turn(25, false);
         }
         await loop.turn(1, false);
-        assert.equal(loop.reports.length, 0);
+        assert.equal(loop.log.count("accept-queue-busy"), 0);
         for (let turn = 0; turn < 40; turn++) {
             await loop.turn(turn === 30 ? 70 : 50, true);
         }
-        assert.equal(loop.reports.length, 2);
-        const { longestTurnMs, accepted } = loop.reports.at(-1)!;
+        assert.equal(loop.log.count("accept-queue-busy"), 2);
+        const { longestTurnMs, accepted } = loop.log.lines.at(-1)!.fields;
         assert.deepEqual([longestTurnMs, accepted], [70, 20]);
         loop.monitor.dispose();
     });
--- a/packages/core/src/AcceptQueueMonitor.ts
+++ b/packages/gateway/src/AcceptQueueMonitor.ts
@@ -1,4 +1,5 @@
-import { type Clock, setRepeatingTimer } from "./Clock.js";
+import * as core from "@peridotloft/core";
+import type * as telemetry from "@peridotloft/telemetry";
 
 /**
  * Observes the accept queue of a listening socket: the connections that the kernel has established and this process has
@@ -15,22 +16,11 @@
     dispose(): void;
 }
 
-/** What happened since the previous report. */
-export interface AcceptQueueReport {
-    /** Longest wait in ms, as an upper bound. */
-    readonly longestWaitMs: number;
-    /** Longest turn of the event loop in ms while connections waited. */
-    readonly longestTurnMs: number;
-    readonly accepted: number;
-    readonly closedUnread: number;
-}
-
 export interface AcceptQueueMonitorOptions {
-    readonly clock: Clock;
+    readonly clock: core.Clock;
     /** Calls back at the end of the current turn of the event loop, after the sockets have been polled. */
     readonly onTurnEnd?: (callback: () => void) => void;
-    /** Called once per second if connections waited for 100 ms or more. */
-    readonly onReport: (report: AcceptQueueReport) => void;
+    readonly log: telemetry.EventLog;
 }
 
 /** Maximum number of connections in the queue; the kernel drops further ones. */
@@ -41,7 +31,7 @@
 const reportIntervalMs = 1_000;
 
 export function createAcceptQueueMonitor(options: AcceptQueueMonitorOptions): AcceptQueueMonitor {
-    const { clock, onReport, onTurnEnd = setImmediate } = options;
+    const { clock, log, onTurnEnd = setImmediate } = options;
     let acceptedCount = 0;
     let acceptedAtTurnEnd = 0;
     let acceptedAtReport = 0;
@@ -75,9 +65,9 @@
         onTurnEnd(checkAtTurnEnd);
     }
 
-    const cancelReports = setRepeatingTimer(clock, reportIntervalMs, () => {
+    const cancelReports = core.setRepeatingTimer(clock, reportIntervalMs, () => {
         if (reportedWaitMs >= minReportedWaitMs) {
-            onReport({
+            log.state("accept-queue-busy", {
                 longestWaitMs: Math.round(reportedWaitMs),
                 longestTurnMs: Math.round(longestTurnMs),
                 accepted: acceptedCount - acceptedAtReport,
@@ -92,11 +82,12 @@
 
     return {
         recordAccepted() {
-            acceptTimesMs[slotOf(acceptedCount)] = clock.nowMs();
+            const nowMs = clock.nowMs();
+            acceptTimesMs[slotOf(acceptedCount)] = nowMs;
             acceptedCount++;
             if (busySinceMs === undefined) {
-                busySinceMs = clock.nowMs();
-                lastTurnEndMs = busySinceMs;
+                busySinceMs = nowMs;
+                lastTurnEndMs = nowMs;
                 onTurnEnd(checkAtTurnEnd);
             }
         },
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,7 +1,7 @@
-import * as core from "@peridotloft/core";
 import { err, ok, type Result } from "neverthrow";
 import * as http from "node:http";
 import type * as net from "node:net";
+import { acceptBacklog } from "./AcceptQueueMonitor.js";
 import { refuseConnection } from "./ConnectionRefusal.js";
 import { createFreshness } from "./Freshness.js";
 import type { GatewayContext } from "./GatewayContext.js";
@@ -144,7 +144,7 @@
         isReady,
         async start() {
             const results = await Promise.all([
-                listen(callerServer, settings.entry, core.acceptBacklog),
+                listen(callerServer, settings.entry, acceptBacklog),
                 listen(readinessServer, settings.readiness),
                 listen(metricsServer, settings.metrics),
             ]);
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -2,6 +2,7 @@
 import type * as core from "@peridotloft/core";
 import type * as dispatch from "@peridotloft/dispatch";
 import type * as telemetry from "@peridotloft/telemetry";
+import type { AcceptQueueMonitor } from "./AcceptQueueMonitor.js";
 import type { GatewaySettings } from "./GatewaySettings.js";
 import type { OverloadGuard } from "./OverloadGuard.js";
 import type { UpstreamConnections } from "./UpstreamConnections.js";
@@ -16,7 +17,7 @@
     readonly follower: catalog.CatalogFollower;
     readonly dispatcher: dispatch.Dispatcher;
     readonly connections: UpstreamConnections;
-    readonly acceptQueue: core.AcceptQueueMonitor;
+    readonly acceptQueue: AcceptQueueMonitor;
     readonly overload: OverloadGuard;
     readonly log: telemetry.EventLog;
     readonly metrics: telemetry.Metrics;
--- a/packages/gateway/src/OverloadGuard.ts
+++ b/packages/gateway/src/OverloadGuard.ts
@@ -1,5 +1,6 @@
 import type * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
+import type { AcceptQueueMonitor } from "./AcceptQueueMonitor.js";
 
 /**
  * What happens to a new connection. Its request does not run unless the connection is served.
@@ -66,7 +67,7 @@
     readonly random: core.Random;
     /** Returns the event loop utilization since its previous call, 0 to 1. */
     readonly utilization: () => number;
-    readonly acceptQueue: Pick<core.AcceptQueueMonitor, "longestWaitMs">;
+    readonly acceptQueue: Pick<AcceptQueueMonitor, "longestWaitMs">;
 }
 
 export function createOverloadGuard(options: OverloadGuardOptions): OverloadGuard {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./AcceptQueueMonitor.js";
 export * from "./Gateway.js";
 export * from "./GatewayContext.js";
 export * from "./GatewaySettings.js";
