gateway: read bodies of a maximum size with one function

The loop that counts the bytes of a body up to a maximum stood in readBody and, since the limit on responses without end, twice more in ResponseRelay. readChunks now counts for all three; what happens beyond the maximum stays with each caller (pause and 413; close the connection).

--- a/packages/gateway/src/RequestBody.ts
+++ b/packages/gateway/src/RequestBody.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import type * as http from "node:http";
+import { readChunks } from "./BodyChunks.js";
 
 /** Reads a body to its end; fails with `disconnected` if the caller disconnects first. */
 export function readBody(
@@ -8,15 +9,12 @@
 ): Promise<Result<Buffer, "too-large" | "disconnected">> {
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
-        let sizeBytes = 0;
-        request.on("data", (chunk: Buffer) => {
-            sizeBytes += chunk.length;
-            if (sizeBytes > maxBytes) {
+        readChunks(request, maxBytes, {
+            onChunk: chunk => void chunks.push(chunk),
+            onTooLarge() {
                 request.pause();
                 resolve(err("too-large"));
-                return;
-            }
-            chunks.push(chunk);
+            },
         });
         request.once("end", () => resolve(ok(chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks))));
         request.once("close", () => resolve(err("disconnected")));
--- a/packages/gateway/src/ResponseRelay.ts
+++ b/packages/gateway/src/ResponseRelay.ts
@@ -1,6 +1,7 @@
 import type * as core from "@peridotloft/core";
 import { err, ok, type Result } from "neverthrow";
 import type * as http from "node:http";
+import { readChunks } from "./BodyChunks.js";
 import type { CallerResponse } from "./CallerResponse.js";
 import type { EventSplitter } from "./EventSplitter.js";
 
@@ -18,15 +19,12 @@
     const checkComplete = trackCompleteness(message);
     return new Promise(resolve => {
         const chunks: Buffer[] = [];
-        let sizeBytes = 0;
-        message.on("data", (chunk: Buffer) => {
-            sizeBytes += chunk.length;
-            if (sizeBytes > maxResponseBytes) {
+        readChunks(message, maxResponseBytes, {
+            onChunk: chunk => void chunks.push(chunk),
+            onTooLarge() {
                 resolve(err("too-large"));
                 message.destroy();
-                return;
-            }
-            chunks.push(chunk);
+            },
         });
         message.once(
             "end",
@@ -42,13 +40,7 @@
 
 /** Reads and discards a response, so that its connection can be reused, unless the response exceeds the maximum size. */
 export function discardResponse(message: http.IncomingMessage): void {
-    let sizeBytes = 0;
-    message.on("data", (chunk: Buffer) => {
-        sizeBytes += chunk.length;
-        if (sizeBytes > maxResponseBytes) {
-            message.destroy();
-        }
-    });
+    readChunks(message, maxResponseBytes, { onTooLarge: () => void message.destroy() });
 }
 
 /**
