dispatch: log the prompt parts of attempts that break

Requests with one prompt part crash engine after engine, and no request is quarantined. The line ran-at-crash did not tell which parts a request has, and requests that broke before CrashDetector reported the crash had no line. attempt-broken replaces it: every attempt whose connection closed, with the run of the upstream, the shared parts, whether the first event had arrived and whether it counted as a crash. Behaviour is unchanged.

--- a/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
+++ b/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
@@ -16,7 +16,7 @@
         fleet: standaloneView,
         log: testing.createRecordingLog(),
         metrics: testing.createNoopMetrics(),
-        onCrash: () => undefined,
+        onBroken: () => undefined,
     });
     let position = 0;
     return {
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -13,7 +13,7 @@
     maySpill,
 } from "./EngineAdmission.js";
 import type { FleetView } from "./FleetView.js";
-import type { DispatchRefusal, Job, Lease, Prompt } from "./Job.js";
+import type { DispatchRefusal, Job, Lease, Prompt, PromptPart } from "./Job.js";
 import {
     chooseService,
     type EngineLoad,
@@ -25,7 +25,7 @@
 import { selectByRendezvous } from "./Rendezvous.js";
 import { createRetryBudget, type RetryBudget } from "./RetryBudget.js";
 import { createTrackedLoad } from "./TrackedLoad.js";
-import { createUpstreamTable, type UpstreamState } from "./UpstreamTable.js";
+import { type BrokenAttempt, createUpstreamTable, type UpstreamState } from "./UpstreamTable.js";
 import { createUpstreamTracker } from "./UpstreamTracker.js";
 
 export interface DispatcherOptions {
@@ -76,7 +76,7 @@
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
     const { clock, random, fleet, log } = options;
     const poisonGuard = createPoisonGuard();
-    const table = createUpstreamTable({ ...options, onCrash });
+    const table = createUpstreamTable({ ...options, onBroken });
     const usage = createCustomerUsage();
     const budgets = new Map<core.PoolId, RetryBudget>();
     const removeUsageListener = fleet.registerUsageListener(({ customerHash, cost }, weight) =>
@@ -98,11 +98,21 @@
         }
     }
 
-    function onCrash(job: Job, upstream: catalog.KnownUpstream): void {
+    function onBroken({ job, upstream, hadFirstByte, isCrash }: BrokenAttempt): void {
         const mark = { fingerprint: job.fingerprint(), upstreamHash: core.hash32(upstream.id) };
-        log.failure("ran-at-crash", { requestId: job.requestId, upstream: upstream.id, fingerprint: mark.fingerprint });
-        recordCrash(mark);
-        fleet.announceCrash(mark);
+        log.failure("attempt-broken", {
+            requestId: job.requestId,
+            upstream: upstream.id,
+            upstreamStartedWallMs: upstream.startedWallMs,
+            fingerprint: mark.fingerprint,
+            sharedParts: sharedPartsOf(job.prompt).map(({ id }) => id).join(),
+            hadFirstByte,
+            isCrash,
+        });
+        if (isCrash) {
+            recordCrash(mark);
+            fleet.announceCrash(mark);
+        }
     }
 
     function isQuarantined(job: Job): boolean {
@@ -201,7 +211,7 @@
         isRetry: boolean,
     ): Promise<Result<Lease, DispatchRefusal>> {
         const candidates = selectByRendezvous(sessionKey(job), usable, state => state.idHash, maxCandidates);
-        const sharedParts = prompt.parts.slice(0, -1).map(({ id, tokens }) => ({ hash: core.hash32(id), tokens }));
+        const sharedParts = sharedPartsOf(prompt).map(({ id, tokens }) => ({ hash: core.hash32(id), tokens }));
         const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
         const prefillTokensPerMs = table.prefillTokensPerMs(job.pool);
         let refused: { upstream: core.UpstreamId; load: EngineLoad; input: EngineAdmissionInput; } | undefined;
@@ -298,6 +308,11 @@
     return prompt?.parts.at(-2)?.id ?? prompt?.parts.at(-1)?.id ?? requestId;
 }
 
+/** The parts of a prompt that other requests may share. */
+function sharedPartsOf(prompt: Prompt | undefined): readonly PromptPart[] {
+    return prompt?.parts.slice(0, -1) ?? [];
+}
+
 function customerHashOf(customer: core.CustomerId | undefined): number {
     return customer === undefined ? 0 : core.hash32(customer);
 }
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -17,8 +17,18 @@
     readonly fleet: FleetView;
     readonly log: telemetry.EventLog;
     readonly metrics: telemetry.Metrics;
-    /** Called for each request that was in flight at an upstream which has probably crashed. */
-    readonly onCrash: (job: Job, upstream: catalog.KnownUpstream) => void;
+    /** Called for each attempt whose connection closed before the response was complete. */
+    readonly onBroken: (attempt: BrokenAttempt) => void;
+}
+
+/** An attempt whose connection closed before the response was complete. */
+export interface BrokenAttempt {
+    readonly job: Job;
+    readonly upstream: catalog.KnownUpstream;
+    /** Whether the response had begun. */
+    readonly hadFirstByte: boolean;
+    /** Whether the upstream has probably crashed. */
+    readonly isCrash: boolean;
 }
 
 /** State of one upstream as known to this VM. */
@@ -187,6 +197,7 @@
         const leasedUpstream = state.upstream;
         let pendingTokens = newTokens;
         let open = true;
+        let hadFirstByte = false;
         state.localRunning++;
         state.localQueuedTokens += pendingTokens;
         state.backlog.add(newTokens, openedMs);
@@ -211,6 +222,7 @@
                 states.get(leasedUpstream.id) === state && isRoutable(state.upstream, options.catalog.read()),
             recordFirstByte() {
                 markPrefilled();
+                hadFirstByte = true;
                 if (job.prompt) {
                     const tookMs = clock.nowMs() - openedMs;
                     state.recordFirstByte(tookMs, expectedMs, clock.nowMs());
@@ -229,8 +241,9 @@
                 if (job.prompt && isFailure(outcome)) {
                     report({ failed: true, unreachable: outcome === "connect-failed", tookMs: 0, expectedMs: 0 });
                 }
-                if (outcome === "broken" && state.recordBrokenConnection(clock.nowMs())) {
-                    options.onCrash(job, leasedUpstream);
+                if (outcome === "broken") {
+                    const isCrash = state.recordBrokenConnection(clock.nowMs());
+                    options.onBroken({ job, upstream: leasedUpstream, hadFirstByte, isCrash });
                 }
                 state.localRunning--;
                 state.health.record(outcome, clock.nowMs());
