dispatch: failing tests for prompts with a part that crashes engines

Callers see 502 and cut streams, as engine after engine ends. The tests play fleets of 6 to 40 VMs on virtual time: one part, two parts, a third of the load, lost datagrams, VMs that restart without state.

--- /dev/null
+++ b/packages/dispatch/__tests__/unit/PromptQuarantine.known-red.test.ts
@@ -0,0 +1,93 @@
+import * as assert from "node:assert/strict";
+import { afterEach, describe, it } from "node:test";
+import { type CrashFleet, type CrashFleetOptions, createCrashFleet, type RequestOutcome } from "./CrashFleet.js";
+
+/** Time in ms from the fifth crash of a part until prompts with it may no longer reach engines. */
+const contactMs = 3_000;
+/** Prompts with a part that crashes engines that may reach engines after that. */
+const maxLateArrivals = 3;
+const promptsPerS = 50;
+
+const canelones = { vms: 9, engines: 6 };
+const lantern = { vms: 6, engines: 13 };
+
+describe("Prompts with a part that crashes engines", () => {
+    let fleet: CrashFleet;
+    afterEach(() => fleet.dispose());
+
+    async function startFleet(options: CrashFleetOptions): Promise<void> {
+        fleet = await createCrashFleet(options);
+    }
+
+    /** Sound prompts share their first part with each other and with the prompts that crash engines. */
+    const soundPrompt = () => ({ sharedParts: ["template", `session-${Math.floor(fleet.random() * 40)}`] });
+    const crashingPrompt = (part: string) => ({ sharedParts: ["template", "session-of-part", part] });
+
+    /** Offers prompts at a constant rate; a share of them has one of the crashing parts. */
+    async function offerPrompts(durationMs: number, crashingShare = 0): Promise<readonly RequestOutcome[]> {
+        const parts = [...fleet.crashingParts];
+        const sound: RequestOutcome[] = [];
+        const endMs = fleet.clock.nowMs() + durationMs;
+        while (fleet.clock.nowMs() < endMs) {
+            if (fleet.random() < crashingShare) {
+                void fleet.offer(crashingPrompt(parts[Math.floor(fleet.random() * parts.length)]!));
+            }
+            else {
+                void fleet.offer(soundPrompt()).then(outcome => sound.push(outcome));
+            }
+            await fleet.clock.advance(1_000 / promptsPerS);
+        }
+        return sound;
+    }
+
+    const servedShare = (outcomes: readonly RequestOutcome[]): number =>
+        outcomes.filter(outcome => outcome === "served").length / outcomes.length;
+
+    const lateArrivals = (part: string): number => {
+        const fifthCrashMs = fleet.crashTimesOf(part)[4] ?? Number.POSITIVE_INFINITY;
+        return fleet.arrivalsOf(part, fifthCrashMs + contactMs, contactMs).length;
+    };
+
+    async function checkIsHeldBack(options: CrashFleetOptions, parts: readonly string[], share: number) {
+        await startFleet(options);
+        await offerPrompts(6_000);
+        parts.forEach(part => fleet.crashingParts.add(part));
+        await offerPrompts(6_000, share);
+        const sound = await offerPrompts(12_000, share);
+        const { seed } = options;
+        parts.forEach(part =>
+            assert.ok(lateArrivals(part) <= maxLateArrivals, `seed ${seed}: ${lateArrivals(part)} of ${part}`)
+        );
+        assert.ok(servedShare(sound) > 0.9, `seed ${seed}: ${servedShare(sound)} of the sound prompts served`);
+        assert.ok(!sound.includes("quarantined"), `seed ${seed}: a sound prompt was held back`);
+    }
+
+    for (const seed of [1, 2, 3]) {
+        for (const options of [canelones, lantern]) {
+            it(`are held back within seconds of the fifth crash, seed ${seed}, ${options.vms} VMs`, () =>
+                checkIsHeldBack({ ...options, seed }, ["deadly"], 0.06));
+        }
+
+        it(`are held back if there are two such parts, seed ${seed}`, () =>
+            checkIsHeldBack({ ...lantern, seed }, ["deadly", "lethal"], 0.1));
+
+        it(`are held back if they make up a third of the load, seed ${seed}`, () =>
+            checkIsHeldBack({ ...canelones, seed }, ["deadly"], 0.33));
+
+        it(`are held back in a fleet of 40 VMs that loses one in ten datagrams, seed ${seed}`, () =>
+            checkIsHeldBack({ vms: 40, engines: 30, seed, lossShare: 0.1 }, ["deadly"], 0.06));
+    }
+
+    it("are held back by VMs that have restarted without state", async () => {
+        await startFleet({ ...canelones, seed: 4 });
+        await offerPrompts(4_000);
+        fleet.crashingParts.add("deadly");
+        await offerPrompts(7_000, 0.06);
+        for (let vm = 0; vm < canelones.vms; vm++) {
+            fleet.restartVm(vm);
+            await offerPrompts(1_500, 0.06);
+        }
+        await offerPrompts(3_500, 0.06);
+        assert.ok(lateArrivals("deadly") <= maxLateArrivals, `${lateArrivals("deadly")} late arrivals`);
+    });
+});
