--- /dev/null
+++ b/packages/dispatch/__tests__/unit/CrashSuspects.test.ts
@@ -0,0 +1,146 @@
+import * as assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { createCrashSuspects } from "../../src/CrashSuspects.js";
+
+/** Time in ms after which a mark counts, with a margin. */
+const settledMs = 500;
+
+function createFixture() {
+    const suspects = createCrashSuspects();
+    const quarantined = new Set<number>();
+    return {
+        suspects,
+        /** Records a crash, and afterwards responses to requests with other parts. */
+        crash(suspectHash: number, runHash: number, atMs: number, depth = 0, otherResponses = 3): void {
+            suspects.recordCrash({ suspectHash, runHash, depth, atMs }, atMs);
+            Array.from(
+                { length: otherResponses },
+                (_, index) => suspects.recordResponse([900 + index], atMs + 300, true),
+            );
+        },
+        /** Quarantines all suspects with sufficient evidence and returns them. */
+        convict(nowMs: number): readonly number[] {
+            const convicted: number[] = [];
+            for (;;) {
+                const conviction = suspects.findConviction(nowMs, hash => quarantined.has(hash));
+                if (!conviction) {
+                    return convicted;
+                }
+                quarantined.add(conviction.suspectHash);
+                convicted.push(conviction.suspectHash);
+            }
+        },
+    };
+}
+
+describe("CrashSuspects", () => {
+    it("convicts a request that was in flight at three crashes, once, and no other request", () => {
+        const { crash, convict } = createFixture();
+        [1, 2, 3].forEach(run => {
+            assert.deepEqual(convict(run * 2_000), []);
+            crash(77, run, run * 2_000);
+            crash(100 + run, run, run * 2_000);
+        });
+        assert.deepEqual(convict(6_000 + settledMs), [77]);
+        assert.deepEqual(convict(7_000), []);
+    });
+
+    it("counts a crash once if several VMs report it, and counts the crash of the next run separately", () => {
+        const { crash, convict } = createFixture();
+        Array.from({ length: 6 }, (_, index) => crash(7, 1, index * 100));
+        crash(7, 2, 10_000);
+        assert.deepEqual(convict(15_000), []);
+        crash(7, 3, 20_000);
+        assert.deepEqual(convict(20_000 + settledMs), [7]);
+    });
+
+    it("discards marks after a minute", () => {
+        const { suspects, crash, convict } = createFixture();
+        [1, 2].forEach(run => crash(7, run, run));
+        crash(7, 3, 62_000);
+        assert.deepEqual(convict(62_000 + settledMs), []);
+        assert.ok(suspects.hasRecentMarks(63_000));
+        assert.ok(!suspects.hasRecentMarks(122_001));
+    });
+
+    it("does not convict on broken connections to an upstream that goes on responding", () => {
+        const { suspects, crash, convict } = createFixture();
+        [1, 2, 3, 4, 5].forEach(run => {
+            crash(7, run, run * 1_000);
+            suspects.recordResponse([run], run * 1_000 + 250, true);
+        });
+        assert.deepEqual(convict(10_000), []);
+    });
+
+    it("takes the last bytes of a crashed upstream for no sign of life", () => {
+        const { suspects, crash, convict } = createFixture();
+        [1, 2, 3].forEach(run => {
+            crash(7, run, run * 1_000);
+            suspects.recordResponse([run], run * 1_000 + 50, true);
+        });
+        assert.deepEqual(convict(5_000), [7]);
+    });
+
+    it("clears a part by a response to any prompt with it", () => {
+        const { suspects, crash, convict } = createFixture();
+        [1, 2].forEach(run => crash(7, run, run * 1_000));
+        assert.deepEqual(suspects.recordResponse([7, 8], 2_500, true), [7]);
+        crash(7, 3, 3_000);
+        assert.deepEqual(convict(5_000), []);
+    });
+
+    it("waits for responses that contradict a crash before it convicts", () => {
+        const { suspects, crash, convict } = createFixture();
+        [1, 2, 3].forEach(run => crash(7, run, run));
+        assert.deepEqual(convict(300), []);
+        suspects.recordResponse([7], 300, true);
+        assert.deepEqual(convict(5_000), []);
+    });
+
+    it("convicts only the most specific part of those that were in flight at the same crashes", () => {
+        const { crash, convict } = createFixture();
+        [1, 2, 3].forEach(run => [10, 11, 12].forEach((part, depth) => crash(part, run, run, depth)));
+        assert.deepEqual(convict(5_000), [12]);
+    });
+
+    it("convicts a less specific part at the second crash without the more specific one", () => {
+        const { crash, convict } = createFixture();
+        [1, 2, 3].forEach(run => [10, 11].forEach((part, depth) => crash(part, run, run, depth)));
+        assert.deepEqual(convict(5_000), [11]);
+        crash(10, 4, 6_000, 0);
+        assert.deepEqual(convict(6_000 + settledMs), []);
+        crash(10, 5, 7_000, 0);
+        assert.deepEqual(convict(7_000 + settledMs), [10]);
+    });
+
+    it("does not convict a part that had responses before an outage of all upstreams", () => {
+        const { suspects, crash, convict } = createFixture();
+        suspects.recordResponse([7], 900, true);
+        [1, 2, 3, 4, 5, 6].forEach(run => crash(7, run, 1_000));
+        assert.deepEqual(convict(5_000), []);
+    });
+
+    it("does not convict on an outage of all upstreams at once, but on crashes one after the other", () => {
+        const { crash, convict } = createFixture();
+        [1, 2, 3, 4, 5, 6].forEach(run => crash(7, run, 1_000, 0, 0));
+        assert.deepEqual(convict(10_000), []);
+        [1, 2, 3].forEach(run => crash(8, run, run * 300, 0, 0));
+        assert.deepEqual(convict(10_000), [8]);
+    });
+
+    it("convicts a part that had responses before, once it crashes upstreams while others have responses", () => {
+        const { suspects, crash, convict } = createFixture();
+        suspects.recordResponse([7], 900, true);
+        [1, 2, 3].forEach(run => {
+            crash(7, run, run * 1_000);
+        });
+        assert.deepEqual(convict(5_000), [7]);
+    });
+
+    it("convicts a suspect on probation at its next crash", () => {
+        const { suspects, crash, convict } = createFixture();
+        suspects.putOnProbation(7);
+        crash(7, 1, 1_000);
+        assert.deepEqual(convict(2_000), [7]);
+    });
+});
--- a/packages/dispatch/__tests__/unit/PromptQuarantine.known-red.test.ts
+++ b/packages/dispatch/__tests__/unit/PromptQuarantine.test.ts
@@ -91,3 +91,59 @@
         assert.ok(lateArrivals("deadly") <= maxLateArrivals, `${lateArrivals("deadly")} late arrivals`);
     });
 });
+
+describe("Sound prompts", () => {
+    let fleet: CrashFleet;
+    afterEach(() => fleet.dispose());
+
+    const template = (): string => `template-${Math.floor(fleet.random() * 3)}`;
+
+    /** Offers prompts of some frequent and many rare sessions, each with the action at random moments. */
+    async function offerDuring(durationMs: number, action: () => void): Promise<readonly RequestOutcome[]> {
+        const outcomes: RequestOutcome[] = [];
+        const endMs = fleet.clock.nowMs() + durationMs;
+        while (fleet.clock.nowMs() < endMs) {
+            const session = Math.floor(200 * fleet.random() ** 3);
+            void fleet.offer({ sharedParts: [template(), `session-${session}`] }).then(outcome =>
+                outcomes.push(outcome)
+            );
+            if (fleet.random() < 1 / promptsPerS) {
+                action();
+            }
+            await fleet.clock.advance(1_000 / promptsPerS);
+        }
+        return outcomes;
+    }
+
+    const checkNoneIsHeldBack = (outcomes: readonly RequestOutcome[], seed: number): void => {
+        assert.ok(outcomes.includes("failed") || outcomes.includes("refused"), "no fault had an effect");
+        assert.equal(outcomes.filter(outcome => outcome === "quarantined").length, 0, `seed ${seed}`);
+    };
+
+    for (const seed of [1, 2, 3, 4]) {
+        it(`are not held back when engines crash one by one, seed ${seed}`, async () => {
+            fleet = await createCrashFleet({ ...canelones, seed });
+            checkNoneIsHeldBack(await offerDuring(20_000, () => fleet.crashEngines(1)), seed);
+        });
+
+        it(`are not held back when all engines crash at once, again and again, seed ${seed}`, async () => {
+            fleet = await createCrashFleet({ ...canelones, seed });
+            checkNoneIsHeldBack(await offerDuring(20_000, () => fleet.crashEngines(canelones.engines)), seed);
+        });
+
+        it(`are not held back when connections break, seed ${seed}`, async () => {
+            fleet = await createCrashFleet({ ...canelones, seed });
+            checkNoneIsHeldBack(await offerDuring(20_000, () => fleet.breakConnections(0.8)), seed);
+        });
+
+        it(`are not held back when engines crash and VMs restart without state, seed ${seed}`, async () => {
+            fleet = await createCrashFleet({ ...canelones, seed });
+            const restart = (): void => fleet.restartVm(Math.floor(fleet.random() * canelones.vms));
+            const outcomes = await offerDuring(20_000, () => {
+                fleet.crashEngines(2);
+                restart();
+            });
+            checkNoneIsHeldBack(outcomes, seed);
+        });
+    }
+});
--- a/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
+++ b/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
@@ -17,6 +17,7 @@
         log: testing.createRecordingLog(),
         metrics: testing.createNoopMetrics(),
         onBroken: () => undefined,
+        onResponse: () => undefined,
     });
     let position = 0;
     return {
--- /dev/null
+++ b/packages/dispatch/src/CrashSuspects.ts
@@ -0,0 +1,243 @@
+import type * as fleets from "@peridotloft/fleet";
+
+/** Collects evidence on which requests, or which parts of prompts, crash the upstreams that respond to them. */
+export interface CrashSuspects {
+    /** Records that a suspect was in flight without a response when the connections to a run of an upstream broke. */
+    recordCrash(mark: fleets.CrashMark, nowMs: number): void;
+    /**
+     * Records a response to a request.
+     *
+     * @param hashes of the parts of the prompt, of the request and of the upstream's run, as far as they are known.
+     * @param isLocal whether this VM received the response.
+     * @returns those that contradict a mark.
+     */
+    recordResponse(hashes: readonly number[], atMs: number, isLocal: boolean): readonly number[];
+    /** Time in ms of the last known response to a suspect, or of a run; undefined if none is recent. */
+    lastResponseMs(hash: number, nowMs: number): number | undefined;
+    /** Whether any mark is recent. */
+    hasRecentMarks(nowMs: number): boolean;
+    /**
+     * Returns a suspect with sufficient evidence, the most specific one if several were in flight at the same crashes.
+     * Crashes at which a quarantined suspect was in flight do not convict another one on their own.
+     */
+    findConviction(nowMs: number, isQuarantined: (hash: number) => boolean): Conviction | undefined;
+    /** Whether the evidence suffices for a suspect that had responses before. */
+    isEvidenceSufficientDespiteResponses(suspectHash: number, nowMs: number): boolean;
+    /** Discards the marks of a suspect and lowers the number of crashes that convict it to one. */
+    putOnProbation(suspectHash: number): void;
+}
+
+export interface Conviction {
+    readonly suspectHash: number;
+    /** Number of crashes that led to the conviction. */
+    readonly crashes: number;
+    /** Time in ms since the first of them. */
+    readonly firstCrashAgeMs: number;
+    /** Whether the evidence also suffices for a suspect that had responses before the crashes. */
+    readonly isConfirmed: boolean;
+}
+
+/** Number of crashes that convict a suspect; even two by coincidence are rare. */
+const crashesToConvict = 3;
+/** Number of these at which no quarantined suspect was in flight. */
+const unexplainedCrashesToConvict = 2;
+/** Time in ms after which marks and responses expire. */
+const evidenceLifetimeMs = 60_000;
+/** Time in ms after which a mark counts. Until then, other VMs may report responses that contradict it. */
+const settleMs = 400;
+/** Time in ms after a crash in which VMs may still receive responses that the upstream sent before it. */
+const crashSlackMs = 200;
+/**
+ * An outage also breaks the connections to several upstreams. A suspect is convicted only if this VM has received this number
+ * of responses since the first crash, or if the crashes span this time in ms.
+ */
+const minResponses = 3;
+const minSpanMs = 500;
+/** The same for a suspect that has had a response before; both are required, since popular parts are in flight everywhere. */
+const minResponsesToConfirm = 8;
+const minSpanToConfirmMs = 1_000;
+/** Maximum numbers of suspects and of response times; beyond them the oldest are evicted. */
+const maxSuspects = 5_000;
+const maxResponseTimes = 10_000;
+
+interface Crash {
+    readonly atMs: number;
+    /** Time in ms at which this VM learned of the crash. */
+    readonly learnedMs: number;
+}
+
+interface Suspect {
+    readonly hash: number;
+    readonly depth: number;
+    /** By run of an upstream. */
+    readonly crashes: Map<number, Crash>;
+}
+
+export function createCrashSuspects(): CrashSuspects {
+    const suspects = new Map<number, Suspect>();
+    /** Runs with marks, and the suspects that are marked there. */
+    const suspectsByRun = new Map<number, Set<number>>();
+    /** Times in ms of the last response to each suspect and of each run. */
+    const responseTimesMs = new Map<number, number>();
+    const onProbation = new Set<number>();
+    /** Times in ms of the most recent responses that this VM received itself. */
+    let recentResponsesMs: number[] = [];
+    let lastMarkMs = Number.NEGATIVE_INFINITY;
+
+    function dropMarks(suspect: Suspect, isContradicted: (crash: Crash, runHash: number) => boolean): boolean {
+        const dropped = [...suspect.crashes].filter(([runHash, crash]) => isContradicted(crash, runHash));
+        dropped.forEach(([runHash]) => {
+            suspect.crashes.delete(runHash);
+            const marked = suspectsByRun.get(runHash);
+            marked?.delete(suspect.hash);
+            if (marked?.size === 0) {
+                suspectsByRun.delete(runHash);
+            }
+        });
+        if (suspect.crashes.size === 0) {
+            suspects.delete(suspect.hash);
+        }
+        return dropped.length > 0;
+    }
+
+    function recordResponseTime(hash: number, atMs: number): void {
+        const previousMs = responseTimesMs.get(hash) ?? Number.NEGATIVE_INFINITY;
+        responseTimesMs.delete(hash);
+        responseTimesMs.set(hash, Math.max(previousMs, atMs));
+        const oldest = responseTimesMs.keys().next().value;
+        if (responseTimesMs.size > maxResponseTimes && oldest !== undefined) {
+            responseTimesMs.delete(oldest);
+        }
+    }
+
+    /** Drops the marks that a response to a suspect, or of a run, contradicts; returns whether there were any. */
+    function dropContradictedMarks(hash: number, atMs: number): boolean {
+        const suspect = suspects.get(hash);
+        const hasCleared = suspect !== undefined && dropMarks(suspect, crash => crash.atMs <= atMs);
+        const markedThere = [...suspectsByRun.get(hash) ?? []].flatMap(suspectHash => suspects.get(suspectHash) ?? []);
+        const clearedThere = markedThere.filter(other =>
+            dropMarks(other, (crash, runHash) => runHash === hash && crash.atMs + crashSlackMs < atMs)
+        );
+        return hasCleared || clearedThere.length > 0;
+    }
+
+    function isContradicted({ suspectHash, runHash, atMs }: fleets.CrashMark): boolean {
+        return (responseTimesMs.get(suspectHash) ?? Number.NEGATIVE_INFINITY) >= atMs
+            || (responseTimesMs.get(runHash) ?? Number.NEGATIVE_INFINITY) > atMs + crashSlackMs;
+    }
+
+    function settledCrashes(suspect: Suspect, nowMs: number): [number, Crash][] {
+        return [...suspect.crashes].filter(([, { learnedMs }]) => nowMs - learnedMs >= settleMs);
+    }
+
+    function isEvidenceSufficient(suspect: Suspect, settled: readonly [number, Crash][], nowMs: number): boolean {
+        if (onProbation.has(suspect.hash)) {
+            return settled.length > 0;
+        }
+        return settled.length >= crashesToConvict
+            && (hasResponsesSince(settled, minResponses) || spanMs(settled) >= minSpanMs)
+            && (lastResponseMs(suspect.hash, nowMs) === undefined || isConfirmed(settled));
+    }
+
+    /** Whether this VM has received a number of responses since the first of some crashes. */
+    function hasResponsesSince(crashes: readonly [number, Crash][], count: number): boolean {
+        const firstCrashMs = Math.min(...timesMs(crashes));
+        return (recentResponsesMs.at(-count) ?? Number.NEGATIVE_INFINITY) > firstCrashMs + crashSlackMs;
+    }
+
+    function isConfirmed(settled: readonly [number, Crash][]): boolean {
+        return settled.length >= crashesToConvict && hasResponsesSince(settled, minResponsesToConfirm)
+            && spanMs(settled) >= minSpanToConfirmMs;
+    }
+
+    function lastResponseMs(hash: number, nowMs: number): number | undefined {
+        const lastMs = responseTimesMs.get(hash);
+        return lastMs !== undefined && nowMs - lastMs <= evidenceLifetimeMs ? lastMs : undefined;
+    }
+
+    function unexplainedCrashes(
+        settled: readonly [number, Crash][],
+        quarantined: readonly Suspect[],
+    ): readonly [number, Crash][] {
+        return settled.filter(([runHash]) => !quarantined.some(({ crashes }) => crashes.has(runHash)));
+    }
+
+    return {
+        recordCrash(mark, nowMs) {
+            if (isContradicted(mark) || nowMs - mark.atMs > evidenceLifetimeMs) {
+                return;
+            }
+            lastMarkMs = nowMs;
+            const { suspectHash, runHash, atMs, depth } = mark;
+            const suspect = suspects.get(suspectHash)
+                ?? { hash: suspectHash, depth, crashes: new Map() };
+            if (suspect.crashes.has(runHash)) {
+                return;
+            }
+            dropMarks(suspect, crash => nowMs - crash.atMs > evidenceLifetimeMs);
+            // Reinserting the suspect makes it the last one to be evicted.
+            suspects.delete(suspectHash);
+            suspects.set(suspectHash, suspect);
+            suspect.crashes.set(runHash, { atMs, learnedMs: nowMs });
+            suspectsByRun.set(runHash, (suspectsByRun.get(runHash) ?? new Set()).add(suspectHash));
+            const oldest = suspects.values().next().value;
+            if (suspects.size > maxSuspects && oldest) {
+                dropMarks(oldest, () => true);
+            }
+        },
+        recordResponse(hashes, atMs, isLocal) {
+            if (isLocal) {
+                recentResponsesMs = [...recentResponsesMs, atMs].slice(-minResponsesToConfirm);
+            }
+            return hashes.filter(hash => {
+                recordResponseTime(hash, atMs);
+                return dropContradictedMarks(hash, atMs);
+            });
+        },
+        lastResponseMs,
+        hasRecentMarks: nowMs => nowMs - lastMarkMs <= evidenceLifetimeMs,
+        findConviction(nowMs, isQuarantined) {
+            const quarantined = [...suspects.values()].filter(({ hash }) => isQuarantined(hash));
+            const found = [...suspects.values()]
+                .filter(({ hash }) => !isQuarantined(hash))
+                .map(suspect => ({ suspect, settled: settledCrashes(suspect, nowMs) }))
+                .filter(({ suspect, settled }) => isEvidenceSufficient(suspect, settled, nowMs))
+                .map(({ suspect, settled }) => ({
+                    suspect,
+                    settled,
+                    unexplained: unexplainedCrashes(settled, quarantined).length,
+                }))
+                .filter(({ suspect, unexplained }) =>
+                    unexplained >= (onProbation.has(suspect.hash) ? 1 : unexplainedCrashesToConvict)
+                )
+                .sort((left, right) =>
+                    right.unexplained - left.unexplained || right.suspect.depth - left.suspect.depth
+                )[0];
+            return found && {
+                suspectHash: found.suspect.hash,
+                crashes: found.settled.length,
+                firstCrashAgeMs: nowMs - Math.min(...timesMs(found.settled)),
+                isConfirmed: isConfirmed(found.settled),
+            };
+        },
+        isEvidenceSufficientDespiteResponses(suspectHash, nowMs) {
+            const suspect = suspects.get(suspectHash);
+            return suspect !== undefined && isConfirmed(settledCrashes(suspect, nowMs));
+        },
+        putOnProbation(suspectHash) {
+            onProbation.add(suspectHash);
+            const suspect = suspects.get(suspectHash);
+            if (suspect) {
+                dropMarks(suspect, () => true);
+            }
+        },
+    };
+}
+
+function timesMs(crashes: readonly [number, Crash][]): readonly number[] {
+    return crashes.map(([, { atMs }]) => atMs);
+}
+
+function spanMs(crashes: readonly [number, Crash][]): number {
+    return Math.max(...timesMs(crashes)) - Math.min(...timesMs(crashes));
+}
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,6 +1,5 @@
 import type * as catalog from "@peridotloft/catalog";
 import * as core from "@peridotloft/core";
-import type { CrashMark } from "@peridotloft/fleet";
 import type * as telemetry from "@peridotloft/telemetry";
 import { err, ok, type Result } from "neverthrow";
 import { createCustomerUsage } from "./CustomerUsage.js";
@@ -13,7 +12,7 @@
     maySpill,
 } from "./EngineAdmission.js";
 import type { FleetView } from "./FleetView.js";
-import type { DispatchRefusal, Job, Lease, Prompt, PromptPart } from "./Job.js";
+import { type DispatchRefusal, type Job, type Lease, type Prompt, sharedPartsOf } from "./Job.js";
 import {
     chooseService,
     type EngineLoad,
@@ -75,8 +74,8 @@
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
     const { clock, random, fleet, log } = options;
-    const poisonGuard = createPoisonGuard();
-    const table = createUpstreamTable({ ...options, onBroken });
+    const poisonGuard = createPoisonGuard(options);
+    const table = createUpstreamTable({ ...options, onBroken, onResponse: poisonGuard.recordResponse });
     const usage = createCustomerUsage();
     const budgets = new Map<core.PoolId, RetryBudget>();
     const removeUsageListener = fleet.registerUsageListener(({ customerHash, cost }, weight) =>
@@ -90,36 +89,19 @@
     }));
     const trackedLoad = createTrackedLoad(clock);
 
-    const removeCrashListener = fleet.registerCrashListener(recordCrash);
-
-    function recordCrash(mark: CrashMark): void {
-        if (poisonGuard.record(mark, clock.nowMs())) {
-            log.state("request-quarantined", { fingerprint: mark.fingerprint });
-        }
-    }
-
-    function onBroken({ job, upstream, hadFirstByte, isCrash }: BrokenAttempt): void {
-        const mark = { fingerprint: job.fingerprint(), upstreamHash: core.hash32(upstream.id) };
+    function onBroken({ job, upstream, hasResponse }: BrokenAttempt): void {
         log.failure("attempt-broken", {
             requestId: job.requestId,
             upstream: upstream.id,
             upstreamStartedWallMs: upstream.startedWallMs,
-            fingerprint: mark.fingerprint,
             sharedParts: sharedPartsOf(job.prompt).map(({ id }) => id).join(),
-            hadFirstByte,
-            isCrash,
+            hasResponse,
         });
-        if (isCrash) {
-            recordCrash(mark);
-            fleet.announceCrash(mark);
+        if (!hasResponse) {
+            poisonGuard.recordCrash(job, upstream);
         }
     }
 
-    function isQuarantined(job: Job): boolean {
-        const nowMs = clock.nowMs();
-        return poisonGuard.hasRecentMarks(nowMs) && poisonGuard.isPoisonous(job.fingerprint(), nowMs);
-    }
-
     function relativeUsage(customer: core.CustomerId | undefined): number {
         return usage.relative(customerHashOf(customer), clock.nowMs());
     }
@@ -276,7 +258,7 @@
 
     return {
         async acquire(job, avoided, isRetry) {
-            if (isQuarantined(job)) {
+            if (poisonGuard.isQuarantined(job)) {
                 return err({ reason: "quarantined", retryAfterMs: undefined });
             }
             const budget = retryBudgetFor(job.pool);
@@ -297,7 +279,7 @@
         dispose() {
             removeUsageListener();
             removeTracker();
-            removeCrashListener();
+            poisonGuard.dispose();
             table.dispose();
         },
     };
@@ -308,11 +290,6 @@
     return prompt?.parts.at(-2)?.id ?? prompt?.parts.at(-1)?.id ?? requestId;
 }
 
-/** The parts of a prompt that other requests may share. */
-function sharedPartsOf(prompt: Prompt | undefined): readonly PromptPart[] {
-    return prompt?.parts.slice(0, -1) ?? [];
-}
-
 function customerHashOf(customer: core.CustomerId | undefined): number {
     return customer === undefined ? 0 : core.hash32(customer);
 }
--- a/packages/dispatch/src/FleetView.ts
+++ b/packages/dispatch/src/FleetView.ts
@@ -7,7 +7,8 @@
     | "announceUsage"
     | "registerUsageListener"
     | "announceCrash"
-    | "registerCrashListener"
+    | "announceResponse"
+    | "registerCrashEvidence"
     | "askTracker"
     | "reportAttempt"
     | "registerTracker"
@@ -18,7 +19,8 @@
     vmCount: () => 1,
     announceUsage: () => undefined,
     announceCrash: () => undefined,
-    registerCrashListener: () => () => undefined,
+    announceResponse: () => undefined,
+    registerCrashEvidence: () => () => undefined,
     registerUsageListener: () => () => undefined,
     askTracker: () => Promise.resolve(undefined),
     reportAttempt: () => undefined,
--- a/packages/dispatch/src/Job.ts
+++ b/packages/dispatch/src/Job.ts
@@ -16,6 +16,11 @@
     readonly parts: readonly PromptPart[];
 }
 
+/** The parts of a prompt that other requests may share. */
+export function sharedPartsOf(prompt: Prompt | undefined): readonly PromptPart[] {
+    return prompt?.parts.slice(0, -1) ?? [];
+}
+
 /** A request to be dispatched to an upstream. */
 export interface Job {
     readonly requestId: core.RequestId;
--- a/packages/dispatch/src/PoisonGuard.ts
+++ b/packages/dispatch/src/PoisonGuard.ts
@@ -1,55 +1,178 @@
-import type { CrashMark } from "@peridotloft/fleet";
+import type * as catalog from "@peridotloft/catalog";
+import * as core from "@peridotloft/core";
+import type * as fleets from "@peridotloft/fleet";
+import type * as telemetry from "@peridotloft/telemetry";
+import { createCrashSuspects } from "./CrashSuspects.js";
+import type { FleetView } from "./FleetView.js";
+import { type Job, sharedPartsOf } from "./Job.js";
+import { createQuarantine } from "./Quarantine.js";
 
-/** Detects requests that crash the upstreams that run them, so that they are quarantined instead of retried. */
-export interface PoisonGuard {
-    /** Records that a request was in flight at an upstream that crashed; returns true if this quarantines the request. */
-    record(mark: CrashMark, nowMs: number): boolean;
-    /** Whether any crash mark is recent; if none is, fingerprints need not be computed. */
-    hasRecentMarks(nowMs: number): boolean;
-    isPoisonous(fingerprint: number, nowMs: number): boolean;
+export interface PoisonGuardOptions {
+    readonly clock: core.Clock;
+    readonly fleet: FleetView;
+    readonly log: telemetry.EventLog;
+    readonly metrics: telemetry.Metrics;
 }
 
-/** Crashes after which a request in flight at all of them counts as their cause; even two by coincidence are rare. */
-const crashesToQuarantine = 3;
-/** Time in ms after which a mark expires; callers retry such a request within their deadline of 15 s. */
-const markLifetimeMs = 60_000;
-/** Time in ms within which marks for one upstream are the same crash, reported by several VMs. */
-const sameCrashMs = 1_500;
-/** Maximum number of fingerprints held; beyond it the oldest is evicted. */
-const maxFingerprints = 5_000;
-
-interface Crash {
-    readonly upstreamHash: number;
-    readonly atMs: number;
+/**
+ * Quarantines requests, and parts of prompts, that crash the upstreams that respond to them. They are recognized by the
+ * crashes at which they were in flight without a response, anywhere in the fleet; a response clears them.
+ */
+export interface PoisonGuard {
+    /** Records that the connection of an attempt broke before a response began. */
+    recordCrash(job: Job, upstream: catalog.KnownUpstream): void;
+    /** Records that an upstream began to respond. */
+    recordResponse(job: Job, upstream: catalog.KnownUpstream): void;
+    isQuarantined(job: Job): boolean;
+    dispose(): void;
 }
 
-export function createPoisonGuard(): PoisonGuard {
-    const crashes = new Map<number, Crash[]>();
-    let lastMarkMs = Number.NEGATIVE_INFINITY;
+/** Interval in ms at which the evidence is evaluated while requests arrive. */
+const evaluationIntervalMs = 100;
+/** Minimum time in ms between announcements of the last response to a suspect that is marked again and again. */
+const responseAnnouncementIntervalMs = 300;
+
+export function createPoisonGuard({ clock, fleet, log, metrics }: PoisonGuardOptions): PoisonGuard {
+    const suspects = createCrashSuspects();
+    const quarantine = createQuarantine();
+    const announcedMs = new Map<number, number>();
+    let evaluatedMs = Number.NEGATIVE_INFINITY;
+
+    const removeListener = fleet.registerCrashEvidence({
+        onCrash(mark) {
+            recordMark(mark);
+        },
+        onResponse({ hash, atMs }) {
+            recordResponseTo([hash], atMs, false);
+        },
+        onQuarantine(mark) {
+            const { suspectHash, atMs } = mark;
+            const lastResponseMs = suspects.lastResponseMs(suspectHash, clock.nowMs());
+            if (lastResponseMs !== undefined && isRefuted(mark, lastResponseMs)) {
+                announceResponse(suspectHash, lastResponseMs);
+                return;
+            }
+            if (quarantine.adopt(mark, clock.nowMs())) {
+                log.state("quarantined", { suspect: suspectHash, isLocal: false, ageMs: ageMs(atMs) });
+            }
+        },
+        quarantines: () => {
+            evaluate();
+            return quarantine.marks();
+        },
+    });
+
+    const ageMs = (atMs: number): number => Math.round(clock.nowMs() - atMs);
 
-    const recent = (fingerprint: number, nowMs: number): Crash[] =>
-        (crashes.get(fingerprint) ?? []).filter(({ atMs }) => nowMs - atMs <= markLifetimeMs);
+    function recordMark(mark: fleets.CrashMark): void {
+        suspects.recordCrash(mark, clock.nowMs());
+        // Other VMs cannot know responses that only this VM has received.
+        [mark.suspectHash, mark.runHash].forEach(hash => {
+            const lastResponseMs = suspects.lastResponseMs(hash, clock.nowMs());
+            if (lastResponseMs !== undefined) {
+                announceResponse(hash, lastResponseMs);
+            }
+        });
+    }
+
+    /**
+     * Whether a response refutes a quarantine: a later one does, and an earlier one unless the evidence suffices even for a
+     * suspect that had responses.
+     */
+    function isRefuted({ suspectHash, atMs, isConfirmed }: fleets.QuarantineMark, responseMs: number): boolean {
+        return responseMs > atMs
+            || (!isConfirmed && !suspects.isEvidenceSufficientDespiteResponses(suspectHash, clock.nowMs()));
+    }
+
+    function announceResponse(hash: number, atMs: number): void {
+        if (clock.nowMs() - (announcedMs.get(hash) ?? Number.NEGATIVE_INFINITY) >= responseAnnouncementIntervalMs) {
+            announcedMs.set(hash, clock.nowMs());
+            fleet.announceResponse({ hash, atMs });
+        }
+    }
 
-    const isPoisonous = (fingerprint: number, nowMs: number): boolean =>
-        recent(fingerprint, nowMs).length >= crashesToQuarantine;
+    /** Returns the hashes that contradict a mark or a quarantine. */
+    function recordResponseTo(hashes: readonly number[], atMs: number, isLocal: boolean): readonly number[] {
+        const contradicting = suspects.recordResponse(hashes, atMs, isLocal);
+        const released = hashes.filter(hash => {
+            const mark = quarantine.get(hash);
+            return mark !== undefined && isRefuted(mark, atMs);
+        });
+        released.forEach(hash => {
+            log.state("quarantine-ended", { suspect: hash, reason: "response", responseAgeMs: ageMs(atMs) });
+            quarantine.release(hash);
+        });
+        return [...new Set([...contradicting, ...released])];
+    }
+
+    function evaluate(): void {
+        const nowMs = clock.nowMs();
+        const isIdle = quarantine.isEmpty() && !suspects.hasRecentMarks(nowMs);
+        if (isIdle || nowMs - evaluatedMs < evaluationIntervalMs) {
+            return;
+        }
+        evaluatedMs = nowMs;
+        announcedMs.forEach((atMs, hash) => nowMs - atMs >= responseAnnouncementIntervalMs && announcedMs.delete(hash));
+        quarantine.removeExpired(nowMs).forEach(suspectHash => {
+            suspects.putOnProbation(suspectHash);
+            log.state("quarantine-ended", { suspect: suspectHash, reason: "expired" });
+        });
+        const find = () => suspects.findConviction(nowMs, quarantine.has);
+        for (let conviction = find(); conviction; conviction = find()) {
+            const { suspectHash, crashes, firstCrashAgeMs, isConfirmed } = conviction;
+            quarantine.add(suspectHash, isConfirmed, nowMs);
+            metrics.count("quarantines");
+            log.state("quarantined", {
+                suspect: suspectHash,
+                isLocal: true,
+                crashes,
+                firstCrashAgeMs: Math.round(firstCrashAgeMs),
+                isConfirmed,
+            });
+        }
+    }
 
     return {
-        record({ fingerprint, upstreamHash }, nowMs) {
-            lastMarkMs = nowMs;
-            const recentCrashes = recent(fingerprint, nowMs);
-            const isDuplicate = recentCrashes.some(crash =>
-                crash.upstreamHash === upstreamHash && nowMs - crash.atMs <= sameCrashMs
-            );
-            const wasPoisonous = isPoisonous(fingerprint, nowMs);
-            crashes.delete(fingerprint);
-            crashes.set(fingerprint, isDuplicate ? recentCrashes : [...recentCrashes, { upstreamHash, atMs: nowMs }]);
-            const oldest = crashes.keys().next().value;
-            if (crashes.size > maxFingerprints && oldest !== undefined) {
-                crashes.delete(oldest);
+        recordCrash(job, upstream) {
+            const atMs = clock.nowMs();
+            const runHash = runHashOf(upstream);
+            [...partHashesOf(job), job.fingerprint()].forEach((suspectHash, depth) => {
+                const mark = { suspectHash, runHash, depth, atMs };
+                fleet.announceCrash(mark);
+                recordMark(mark);
+            });
+        },
+        recordResponse(job, upstream) {
+            const nowMs = clock.nowMs();
+            const fingerprints = suspects.hasRecentMarks(nowMs) ? [job.fingerprint()] : [];
+            recordResponseTo([...partHashesOf(job), ...fingerprints, runHashOf(upstream)], nowMs, true)
+                .forEach(hash => fleet.announceResponse({ hash, atMs: nowMs }));
+        },
+        isQuarantined(job) {
+            evaluate();
+            if (quarantine.isEmpty()) {
+                return false;
             }
-            return !wasPoisonous && isPoisonous(fingerprint, nowMs);
+            const suspectHash = [...partHashesOf(job), job.fingerprint()].find(quarantine.has);
+            if (suspectHash === undefined) {
+                return false;
+            }
+            log.failure("quarantine-refused", {
+                requestId: job.requestId,
+                suspect: suspectHash,
+                quarantineAgeMs: ageMs(quarantine.get(suspectHash)?.atMs ?? clock.nowMs()),
+            });
+            return true;
         },
-        hasRecentMarks: nowMs => nowMs - lastMarkMs <= markLifetimeMs,
-        isPoisonous,
+        dispose: removeListener,
     };
 }
+
+function partHashesOf({ prompt }: Job): readonly number[] {
+    return sharedPartsOf(prompt).map(({ id }) => core.hash32(id));
+}
+
+/** Identifies one run of an upstream: it may start again under the same id. */
+function runHashOf({ id, startedWallMs }: catalog.KnownUpstream): number {
+    return core.hash32(`${id} ${startedWallMs ?? ""}`);
+}
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -3,7 +3,6 @@
 import type { AttemptReport } from "@peridotloft/fleet";
 import type * as telemetry from "@peridotloft/telemetry";
 import { type ColdLimiter, createColdLimiter } from "./ColdLimiter.js";
-import { createCrashDetector } from "./CrashDetector.js";
 import type { FleetView } from "./FleetView.js";
 import type { AttemptOutcome, Job, Lease } from "./Job.js";
 import { type Backlog, createBacklog } from "./LoadModel.js";
@@ -19,16 +18,16 @@
     readonly metrics: telemetry.Metrics;
     /** Called for each attempt whose connection closed before the response was complete. */
     readonly onBroken: (attempt: BrokenAttempt) => void;
+    /** Called when an upstream has sent the first event of a stream, or a complete response. */
+    readonly onResponse: (job: Job, upstream: catalog.KnownUpstream) => void;
 }
 
 /** An attempt whose connection closed before the response was complete. */
 export interface BrokenAttempt {
     readonly job: Job;
     readonly upstream: catalog.KnownUpstream;
-    /** Whether the response had begun. */
-    readonly hadFirstByte: boolean;
-    /** Whether the upstream has probably crashed. */
-    readonly isCrash: boolean;
+    /** Whether the first event of a stream had arrived. */
+    readonly hasResponse: boolean;
 }
 
 /** State of one upstream as known to this VM. */
@@ -159,7 +158,6 @@
         // The VMs share the cache of an engine; this VM assumes an equal share for the prompts that it sends.
         const localCacheTokens = (): number => cacheTokens(upstream.pool) / Math.max(1, fleet.vmCount());
         const slowness = createSlowness();
-        const crashDetector = createCrashDetector();
         const state: MutableState = {
             upstream,
             idHash: core.hash32(upstream.id),
@@ -180,7 +178,6 @@
             queuedTokens: nowMs => Math.max(state.backlog.tokens(nowMs), state.localQueuedTokens),
             slowness: slowness.value,
             recordFirstByte: slowness.record,
-            recordBrokenConnection: nowMs => crashDetector.recordBrokenConnection(state.localRunning, nowMs),
             openLease: (job, newTokens, expectedMs, ticket) => createLease(state, job, newTokens, expectedMs, ticket),
         };
         return state;
@@ -197,7 +194,7 @@
         const leasedUpstream = state.upstream;
         let pendingTokens = newTokens;
         let open = true;
-        let hadFirstByte = false;
+        let hasResponse = false;
         state.localRunning++;
         state.localQueuedTokens += pendingTokens;
         state.backlog.add(newTokens, openedMs);
@@ -211,6 +208,12 @@
         const report = (observed: Omit<AttemptReport, "upstreamHash" | "ticket">): void => {
             fleet.reportAttempt({ upstreamHash: state.idHash, ticket, ...observed });
         };
+        const recordResponse = (): void => {
+            if (!hasResponse) {
+                hasResponse = true;
+                options.onResponse(job, leasedUpstream);
+            }
+        };
         const markPrefilled = (): void => {
             state.localQueuedTokens -= pendingTokens;
             pendingTokens = 0;
@@ -222,7 +225,9 @@
                 states.get(leasedUpstream.id) === state && isRoutable(state.upstream, options.catalog.read()),
             recordFirstByte() {
                 markPrefilled();
-                hadFirstByte = true;
+                if (job.route.kind === "stream") {
+                    recordResponse();
+                }
                 if (job.prompt) {
                     const tookMs = clock.nowMs() - openedMs;
                     state.recordFirstByte(tookMs, expectedMs, clock.nowMs());
@@ -241,9 +246,11 @@
                 if (job.prompt && isFailure(outcome)) {
                     report({ failed: true, unreachable: outcome === "connect-failed", tookMs: 0, expectedMs: 0 });
                 }
+                if (outcome === "ok" || outcome === "failed") {
+                    recordResponse();
+                }
                 if (outcome === "broken") {
-                    const isCrash = state.recordBrokenConnection(clock.nowMs());
-                    options.onBroken({ job, upstream: leasedUpstream, hadFirstByte, isCrash });
+                    options.onBroken({ job, upstream: leasedUpstream, hasResponse });
                 }
                 state.localRunning--;
                 state.health.record(outcome, clock.nowMs());
@@ -328,7 +335,6 @@
     coldLimiter: ColdLimiter | undefined;
     readonly backlog: Backlog;
     recordFirstByte(tookMs: number, expectedMs: number, nowMs: number): void;
-    recordBrokenConnection(nowMs: number): boolean;
 }
 
 function isSameRun(left: catalog.KnownUpstream, right: catalog.KnownUpstream): boolean {
--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -106,15 +106,56 @@
         assert.deepEqual([...received.values()], Array.from({ length: 5 }, () => 2 * usage.cost));
     });
 
-    it("announces a crash to all VMs despite lost datagrams", async () => {
+    /** Records the evidence that a node receives; `quarantines` are those that it announces. */
+    function recordEvidence(node: fleet.FleetNode, quarantines: readonly fleet.QuarantineMark[] = []) {
+        const received = {
+            crashes: [] as fleet.CrashMark[],
+            responses: [] as fleet.ResponseMark[],
+            quarantines: [] as fleet.QuarantineMark[],
+        };
+        node.registerCrashEvidence({
+            onCrash: mark => void received.crashes.push(mark),
+            onResponse: mark => void received.responses.push(mark),
+            onQuarantine: mark => void received.quarantines.push(mark),
+            quarantines: () => quarantines,
+        });
+        return received;
+    }
+
+    it("announces a crash and a response to all VMs, with their times, despite lost datagrams", async () => {
         const { clock, nodes, setLossShare } = createNetwork(9, 1);
         await clock.advance(3_000);
         setLossShare(0.3);
-        const received = new Set<number>();
-        nodes.slice(1).forEach((node, index) => node.registerCrashListener(() => void received.add(index)));
-        nodes[0]!.announceCrash({ fingerprint: 1, upstreamHash: 2 });
+        const received = nodes.slice(1).map(node => recordEvidence(node));
+        const atMs = clock.nowMs() - 200;
+        nodes[0]!.announceCrash({ suspectHash: 1, runHash: 2, depth: 0, atMs });
+        nodes[0]!.announceResponse({ hash: 3, atMs });
+        await clock.advance(1_000);
+        received.forEach(({ crashes, responses }) => {
+            assert.equal(crashes[0]?.suspectHash, 1);
+            assert.equal(responses[0]?.hash, 3);
+            [...crashes, ...responses].forEach(mark => assert.ok(Math.abs(mark.atMs - atMs) <= 3, `${mark.atMs}`));
+        });
+    });
+
+    it("announces quarantines to a VM that starts without state, within a second", async () => {
+        const { clock, nodes, partitioned, addresses } = createNetwork(9, 1);
+        partitioned.add(addresses[8]!);
+        const since = clock.nowMs();
+        nodes.slice(0, 8).forEach(node =>
+            recordEvidence(node, [{ suspectHash: 4, atMs: since, count: 2, isConfirmed: false }])
+        );
+        const received = recordEvidence(nodes[8]!);
+        await clock.advance(5_000);
+        partitioned.clear();
         await clock.advance(1_000);
-        assert.equal(received.size, 8);
+        assert.deepEqual({ ...received.quarantines[0], atMs: 0 }, {
+            suspectHash: 4,
+            atMs: 0,
+            count: 2,
+            isConfirmed: false,
+        });
+        assert.ok(Math.abs(received.quarantines[0]!.atMs - since) <= 3);
     });
 
     it("stays within the bandwidth limit in a large fleet, and scales received usage to the right sum", async () => {
@@ -240,7 +281,11 @@
         const announcement = {
             incarnation: 1_765_000_000_000n,
             sampling: 0.25,
-            crashMarks: [{ fingerprint: 5, upstreamHash: 6 }],
+            crashEvidence: {
+                crashes: [{ suspectHash: 5, runHash: 6, depth: 2, atMs: 8_500 }],
+                responses: [{ hash: 0xfffffffe, atMs: 9_999 }],
+                quarantines: [{ suspectHash: 7, atMs: 1_000, count: 3, isConfirmed: true }],
+            },
             members: ["10.1.0.33", "255.0.1.254"],
             usages: [{ customerHash: 9, cost: 12_000 }],
             zoneHash: 42,
@@ -277,12 +322,14 @@
                 report: { upstreamHash: 11, ticket: 12, failed: true, unreachable: true, tookMs: 13, expectedMs: 14 },
             },
         ];
-        datagrams.forEach(datagram => assert.deepEqual(decodeDatagram(encodeDatagram(datagram)), datagram));
+        datagrams.forEach(datagram =>
+            assert.deepEqual(decodeDatagram(encodeDatagram(datagram, 10_000), 10_000), datagram)
+        );
     });
 
     it("decodes arbitrary bytes without throwing", () => {
         fc.assert(
-            fc.property(fc.uint8Array({ maxLength: 200 }), bytes => void decodeDatagram(bytes)),
+            fc.property(fc.uint8Array({ maxLength: 200 }), bytes => void decodeDatagram(bytes, 0)),
             { seed: 11, numRuns: 500 },
         );
     });
--- a/packages/fleet/src/Announcement.ts
+++ b/packages/fleet/src/Announcement.ts
@@ -1,11 +1,6 @@
+import { type CrashEvidence, fromCrashEvidenceMessage, toCrashEvidenceMessage } from "./CrashEvidence.js";
 import type * as messages from "./gen/announcement_pb.js";
 
-/** A request that was in flight at an upstream when the upstream crashed. */
-export interface CrashMark {
-    readonly fingerprint: number;
-    readonly upstreamHash: number;
-}
-
 /** Cost of a customer's requests. */
 export interface CustomerCost {
     /** 0 on open routes. */
@@ -19,7 +14,7 @@
     readonly incarnation: bigint;
     /** Share of the VMs known to the sender to which this announcement is sent, above 0 and at most 1. */
     readonly sampling: number;
-    readonly crashMarks: readonly CrashMark[];
+    readonly crashEvidence: CrashEvidence;
     /** Cost of the requests that the sender dispatched since its previous announcement. */
     readonly usages: readonly CustomerCost[];
     /** IPv4 addresses of other VMs. */
@@ -29,22 +24,21 @@
 }
 
 /** Converts an announcement to its message. */
-export function toAnnouncementMessage(announcement: Announcement) {
-    const { incarnation, sampling, crashMarks, usages, members, zoneHash } = announcement;
+export function toAnnouncementMessage(announcement: Announcement, nowMs: number) {
+    const { incarnation, sampling, crashEvidence, usages, members, zoneHash } = announcement;
     return {
         incarnation,
         sampling,
         members: members.map(packAddress),
         zone: zoneHash,
-        crashFingerprints: crashMarks.map(({ fingerprint }) => fingerprint),
-        crashUpstreams: crashMarks.map(({ upstreamHash }) => upstreamHash),
+        crashEvidence: toCrashEvidenceMessage(crashEvidence, nowMs),
         usageCustomers: usages.map(({ customerHash }) => customerHash),
         usageCosts: usages.map(({ cost }) => Math.round(cost)),
     };
 }
 
 /** Converts a message to an announcement; undefined if its lists differ in length or its sampling is out of range. */
-export function fromAnnouncementMessage(message: messages.Announcement): Announcement | undefined {
+export function fromAnnouncementMessage(message: messages.Announcement, nowMs: number): Announcement | undefined {
     const { sampling } = message;
     if (message.usageCosts.length !== message.usageCustomers.length || !(sampling > 0 && sampling <= 1)) {
         return undefined;
@@ -52,10 +46,7 @@
     return {
         incarnation: message.incarnation,
         sampling,
-        crashMarks: message.crashFingerprints.map((fingerprint, index) => ({
-            fingerprint,
-            upstreamHash: message.crashUpstreams[index] ?? 0,
-        })),
+        crashEvidence: fromCrashEvidenceMessage(message.crashEvidence, nowMs),
         usages: message.usageCustomers.map((customerHash, index) => ({
             customerHash,
             cost: message.usageCosts[index] ?? 0,
--- /dev/null
+++ b/packages/fleet/src/CrashEvidence.ts
@@ -0,0 +1,154 @@
+import type * as messages from "./gen/announcement_pb.js";
+import { createRepeatedSends } from "./RepeatedSends.js";
+
+/** A request, or a part of a prompt, that was in flight without a response when the connections to an upstream broke. */
+export interface CrashMark {
+    /** Hash of the request or part. */
+    readonly suspectHash: number;
+    /** Hash of the run of the upstream. */
+    readonly runHash: number;
+    /** Greater for more specific suspects: a request is more specific than its parts, a later part than an earlier one. */
+    readonly depth: number;
+    /** Time in ms of the crash. */
+    readonly atMs: number;
+}
+
+/** A response to a request, to a part of its prompt, or of a run of an upstream. */
+export interface ResponseMark {
+    readonly hash: number;
+    /** Time in ms of the response. */
+    readonly atMs: number;
+}
+
+/** A request or part of a prompt that is quarantined. */
+export interface QuarantineMark {
+    readonly suspectHash: number;
+    /** Time in ms at which the quarantine began. */
+    readonly atMs: number;
+    /** How often it was quarantined, at least 1. */
+    readonly count: number;
+    /** Whether the evidence also suffices for a suspect that had responses before. */
+    readonly isConfirmed: boolean;
+}
+
+/** Evidence on which requests, or parts of prompts, crash upstreams. */
+export interface CrashEvidence {
+    readonly crashes: readonly CrashMark[];
+    readonly responses: readonly ResponseMark[];
+    readonly quarantines: readonly QuarantineMark[];
+}
+
+/** Handles the evidence of other VMs. */
+export interface CrashEvidenceHandler {
+    onCrash(mark: CrashMark): void;
+    onResponse(mark: ResponseMark): void;
+    onQuarantine(mark: QuarantineMark): void;
+    /** The quarantines that every announcement carries, so that VMs that start without state learn them. */
+    quarantines(): readonly QuarantineMark[];
+}
+
+/** Maximum number of marks of each kind in a datagram, and of queued ones. A crash yields some marks per request in flight. */
+const maxMarksPerDatagram = 40;
+const maxPendingMarks = 400;
+/** Number of announcements that carry a mark, since datagrams may be lost and reach only a part of a large fleet. */
+const sendsPerMark = 4;
+
+/** Queues the evidence of this VM for its announcements and passes on the evidence of other VMs. */
+export interface CrashEvidenceExchange {
+    announceCrash(mark: CrashMark): void;
+    announceResponse(mark: ResponseMark): void;
+    registerHandler(handler: CrashEvidenceHandler): () => void;
+    /** Whether marks are queued. */
+    hasPending(): boolean;
+    /** The evidence for the next announcement. */
+    next(): CrashEvidence;
+    /** Records that the evidence returned by `next` was sent. */
+    recordSent(): void;
+    receive(evidence: CrashEvidence): void;
+}
+
+export function createCrashEvidenceExchange(): CrashEvidenceExchange {
+    const limits = { maxPending: maxPendingMarks, maxPerSend: maxMarksPerDatagram, sends: sendsPerMark };
+    const crashes = createRepeatedSends<CrashMark>({
+        ...limits,
+        keyOf: ({ suspectHash, runHash }) => `${suspectHash} ${runHash}`,
+    });
+    const responses = createRepeatedSends<ResponseMark>({ ...limits, keyOf: ({ hash }) => String(hash) });
+    let registered: CrashEvidenceHandler | undefined;
+    return {
+        announceCrash: crashes.add,
+        announceResponse: responses.add,
+        registerHandler(handler) {
+            registered = handler;
+            return () => void (registered = undefined);
+        },
+        hasPending: () => crashes.hasPending() || responses.hasPending(),
+        next: () => ({
+            crashes: crashes.next(),
+            responses: responses.next(),
+            quarantines: registered?.quarantines() ?? [],
+        }),
+        recordSent() {
+            crashes.recordSent();
+            responses.recordSent();
+        },
+        receive(evidence) {
+            // Responses come first, since they contradict marks of the same datagram.
+            evidence.responses.forEach(mark => registered?.onResponse(mark));
+            evidence.crashes.forEach(mark => registered?.onCrash(mark));
+            evidence.quarantines.forEach(mark => registered?.onQuarantine(mark));
+        },
+    };
+}
+
+/** Converts evidence to its message, which states ages because the clocks of VMs differ; undefined if there is none. */
+export function toCrashEvidenceMessage({ crashes, responses, quarantines }: CrashEvidence, nowMs: number) {
+    if (crashes.length + responses.length + quarantines.length === 0) {
+        return undefined;
+    }
+    const ageMs = ({ atMs }: { readonly atMs: number; }): number => Math.max(0, Math.round(nowMs - atMs));
+    return {
+        crashSuspects: crashes.map(({ suspectHash }) => suspectHash),
+        crashRuns: crashes.map(({ runHash }) => runHash),
+        crashAgesMs: crashes.map(ageMs),
+        crashDepths: crashes.map(({ depth }) => depth),
+        responseHashes: responses.map(({ hash }) => hash),
+        responseAgesMs: responses.map(ageMs),
+        quarantinedSuspects: quarantines.map(({ suspectHash }) => suspectHash),
+        quarantineAgesMs: quarantines.map(ageMs),
+        quarantineCounts: quarantines.map(({ count }) => count),
+        quarantineConfirmations: quarantines.map(({ isConfirmed }) => isConfirmed),
+    };
+}
+
+/** Converts a message to evidence. Entries that are not in all lists are omitted. */
+export function fromCrashEvidenceMessage(message: messages.CrashEvidence | undefined, nowMs: number): CrashEvidence {
+    if (!message) {
+        return { crashes: [], responses: [], quarantines: [] };
+    }
+    const { crashSuspects, crashRuns, crashAgesMs, crashDepths } = message;
+    const { responseHashes, responseAgesMs } = message;
+    const { quarantinedSuspects, quarantineAgesMs, quarantineCounts, quarantineConfirmations } = message;
+    return {
+        crashes: crashSuspects.flatMap((suspectHash, index) => {
+            const runHash = crashRuns[index];
+            const ageMs = crashAgesMs[index];
+            const depth = crashDepths[index];
+            return runHash === undefined || ageMs === undefined || depth === undefined
+                ? []
+                : [{ suspectHash, runHash, depth, atMs: nowMs - ageMs }];
+        }),
+        responses: responseHashes.flatMap((hash, index) => {
+            const ageMs = responseAgesMs[index];
+            return ageMs === undefined ? [] : [{ hash, atMs: nowMs - ageMs }];
+        }),
+        quarantines: quarantinedSuspects.flatMap((suspectHash, index) => {
+            const ageMs = quarantineAgesMs[index];
+            const count = quarantineCounts[index];
+            const isConfirmed = quarantineConfirmations[index];
+            return ageMs === undefined || !count || isConfirmed === undefined
+                ? []
+                : [{ suspectHash, atMs: nowMs - ageMs, count, isConfirmed }];
+        }),
+    };
+}
--- a/packages/fleet/src/Datagram.ts
+++ b/packages/fleet/src/Datagram.ts
@@ -10,16 +10,17 @@
     | { readonly kind: "answer"; readonly number: number; readonly answer: TrackerAnswer; }
     | { readonly kind: "report"; readonly report: AttemptReport; };
 
-export function encodeDatagram(datagram: Datagram): Uint8Array {
-    return protobuf.toBinary(DatagramSchema, protobuf.create(DatagramSchema, { body: toMessageBody(datagram) }));
+/** @param nowMs time in ms, relative to which ages are stated. */
+export function encodeDatagram(datagram: Datagram, nowMs: number): Uint8Array {
+    return protobuf.toBinary(DatagramSchema, protobuf.create(DatagramSchema, { body: toMessageBody(datagram, nowMs) }));
 }
 
 type BodyInit = NonNullable<protobuf.MessageInitShape<typeof DatagramSchema>["body"]>;
 
-function toMessageBody(datagram: Datagram): BodyInit {
+function toMessageBody(datagram: Datagram, nowMs: number): BodyInit {
     switch (datagram.kind) {
         case "announcement":
-            return { case: "announcement", value: toAnnouncementMessage(datagram.announcement) };
+            return { case: "announcement", value: toAnnouncementMessage(datagram.announcement, nowMs) };
         case "question": {
             const { number, question } = datagram;
             return {
@@ -70,9 +71,9 @@
 }
 
 /** Decodes a datagram; undefined if it is invalid. */
-export function decodeDatagram(bytes: Uint8Array): Datagram | undefined {
+export function decodeDatagram(bytes: Uint8Array, nowMs: number): Datagram | undefined {
     try {
-        return fromMessageBody(protobuf.fromBinary(DatagramSchema, bytes).body);
+        return fromMessageBody(protobuf.fromBinary(DatagramSchema, bytes).body, nowMs);
     }
     catch {
         // Any process may send bytes to the port; the receiver counts datagrams that it cannot decode.
@@ -80,10 +81,10 @@
     }
 }
 
-function fromMessageBody(body: DatagramMessage["body"]): Datagram | undefined {
+function fromMessageBody(body: DatagramMessage["body"], nowMs: number): Datagram | undefined {
     switch (body.case) {
         case "announcement": {
-            const announcement = fromAnnouncementMessage(body.value);
+            const announcement = fromAnnouncementMessage(body.value, nowMs);
             return announcement && { kind: "announcement", announcement };
         }
         case "question": {
--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -1,6 +1,12 @@
 import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
-import type { Announcement, CrashMark, CustomerCost } from "./Announcement.js";
+import type { Announcement, CustomerCost } from "./Announcement.js";
+import {
+    type CrashEvidenceHandler,
+    type CrashMark,
+    createCrashEvidenceExchange,
+    type ResponseMark,
+} from "./CrashEvidence.js";
 import { type Datagram, decodeDatagram, encodeDatagram } from "./Datagram.js";
 import type { DatagramSocket } from "./DatagramSocket.js";
 import { createTrackerLink } from "./TrackerLink.js";
@@ -48,10 +54,12 @@
     registerTracker(tracker: Tracker): () => void;
     /** Calls `listener` for the usage that other VMs announce; returns a function that removes it. */
     registerUsageListener(listener: UsageListener): () => void;
-    /** Announces to all other VMs that a request was in flight at an upstream when the upstream crashed. */
+    /** Announces to all other VMs that a request or part was in flight at an upstream when the upstream crashed. */
     announceCrash(mark: CrashMark): void;
-    /** Calls `listener` for each crash mark that another VM announces; returns a function that removes it. */
-    registerCrashListener(listener: (mark: CrashMark) => void): () => void;
+    /** Announces to all other VMs a response that contradicts a crash mark. */
+    announceResponse(mark: ResponseMark): void;
+    /** Sets the handler for the evidence that other VMs announce; returns a function that removes it. */
+    registerCrashEvidence(handler: CrashEvidenceHandler): () => void;
     start(): void;
     dispose(): void;
 }
@@ -83,11 +91,6 @@
 const maxUsages = 40;
 /** Number of VMs of each zone that read the store; two, so that the zone stays up to date if one of them fails. */
 const readersPerZone = 2;
-/** Maximum crash marks in a datagram, and queued ones; the crash of an engine yields up to one mark per slot. */
-const maxCrashMarks = 40;
-const maxPendingCrashMarks = 400;
-/** Number of announcements that carry a crash mark, since datagrams may be lost and reach only a part of a large fleet. */
-const sendsPerCrashMark = 4;
 /** Addresses of other VMs in an announcement; one announcement per heartbeat interval carries them. */
 const membersPerAnnouncement = 8;
 /**
@@ -112,10 +115,9 @@
     const seeds = new Set(options.seeds);
     const peers = new Map<string, Peer>();
     const usageListeners = new Set<UsageListener>();
-    const crashListeners = new Set<(mark: CrashMark) => void>();
+    const crashEvidence = createCrashEvidenceExchange();
     const pendingCosts = new Map<number, number>();
     let remainingInRound: string[] = [];
-    let pendingCrashMarks: { readonly mark: CrashMark; sendsLeft: number; }[] = [];
     let availableBytes = budgetBytesPerS;
     /** Part of the available bytes that is reserved for announcements. */
     let reservedBytes = 0;
@@ -166,14 +168,14 @@
     });
 
     function sendToPeer(datagram: Datagram, address: string): void {
-        const bytes = encodeDatagram(datagram);
+        const bytes = encodeDatagram(datagram, clock.nowMs());
         trackerTrafficBytes += bytes.length + datagramOverheadBytes;
         metrics.count("peerMessages", { direction: "sent" });
         socket.send(bytes, address);
     }
 
     function receive(bytes: Uint8Array, from: string): void {
-        const datagram = decodeDatagram(bytes);
+        const datagram = decodeDatagram(bytes, clock.nowMs());
         if (!datagram) {
             metrics.count("peerMessages", { direction: "malformed" });
             return;
@@ -203,7 +205,7 @@
         updatePeer(from, announcement);
         const weight = 1 / announcement.sampling;
         announcement.usages.forEach(usage => usageListeners.forEach(listener => listener(usage, weight)));
-        announcement.crashMarks.forEach(mark => crashListeners.forEach(listener => listener(mark)));
+        crashEvidence.receive(announcement.crashEvidence);
     }
 
     function updatePeer(from: string, { incarnation, zoneHash }: Announcement): void {
@@ -256,7 +258,7 @@
                 peers.delete(address);
                 log.state("peer-forgotten", { peer: address, silentMs: peerRemovalMs });
             });
-        const minIntervalMs = pendingCrashMarks.length > 0
+        const minIntervalMs = crashEvidence.hasPending()
             ? 0
             : pendingCosts.size > 0
             ? usageIntervalMs
@@ -284,8 +286,7 @@
             pendingCosts.clear();
             return;
         }
-        const sentMarks = pendingCrashMarks.slice(0, maxCrashMarks);
-        const crashMarks = sentMarks.map(({ mark }) => mark);
+        const evidence = crashEvidence.next();
         const usages = [...pendingCosts].slice(0, maxUsages).map(([customerHash, cost]) => ({ customerHash, cost }));
         const includesMembers = clock.nowMs() - lastMembersSentMs >= heartbeatIntervalMs;
         const members = includesMembers
@@ -297,12 +298,12 @@
                 announcement: {
                     incarnation: options.incarnation,
                     sampling,
-                    crashMarks,
+                    crashEvidence: evidence,
                     usages,
                     members,
                     zoneHash,
                 },
-            });
+            }, clock.nowMs());
         const sizeBytes = encode(1).length + datagramOverheadBytes;
         const count = Math.min(known.length, Math.floor(availableBytes / sizeBytes));
         if (count <= 0) {
@@ -313,8 +314,7 @@
         usages.forEach(({ customerHash }) => pendingCosts.delete(customerHash));
         lastMembersSentMs = includesMembers ? clock.nowMs() : lastMembersSentMs;
         metrics.count("peerMessages", { direction: "sent" }, count);
-        sentMarks.forEach(pending => pending.sendsLeft--);
-        pendingCrashMarks = pendingCrashMarks.filter(({ sendsLeft }) => sendsLeft > 0);
+        crashEvidence.recordSent();
         availableBytes -= count * sizeBytes;
         reservedBytes = Math.max(0, reservedBytes - count * sizeBytes);
         lastSentMs = clock.nowMs();
@@ -335,15 +335,9 @@
             usageListeners.add(listener);
             return () => void usageListeners.delete(listener);
         },
-        announceCrash(mark) {
-            pendingCrashMarks = [...pendingCrashMarks, { mark, sendsLeft: sendsPerCrashMark }].slice(
-                -maxPendingCrashMarks,
-            );
-        },
-        registerCrashListener(listener) {
-            crashListeners.add(listener);
-            return () => void crashListeners.delete(listener);
-        },
+        announceCrash: crashEvidence.announceCrash,
+        announceResponse: crashEvidence.announceResponse,
+        registerCrashEvidence: crashEvidence.registerHandler,
         start() {
             socket.onMessage(receive);
             stopTicking = core.setRepeatingTimer(clock, tickIntervalMs, tick);
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,4 +1,5 @@
-export type { CrashMark, CustomerCost } from "./Announcement.js";
+export type { CustomerCost } from "./Announcement.js";
+export type { CrashEvidenceHandler, CrashMark, QuarantineMark, ResponseMark } from "./CrashEvidence.js";
 export * from "./DatagramSocket.js";
 export * from "./FleetNode.js";
 export * from "./RelaySelector.js";
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -20,6 +20,7 @@
     refusals: ["refusals_total", "Requests refused or failed here, by reason.", ["reason"]],
     attempts: ["upstream_attempts_total", "Requests sent to upstreams, by outcome.", ["outcome"]],
     ejections: ["upstream_ejections_total", "Upstreams ejected because of their responses.", []],
+    quarantines: ["quarantines_total", "Requests and parts of prompts found to crash upstreams.", []],
     storeCalls: ["store_calls_total", "Calls to the platform's store, by outcome.", ["outcome"]],
     catalogChanges: ["catalog_changes_total", "Changes of the catalog that the platform publishes, by kind.", ["kind"]],
     trackerQuestions: ["tracker_questions_total", "Questions to the trackers of upstreams, by outcome.", [
