fleet, dispatch: announce evidence on crashes without delay; weigh it against other crashes

Cause: announcements use what questions to trackers leave of 5,000 bytes/s, and under load that is their reserve of 800 bytes/s, one announcement a second in a fleet of nine. Evidence now has 2,000 bytes/s of its own while some is queued, counts as sent by the share of peers it reached, and leaves out parts that had a response within the last second, since other VMs clear them anyway. A new quarantine is announced at once instead of with the next heartbeat.

A suspect that was not in flight at all crashes since its first one now needs four (half of them) or five (a fifth).

The new test in FleetNode fails without the bandwidth.

--- a/packages/dispatch/__tests__/unit/CrashSuspects.test.ts
+++ b/packages/dispatch/__tests__/unit/CrashSuspects.test.ts
@@ -121,11 +121,33 @@
     });
 
     it("does not convict on an outage of all upstreams at once, but on crashes one after the other", () => {
+        const outage = createFixture();
+        [1, 2, 3, 4, 5, 6].forEach(run => outage.crash(7, run, 1_000, 0, 0));
+        assert.deepEqual(outage.convict(10_000), []);
         const { crash, convict } = createFixture();
-        [1, 2, 3, 4, 5, 6].forEach(run => crash(7, run, 1_000, 0, 0));
-        assert.deepEqual(convict(10_000), []);
-        [1, 2, 3].forEach(run => crash(8, run, run * 300, 0, 0));
-        assert.deepEqual(convict(10_000), [8]);
+        [1, 2, 3].forEach(run => crash(7, run, run * 300, 0, 0));
+        assert.deepEqual(convict(10_000), [7]);
+    });
+
+    it("requires more crashes of a part that was not in flight at all of them", () => {
+        const { crash, convict } = createFixture();
+        [1, 2, 3].forEach(run => crash(7, run, run * 1_000));
+        crash(8, 4, 2_500);
+        assert.deepEqual(convict(3_000 + settledMs), []);
+        crash(7, 5, 4_000);
+        assert.deepEqual(convict(4_000 + settledMs), [7]);
+    });
+
+    it("does not convict a part that was in flight at a few of many crashes", () => {
+        const { crash, convict } = createFixture();
+        Array.from({ length: 60 }, (_, index) => crash(index % 10 === 0 ? 7 : 100 + index, index, index * 500));
+        assert.deepEqual(convict(40_000), []);
+    });
+
+    it("convicts two parts that crash upstreams at the same time", () => {
+        const { crash, convict } = createFixture();
+        Array.from({ length: 8 }, (_, index) => crash(index % 2 === 0 ? 7 : 8, index, index * 500));
+        assert.deepEqual([...convict(5_000)].sort(), [7, 8]);
     });
 
     it("convicts a part that had responses before, once it crashes upstreams while others have responses", () => {
--- a/packages/dispatch/src/CrashSuspects.ts
+++ b/packages/dispatch/src/CrashSuspects.ts
@@ -37,8 +37,17 @@
     readonly isConfirmed: boolean;
 }
 
-/** Number of crashes that convict a suspect; even two by coincidence are rare. */
-const crashesToConvict = 3;
+/** Minimum number of crashes; even two by coincidence are rare. */
+const minCrashes = 3;
+/**
+ * Number of crashes that convict a suspect, by its minimum share of the crashes since its first one. Where many upstreams
+ * crash for other reasons, some sound requests are in flight at several of them by coincidence.
+ */
+const crashesToConvict = [
+    { minShare: 1, crashes: minCrashes },
+    { minShare: 0.5, crashes: 4 },
+    { minShare: 0.2, crashes: 5 },
+];
 /** Number of these at which no quarantined suspect was in flight. */
 const unexplainedCrashesToConvict = 2;
 /** Time in ms after which marks and responses expire. */
@@ -73,9 +82,21 @@
     readonly crashes: Map<number, Crash>;
 }
 
+/** The evidence against a suspect. */
+interface Evidence {
+    readonly suspect: Suspect;
+    /** Its crashes that other VMs have had time to contradict, by run. */
+    readonly settled: readonly [number, Crash][];
+    /** Number of these at which no quarantined suspect was in flight. */
+    readonly unexplained: number;
+    /** Share of these in all such crashes since its first one, 0 to 1. */
+    readonly share: number;
+}
+
 export function createCrashSuspects(): CrashSuspects {
     const suspects = new Map<number, Suspect>();
-    /** Runs with marks, and the suspects that are marked there. */
+    /** Crashes by run, and the suspects that are marked there. */
+    const crashes = new Map<number, Crash>();
     const suspectsByRun = new Map<number, Set<number>>();
     /** Times in ms of the last response to each suspect and of each run. */
     const responseTimesMs = new Map<number, number>();
@@ -84,6 +105,15 @@
     let recentResponsesMs: number[] = [];
     let lastMarkMs = Number.NEGATIVE_INFINITY;
 
+    function recordRun(runHash: number, crash: Crash): void {
+        crashes.forEach(({ learnedMs }, hash) =>
+            crash.learnedMs - learnedMs > evidenceLifetimeMs && crashes.delete(hash)
+        );
+        if (!crashes.has(runHash)) {
+            crashes.set(runHash, crash);
+        }
+    }
+
     function dropMarks(suspect: Suspect, isContradicted: (crash: Crash, runHash: number) => boolean): boolean {
         const dropped = [...suspect.crashes].filter(([runHash, crash]) => isContradicted(crash, runHash));
         dropped.forEach(([runHash]) => {
@@ -114,6 +144,10 @@
     function dropContradictedMarks(hash: number, atMs: number): boolean {
         const suspect = suspects.get(hash);
         const hasCleared = suspect !== undefined && dropMarks(suspect, crash => crash.atMs <= atMs);
+        const runCrash = crashes.get(hash);
+        if (runCrash && runCrash.atMs + crashSlackMs < atMs) {
+            crashes.delete(hash);
+        }
         const markedThere = [...suspectsByRun.get(hash) ?? []].flatMap(suspectHash => suspects.get(suspectHash) ?? []);
         const clearedThere = markedThere.filter(other =>
             dropMarks(other, (crash, runHash) => runHash === hash && crash.atMs + crashSlackMs < atMs)
@@ -121,32 +155,48 @@
         return hasCleared || clearedThere.length > 0;
     }
 
-    function isContradicted({ suspectHash, runHash, atMs }: fleets.CrashMark): boolean {
-        return (responseTimesMs.get(suspectHash) ?? Number.NEGATIVE_INFINITY) >= atMs
-            || (responseTimesMs.get(runHash) ?? Number.NEGATIVE_INFINITY) > atMs + crashSlackMs;
-    }
+    const hasResponseAfter = (hash: number, atMs: number): boolean =>
+        (responseTimesMs.get(hash) ?? Number.NEGATIVE_INFINITY) >= atMs;
 
     function settledCrashes(suspect: Suspect, nowMs: number): [number, Crash][] {
-        return [...suspect.crashes].filter(([, { learnedMs }]) => nowMs - learnedMs >= settleMs);
+        return [...suspect.crashes].filter(([, crash]) => isSettled(crash, nowMs));
     }
 
-    function isEvidenceSufficient(suspect: Suspect, settled: readonly [number, Crash][], nowMs: number): boolean {
+    /** The crashes of a suspect that count, and the share that they have in those that no quarantined suspect explains. */
+    function assess(suspect: Suspect, quarantined: readonly Suspect[], nowMs: number): Evidence {
+        const settled = settledCrashes(suspect, nowMs);
+        const isExplained = (runHash: number): boolean => quarantined.some(other => other.crashes.has(runHash));
+        const unexplained = settled.filter(([runHash]) => !isExplained(runHash));
+        const firstMs = Math.min(...timesMs(unexplained));
+        const sinceFirst = [...crashes].filter(([runHash, crash]) =>
+            crash.atMs >= firstMs && isSettled(crash, nowMs) && !isExplained(runHash)
+        );
+        return {
+            suspect,
+            settled,
+            unexplained: unexplained.length,
+            share: unexplained.length / Math.max(unexplained.length, sinceFirst.length, 1),
+        };
+    }
+
+    function isEvidenceSufficient({ suspect, settled, unexplained, share }: Evidence, nowMs: number): boolean {
         if (onProbation.has(suspect.hash)) {
-            return settled.length > 0;
+            return unexplained > 0;
         }
-        return settled.length >= crashesToConvict
+        return unexplained >= unexplainedCrashesToConvict
+            && crashesToConvict.some(({ minShare, crashes: count }) => share >= minShare && settled.length >= count)
             && (hasResponsesSince(settled, minResponses) || spanMs(settled) >= minSpanMs)
             && (lastResponseMs(suspect.hash, nowMs) === undefined || isConfirmed(settled));
     }
 
     /** Whether this VM has received a number of responses since the first of some crashes. */
-    function hasResponsesSince(crashes: readonly [number, Crash][], count: number): boolean {
-        const firstCrashMs = Math.min(...timesMs(crashes));
+    function hasResponsesSince(settled: readonly [number, Crash][], count: number): boolean {
+        const firstCrashMs = Math.min(...timesMs(settled));
         return (recentResponsesMs.at(-count) ?? Number.NEGATIVE_INFINITY) > firstCrashMs + crashSlackMs;
     }
 
     function isConfirmed(settled: readonly [number, Crash][]): boolean {
-        return settled.length >= crashesToConvict && hasResponsesSince(settled, minResponsesToConfirm)
+        return settled.length >= minCrashes && hasResponsesSince(settled, minResponsesToConfirm)
             && spanMs(settled) >= minSpanToConfirmMs;
     }
 
@@ -155,20 +205,17 @@
         return lastMs !== undefined && nowMs - lastMs <= evidenceLifetimeMs ? lastMs : undefined;
     }
 
-    function unexplainedCrashes(
-        settled: readonly [number, Crash][],
-        quarantined: readonly Suspect[],
-    ): readonly [number, Crash][] {
-        return settled.filter(([runHash]) => !quarantined.some(({ crashes }) => crashes.has(runHash)));
-    }
-
     return {
         recordCrash(mark, nowMs) {
-            if (isContradicted(mark) || nowMs - mark.atMs > evidenceLifetimeMs) {
+            const { suspectHash, runHash, atMs, depth } = mark;
+            if (hasResponseAfter(runHash, atMs + crashSlackMs) || nowMs - atMs > evidenceLifetimeMs) {
                 return;
             }
             lastMarkMs = nowMs;
-            const { suspectHash, runHash, atMs, depth } = mark;
+            recordRun(runHash, { atMs, learnedMs: nowMs });
+            if (hasResponseAfter(suspectHash, atMs)) {
+                return;
+            }
             const suspect = suspects.get(suspectHash)
                 ?? { hash: suspectHash, depth, crashes: new Map() };
             if (suspect.crashes.has(runHash)) {
@@ -200,16 +247,8 @@
             const quarantined = [...suspects.values()].filter(({ hash }) => isQuarantined(hash));
             const found = [...suspects.values()]
                 .filter(({ hash }) => !isQuarantined(hash))
-                .map(suspect => ({ suspect, settled: settledCrashes(suspect, nowMs) }))
-                .filter(({ suspect, settled }) => isEvidenceSufficient(suspect, settled, nowMs))
-                .map(({ suspect, settled }) => ({
-                    suspect,
-                    settled,
-                    unexplained: unexplainedCrashes(settled, quarantined).length,
-                }))
-                .filter(({ suspect, unexplained }) =>
-                    unexplained >= (onProbation.has(suspect.hash) ? 1 : unexplainedCrashesToConvict)
-                )
+                .map(suspect => assess(suspect, quarantined, nowMs))
+                .filter(evidence => isEvidenceSufficient(evidence, nowMs))
                 .sort((left, right) =>
                     right.unexplained - left.unexplained || right.suspect.depth - left.suspect.depth
                 )[0];
@@ -234,6 +273,10 @@
     };
 }
 
+function isSettled({ learnedMs }: Crash, nowMs: number): boolean {
+    return nowMs - learnedMs >= settleMs;
+}
+
 function timesMs(crashes: readonly [number, Crash][]): readonly number[] {
     return crashes.map(([, { atMs }]) => atMs);
 }
--- a/packages/dispatch/src/FleetView.ts
+++ b/packages/dispatch/src/FleetView.ts
@@ -8,6 +8,7 @@
     | "registerUsageListener"
     | "announceCrash"
     | "announceResponse"
+    | "announceQuarantine"
     | "registerCrashEvidence"
     | "askTracker"
     | "reportAttempt"
@@ -20,6 +21,7 @@
     announceUsage: () => undefined,
     announceCrash: () => undefined,
     announceResponse: () => undefined,
+    announceQuarantine: () => undefined,
     registerCrashEvidence: () => () => undefined,
     registerUsageListener: () => () => undefined,
     askTracker: () => Promise.resolve(undefined),
--- a/packages/dispatch/src/PoisonGuard.ts
+++ b/packages/dispatch/src/PoisonGuard.ts
@@ -29,6 +29,8 @@
 
 /** Interval in ms at which the evidence is evaluated while requests arrive. */
 const evaluationIntervalMs = 100;
+/** A suspect with a response within this time in ms before a crash is not announced: other responses soon clear it. */
+const popularResponseMs = 1_000;
 /** Minimum time in ms between announcements of the last response to a suspect that is marked again and again. */
 const responseAnnouncementIntervalMs = 300;
 
@@ -120,7 +122,7 @@
         const find = () => suspects.findConviction(nowMs, quarantine.has);
         for (let conviction = find(); conviction; conviction = find()) {
             const { suspectHash, crashes, firstCrashAgeMs, isConfirmed } = conviction;
-            quarantine.add(suspectHash, isConfirmed, nowMs);
+            fleet.announceQuarantine(quarantine.add(suspectHash, isConfirmed, nowMs));
             metrics.count("quarantines");
             log.state("quarantined", {
                 suspect: suspectHash,
@@ -138,7 +140,10 @@
             const runHash = runHashOf(upstream);
             [...partHashesOf(job), job.fingerprint()].forEach((suspectHash, depth) => {
                 const mark = { suspectHash, runHash, depth, atMs };
-                fleet.announceCrash(mark);
+                const lastResponseMs = suspects.lastResponseMs(suspectHash, atMs) ?? Number.NEGATIVE_INFINITY;
+                if (atMs - lastResponseMs >= popularResponseMs) {
+                    fleet.announceCrash(mark);
+                }
                 recordMark(mark);
             });
         },
--- a/packages/dispatch/src/Quarantine.ts
+++ b/packages/dispatch/src/Quarantine.ts
@@ -7,7 +7,7 @@
     /** Undefined if the suspect is not quarantined. */
     get(suspectHash: number): fleets.QuarantineMark | undefined;
     /** Quarantines a suspect. Each quarantine lasts twice as long as the one before. */
-    add(suspectHash: number, isConfirmed: boolean, nowMs: number): void;
+    add(suspectHash: number, isConfirmed: boolean, nowMs: number): fleets.QuarantineMark;
     /** Adopts the quarantine of another VM; returns whether it is news. */
     adopt(mark: fleets.QuarantineMark, nowMs: number): boolean;
     release(suspectHash: number): void;
@@ -50,8 +50,11 @@
         isEmpty: () => quarantines.size === 0,
         has: suspectHash => quarantines.has(suspectHash),
         get: suspectHash => quarantines.get(suspectHash),
-        add: (suspectHash, isConfirmed, nowMs) =>
-            set({ suspectHash, atMs: nowMs, count: (counts.get(suspectHash) ?? 0) + 1, isConfirmed }),
+        add(suspectHash, isConfirmed, nowMs) {
+            const mark = { suspectHash, atMs: nowMs, count: (counts.get(suspectHash) ?? 0) + 1, isConfirmed };
+            set(mark);
+            return mark;
+        },
         adopt(mark, nowMs) {
             const known = quarantines.get(mark.suspectHash);
             const isNews = mark.count > (known?.count ?? 0) || (mark.isConfirmed && known?.isConfirmed === false);
--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -8,6 +8,24 @@
 
 const usage = { customerHash: 0x12345678, cost: 9_500 };
 
+const emptyQuestion: fleet.TrackerQuestion = {
+    upstreamHash: 0,
+    sharedParts: Array.from({ length: 4 }, (_, hash) => ({ hash, tokens: 2_000 })),
+    ownTokens: 0,
+    longestWaitMs: 300,
+    runMs: 400,
+    isSpillover: false,
+};
+const unknownAnswer: fleet.TrackerAnswer = {
+    granted: true,
+    ejected: false,
+    unreadTokens: 0,
+    newTokens: 0,
+    running: 0,
+    slowness: 1,
+    ticket: 1,
+};
+
 /** VMs connected by a simulated network that can lose datagrams and partition VMs. */
 function createNetwork(size: number, seedCount: number, budgetBytesPerS?: number) {
     const clock = testing.createVirtualClock();
@@ -138,6 +156,27 @@
         });
     });
 
+    it("announces crashes and quarantines within 300 ms although questions use up the bandwidth", async () => {
+        const { clock, nodes } = createNetwork(9, 1);
+        nodes.forEach(node => node.registerTracker({ answer: () => unknownAnswer, recordReport: () => undefined }));
+        await clock.advance(5_000);
+        const received = nodes.slice(1).map(node => recordEvidence(node));
+        for (let i = 0; i < 150; i++) {
+            void nodes[0]!.askTracker({ ...emptyQuestion, upstreamHash: i });
+            await clock.advance(20);
+        }
+        nodes[0]!.announceCrash({ suspectHash: 1, runHash: 2, depth: 0, atMs: clock.nowMs() });
+        nodes[0]!.announceQuarantine({ suspectHash: 3, atMs: clock.nowMs(), count: 1, isConfirmed: false });
+        for (let i = 0; i < 15; i++) {
+            void nodes[0]!.askTracker({ ...emptyQuestion, upstreamHash: i });
+            await clock.advance(20);
+        }
+        received.forEach(({ crashes, quarantines }) => {
+            assert.equal(crashes[0]?.suspectHash, 1);
+            assert.equal(quarantines[0]?.suspectHash, 3);
+        });
+    });
+
     it("announces quarantines to a VM that starts without state, within a second", async () => {
         const { clock, nodes, partitioned, addresses } = createNetwork(9, 1);
         partitioned.add(addresses[8]!);
--- a/packages/fleet/src/CrashEvidence.ts
+++ b/packages/fleet/src/CrashEvidence.ts
@@ -50,47 +50,63 @@
 /** Maximum number of marks of each kind in a datagram, and of queued ones. A crash yields some marks per request in flight. */
 const maxMarksPerDatagram = 40;
 const maxPendingMarks = 400;
-/** Number of announcements that carry a mark, since datagrams may be lost and reach only a part of a large fleet. */
-const sendsPerMark = 4;
+/** Number of times that each peer is sent a mark, since datagrams may be lost. */
+const sendsPerPeer = 4;
 
 /** Queues the evidence of this VM for its announcements and passes on the evidence of other VMs. */
 export interface CrashEvidenceExchange {
     announceCrash(mark: CrashMark): void;
     announceResponse(mark: ResponseMark): void;
+    /** Announces a new quarantine without delay. */
+    announceQuarantine(mark: QuarantineMark): void;
     registerHandler(handler: CrashEvidenceHandler): () => void;
     /** Whether marks are queued. */
     hasPending(): boolean;
     /** The evidence for the next announcement. */
     next(): CrashEvidence;
-    /** Records that the evidence returned by `next` was sent. */
-    recordSent(): void;
+    /** Records that the evidence returned by `next` was sent to a share of the peers, above 0 and at most 1. */
+    recordSent(share: number): void;
     receive(evidence: CrashEvidence): void;
 }
 
 export function createCrashEvidenceExchange(): CrashEvidenceExchange {
-    const limits = { maxPending: maxPendingMarks, maxPerSend: maxMarksPerDatagram, sends: sendsPerMark };
+    const limits = { maxPending: maxPendingMarks, maxPerSend: maxMarksPerDatagram, sendsPerPeer };
     const crashes = createRepeatedSends<CrashMark>({
         ...limits,
         keyOf: ({ suspectHash, runHash }) => `${suspectHash} ${runHash}`,
     });
     const responses = createRepeatedSends<ResponseMark>({ ...limits, keyOf: ({ hash }) => String(hash) });
+    const quarantines = createRepeatedSends<QuarantineMark>({
+        ...limits,
+        keyOf: ({ suspectHash }) => String(suspectHash),
+    });
     let registered: CrashEvidenceHandler | undefined;
+
+    function nextQuarantines(): readonly QuarantineMark[] {
+        const pending = quarantines.next();
+        const pendingHashes = new Set(pending.map(({ suspectHash }) => suspectHash));
+        const others = registered?.quarantines() ?? [];
+        return [...pending, ...others.filter(({ suspectHash }) => !pendingHashes.has(suspectHash))];
+    }
+
     return {
         announceCrash: crashes.add,
         announceResponse: responses.add,
+        announceQuarantine: quarantines.add,
         registerHandler(handler) {
             registered = handler;
             return () => void (registered = undefined);
         },
-        hasPending: () => crashes.hasPending() || responses.hasPending(),
+        hasPending: () => crashes.hasPending() || responses.hasPending() || quarantines.hasPending(),
         next: () => ({
             crashes: crashes.next(),
             responses: responses.next(),
-            quarantines: registered?.quarantines() ?? [],
+            quarantines: nextQuarantines(),
         }),
-        recordSent() {
-            crashes.recordSent();
-            responses.recordSent();
+        recordSent(share) {
+            crashes.recordSent(share);
+            responses.recordSent(share);
+            quarantines.recordSent(share);
         },
         receive(evidence) {
             // Responses come first, since they contradict marks of the same datagram.
--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -5,6 +5,7 @@
     type CrashEvidenceHandler,
     type CrashMark,
     createCrashEvidenceExchange,
+    type QuarantineMark,
     type ResponseMark,
 } from "./CrashEvidence.js";
 import { type Datagram, decodeDatagram, encodeDatagram } from "./Datagram.js";
@@ -58,6 +59,8 @@
     announceCrash(mark: CrashMark): void;
     /** Announces to all other VMs a response that contradicts a crash mark. */
     announceResponse(mark: ResponseMark): void;
+    /** Announces a new quarantine without delay; every announcement carries the quarantines of the handler anyway. */
+    announceQuarantine(mark: QuarantineMark): void;
     /** Sets the handler for the evidence that other VMs announce; returns a function that removes it. */
     registerCrashEvidence(handler: CrashEvidenceHandler): () => void;
     start(): void;
@@ -71,6 +74,8 @@
  * bytes/s.
  */
 const minAnnouncementBytesPerS = 800;
+/** Bandwidth in bytes/s, in addition to the limit, for announcements with new evidence on crashes. Crashes are rare. */
+const evidenceBytesPerS = 2_000;
 /** Interval in ms at which the node decides whether to send an announcement. */
 const tickIntervalMs = 100;
 /** Minimum time in ms between announcements of usage: usage changes slowly, and headers account for most of the bytes. */
@@ -123,6 +128,8 @@
     let reservedBytes = 0;
     /** Bytes of questions, answers and reports since the previous tick. */
     let trackerTrafficBytes = 0;
+    /** Bytes available for new evidence in addition to the others. */
+    let evidenceBytes = evidenceBytesPerS;
     let lastMembersSentMs = Number.NEGATIVE_INFINITY;
     let lastTickMs = clock.nowMs();
     let lastSentMs = Number.NEGATIVE_INFINITY;
@@ -247,6 +254,7 @@
         availableBytes = Math.min(budgetBytesPerS, availableBytes + budgetBytesPerS * periodS - trackerTrafficBytes);
         availableBytes = Math.max(availableBytes, reservedBytes);
         reservedBytes = Math.min(minAnnouncementBytesPerS, reservedBytes + minAnnouncementBytesPerS * periodS);
+        evidenceBytes = Math.min(evidenceBytesPerS, evidenceBytes + evidenceBytesPerS * periodS);
         trackerTrafficBytes = 0;
         lastTickMs = nowMs;
         seeds.forEach(addPeer);
@@ -305,7 +313,8 @@
                 },
             }, clock.nowMs());
         const sizeBytes = encode(1).length + datagramOverheadBytes;
-        const count = Math.min(known.length, Math.floor(availableBytes / sizeBytes));
+        const extraBytes = crashEvidence.hasPending() ? evidenceBytes : 0;
+        const count = Math.min(known.length, Math.floor((availableBytes + extraBytes) / sizeBytes));
         if (count <= 0) {
             return;
         }
@@ -314,8 +323,9 @@
         usages.forEach(({ customerHash }) => pendingCosts.delete(customerHash));
         lastMembersSentMs = includesMembers ? clock.nowMs() : lastMembersSentMs;
         metrics.count("peerMessages", { direction: "sent" }, count);
-        crashEvidence.recordSent();
-        availableBytes -= count * sizeBytes;
+        crashEvidence.recordSent(count / known.length);
+        evidenceBytes -= Math.max(0, count * sizeBytes - availableBytes);
+        availableBytes = Math.max(0, availableBytes - count * sizeBytes);
         reservedBytes = Math.max(0, reservedBytes - count * sizeBytes);
         lastSentMs = clock.nowMs();
     }
@@ -337,6 +347,7 @@
         },
         announceCrash: crashEvidence.announceCrash,
         announceResponse: crashEvidence.announceResponse,
+        announceQuarantine: crashEvidence.announceQuarantine,
         registerCrashEvidence: crashEvidence.registerHandler,
         start() {
             socket.onMessage(receive);
