gateway: treat an unframed stream without any event as broken off

Callers got a complete, empty 200 when an engine ended right after the head of a stream that has neither length nor chunks: the end of the connection counted as the end of the stream. Cause: completeness looked at the transport only, and an upstream whose process ends may close its connection without a reset. A stream without framing and without any event now counts as broken, so it is retried where that is allowed, and otherwise answered with 502; the evidence on crashes counts it too.

An empty stream in chunks stays complete.

--- a/packages/gateway/src/ResponseRelay.ts
+++ b/packages/gateway/src/ResponseRelay.ts
@@ -51,8 +51,8 @@
  * fails only after a reset.
  */
 function trackCompleteness(message: http.IncomingMessage): () => Promise<boolean> {
-    const { socket, headers } = message;
-    if (headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined) {
+    const { socket } = message;
+    if (isFramed(message)) {
         return () => Promise.resolve(message.complete);
     }
     const ended = new Promise<boolean>(resolve => {
@@ -63,6 +63,11 @@
     return async () => message.complete && await ended && !socket.errored;
 }
 
+/** Whether the end of the body is known without the end of the connection. */
+function isFramed({ headers }: http.IncomingMessage): boolean {
+    return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
+
 /**
  * Bytes of the write that detects a reset. They are harmless: servers skip an empty line before a request, and an
  * upstream that has closed its side reads nothing more.
@@ -86,7 +91,7 @@
 
 /**
  * Relays complete events to the caller as they arrive. A stream that ends within an event, or whose event exceeds the maximum
- * size, counts as broken.
+ * size, counts as broken, and so does an unframed one without any event.
  */
 export function relayStream(
     message: http.IncomingMessage,
@@ -125,7 +130,9 @@
             }
         });
         const finish = (isComplete: boolean): void => {
-            if (!isComplete || splitter.partialEvent().length > 0 || callerResponse.hasEnded()) {
+            // An upstream that crashes right after the head of an unframed response may end its connection without a reset.
+            const isCutOff = !isFramed(message) && !callerResponse.hasBegun();
+            if (!isComplete || isCutOff || splitter.partialEvent().length > 0 || callerResponse.hasEnded()) {
                 resolve("broken");
                 return;
             }
