--- a/packages/dispatch/src/Job.ts
+++ b/packages/dispatch/src/Job.ts
@@ -74,5 +74,7 @@
     mayWrite(): boolean;
     /** Records that the first event of a stream, or the response headers, arrived. */
     recordFirstByte(): void;
+    /** Records the limit in requests per second that the response states; undefined if it states none. */
+    recordStatedLimit(limitPerS: number | undefined): void;
     end(outcome: AttemptOutcome): void;
 }
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -166,6 +166,7 @@
             localRunning: 0,
             localQueuedTokens: 0,
             coldLimiter: undefined,
+            statedLimitPerS: undefined,
             backlog: createBacklog(() => prefillTokensPerMs(upstream.pool)),
             cache: createPrefixCache(localCacheTokens),
             health: createUpstreamHealth((forMs, failureShare) => {
@@ -236,6 +237,17 @@
                     }
                 }
             },
+            recordStatedLimit(limitPerS) {
+                if (limitPerS !== state.statedLimitPerS) {
+                    log.state("upstream-limit", {
+                        requestId: job.requestId,
+                        upstream: leasedUpstream.id,
+                        limitPerS,
+                        previousPerS: state.statedLimitPerS,
+                    });
+                    state.statedLimitPerS = limitPerS;
+                }
+            },
             end(outcome: AttemptOutcome) {
                 core.invariant(open, "a lease ends once");
                 open = false;
@@ -333,6 +345,8 @@
     localRunning: number;
     localQueuedTokens: number;
     coldLimiter: ColdLimiter | undefined;
+    /** Limit in requests per second that the last response stated; undefined if it stated none. */
+    statedLimitPerS: number | undefined;
     readonly backlog: Backlog;
     recordFirstByte(tookMs: number, expectedMs: number, nowMs: number): void;
 }
--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -114,7 +114,7 @@
         const cancelResponseTimeout = startResponseTimeout(currentAttempt, lease);
         const response = await currentAttempt.response;
         cancelResponseTimeout();
-        const result = response.andThen(message => checkResponse(message));
+        const result = response.andThen(message => checkResponse(message, lease));
         mayHaveRun ||= result.isOk() || result.error.verdict !== "not-run";
         if (result.isErr()) {
             lease.end(result.error.outcome);
@@ -153,7 +153,10 @@
         });
     }
 
-    function checkResponse(message: http.IncomingMessage): Result<http.IncomingMessage, AttemptFailure> {
+    function checkResponse(
+        message: http.IncomingMessage,
+        lease: dispatch.Lease,
+    ): Result<http.IncomingMessage, AttemptFailure> {
         const responseHead = codec.readResponseHead(message.statusCode ?? 0, message.rawHeaders);
         const fail = (
             verdict: core.Verdict,
@@ -174,6 +177,7 @@
         if (responseHead.misdirected) {
             return fail("not-run", "misdirected", "another-upstream-at-address");
         }
+        lease.recordStatedLimit(responseHead.limitPerS);
         if (responseHead.notRun) {
             return fail("not-run", "shed", `shed-${message.statusCode}`);
         }
