--- a/packages/dispatch/__tests__/unit/CrashFleet.ts
+++ b/packages/dispatch/__tests__/unit/DispatchFleet.ts
@@ -7,9 +7,11 @@
 
 const route = { ...engineRoute, maxAttempts: 2, resumable: true };
 
-export interface CrashFleetOptions {
+export interface DispatchFleetOptions {
     readonly vms: number;
     readonly engines: number;
+    /** Upstreams of a plain service. */
+    readonly services?: number;
     readonly seed: number;
     /** Share of the datagrams between VMs that are lost. */
     readonly lossShare?: number;
@@ -25,36 +27,78 @@
 /** What happened to a request. */
 export type RequestOutcome = "served" | "failed" | "refused" | "quarantined";
 
-/** An attempt that reached an engine. */
+/** An attempt that reached an upstream. */
 export interface Arrival {
     readonly atMs: number;
     readonly vm: number;
+    /** Run of the VM. */
+    readonly incarnation: string;
+    readonly upstream: core.UpstreamId;
     readonly sharedParts: readonly string[];
 }
 
-interface Engine {
+interface FakeUpstream {
     readonly id: core.UpstreamId;
+    readonly pool: core.PoolId;
     isUp: boolean;
     readonly leases: Set<dispatch.Lease>;
+    /** Limit in requests per second that its responses state. */
+    limitPerS?: number;
+    /** Times in ms at which each run of a VM first received a response with a limit, by the VM's incarnation. */
+    readonly statedMs: Map<string, number>;
 }
 
+/** Time in ms from a response with a limit until the requests of its VM count. */
+const statedDelayMs = 500;
+const serviceRoute: typeof route = { ...route, kind: "idempotent", objectiveMs: 120, timeoutMs: 1_000 };
+const servicePool = core.poolId("register");
+/** Time in ms that a plain service takes. */
+const serviceResponseMs = 40;
+
 /** Time in ms until an engine writes the first event of a response, and until the response ends. */
 const firstEventMs = 150;
 const responseMs = 600;
 /** Time in ms after which a new run of a crashed engine is registered, under another id. */
 const engineRestartMs = 3_000;
 
-/** VMs with a dispatcher each, and engines that crash when they begin to respond to a prompt with certain parts. */
-export async function createCrashFleet({ vms, engines, seed, lossShare = 0 }: CrashFleetOptions) {
+/**
+ * VMs with a dispatcher each, and upstreams. Engines crash when they begin to respond to a prompt with certain parts, and
+ * upstreams may state a limit in their responses.
+ */
+export async function createDispatchFleet({ vms, engines, services = 0, seed, lossShare = 0 }: DispatchFleetOptions) {
     const clock = testing.createVirtualClock();
     const random = testing.createSeededRandom(seed);
     const metrics = testing.createNoopMetrics();
     const receivers = new Map<string, (bytes: Uint8Array, from: string) => void>();
     const snapshot = core.createSnapshotCell(
-        catalog.applyChanges(catalog.emptySnapshot, fleetChanges(engines, 128), clock.nowMs()),
+        catalog.applyChanges(
+            catalog.emptySnapshot,
+            [
+                ...fleetChanges(engines, 128),
+                ...Array.from({ length: services }, (_, index): catalog.PositionedChange => ({
+                    item: `servers/r-${index}`,
+                    position: index + 2,
+                    change: {
+                        kind: "upstream",
+                        upstream: upstreamOf(`r-${index}`, { pool: servicePool, port: 9_000 + index, slots: 6 }),
+                    },
+                })),
+            ],
+            clock.nowMs(),
+        ),
     );
-    const engineById = new Map<core.UpstreamId, Engine>(
-        [...snapshot.read().upstreams.keys()].map(id => [id, { id, isUp: true, leases: new Set() }]),
+    const createUpstream = (id: core.UpstreamId, upstreamPool: core.PoolId): FakeUpstream => ({
+        id,
+        pool: upstreamPool,
+        isUp: true,
+        leases: new Set(),
+        statedMs: new Map(),
+    });
+    const upstreamById = new Map(
+        [...snapshot.read().upstreams.values()].map(upstream => [
+            upstream.id,
+            createUpstream(upstream.id, upstream.pool),
+        ]),
     );
     const crashingParts = new Set<string>();
     const arrivals: Arrival[] = [];
@@ -86,7 +130,7 @@
         });
         const dispatcher = dispatch.createDispatcher({ clock, random, catalog: snapshot, fleet: node, log, metrics });
         node.start();
-        return { node, dispatcher, log };
+        return { node, dispatcher, log, incarnation: String(incarnation) };
     }
 
     const fleet = Array.from({ length: vms }, (_, index) => startVm(index));
@@ -96,15 +140,15 @@
         snapshot.update(current => catalog.applyChanges(current, changes, clock.nowMs()));
     }
 
-    function crash(engine: Engine): void {
+    function crash(engine: FakeUpstream): void {
         engine.isUp = false;
         [...engine.leases].forEach(lease => lease.end("broken"));
         engine.leases.clear();
         clock.setTimer(engineRestartMs, () => {
             position++;
             const id = core.upstreamId(`i-run-${position}`);
-            engineById.delete(engine.id);
-            engineById.set(id, { id, isUp: true, leases: new Set() });
+            upstreamById.delete(engine.id);
+            upstreamById.set(id, createUpstream(id, engine.pool));
             publish([
                 { item: `servers/${engine.id}`, position, change: { kind: "upstream-removed", id: engine.id } },
                 { item: `servers/${id}`, position, change: { kind: "upstream", upstream: upstreamOf(id) } },
@@ -135,9 +179,51 @@
         };
     }
 
+    function respond(upstream: FakeUpstream, lease: dispatch.Lease, vm: number): void {
+        const { incarnation: run } = fleet[vm]!;
+        if (upstream.limitPerS !== undefined && !upstream.statedMs.has(run)) {
+            upstream.statedMs.set(run, clock.nowMs());
+        }
+        lease.recordStatedLimit(upstream.limitPerS);
+        lease.recordFirstByte();
+    }
+
+    /** Calls a plain service once; resolves when the response has ended. */
+    async function callService(vm: number): Promise<RequestOutcome> {
+        const fingerprint = ++number;
+        const lease = await fleet[vm]!.dispatcher.acquire(
+            {
+                ...createJob({ sharedParts: [] }, fingerprint),
+                route: serviceRoute,
+                pool: servicePool,
+                prompt: undefined,
+            },
+            new Set(),
+            false,
+        );
+        if (lease.isErr()) {
+            return "refused";
+        }
+        const upstream = upstreamById.get(lease.value.upstream.id)!;
+        arrivals.push({
+            atMs: clock.nowMs(),
+            vm,
+            incarnation: fleet[vm]!.incarnation,
+            upstream: upstream.id,
+            sharedParts: [],
+        });
+        return new Promise(resolve =>
+            clock.setTimer(serviceResponseMs, () => {
+                respond(upstream, lease.value, vm);
+                lease.value.end("ok");
+                resolve("served");
+            })
+        );
+    }
+
     /** Sends a prompt to an engine; resolves when the response has ended. */
     function send(lease: dispatch.Lease, sharedParts: readonly string[], vm: number): Promise<"served" | "failed"> {
-        const engine = engineById.get(lease.upstream.id);
+        const engine = upstreamById.get(lease.upstream.id);
         return new Promise(resolve => {
             if (!engine?.isUp) {
                 clock.setTimer(2, () => {
@@ -146,7 +232,13 @@
                 });
                 return;
             }
-            arrivals.push({ atMs: clock.nowMs(), vm, sharedParts });
+            arrivals.push({
+                atMs: clock.nowMs(),
+                vm,
+                incarnation: fleet[vm]!.incarnation,
+                upstream: engine.id,
+                sharedParts,
+            });
             engine.leases.add(lease);
             const isLost = (): boolean => !engine.leases.has(lease);
             clock.setTimer(firstEventMs, () => {
@@ -159,7 +251,7 @@
                     resolve("failed");
                     return;
                 }
-                lease.recordFirstByte();
+                respond(engine, lease, vm);
                 clock.setTimer(responseMs - firstEventMs, () => {
                     if (!isLost()) {
                         engine.leases.delete(lease);
@@ -201,12 +293,31 @@
             const outcome = await serve(prompt, fingerprint);
             return outcome === "failed" ? serve(prompt, fingerprint) : outcome;
         },
+        callService: (): Promise<RequestOutcome> => callService(Math.floor(random() * vms)),
+        /** Makes a number of engines, or of upstreams of the plain service, state a limit; returns their ids. */
+        limitUpstreams(count: number, limitPerS: number, kind: "engine" | "service"): readonly core.UpstreamId[] {
+            const limited = [...upstreamById.values()]
+                .filter(upstream => (upstream.pool === servicePool) === (kind === "service"))
+                .slice(0, count);
+            limited.forEach(upstream => upstream.limitPerS = limitPerS);
+            return limited.map(({ id }) => id);
+        },
+        removeLimits: (): void => upstreamById.forEach(upstream => delete upstream.limitPerS),
+        /** Arrivals at an upstream from runs of VMs that had received its limit half a second before or earlier. */
+        limitedArrivals(id: core.UpstreamId): readonly Arrival[] {
+            const { statedMs } = upstreamById.get(id)!;
+            return arrivals.filter(({ upstream, atMs, incarnation: run }) =>
+                upstream === id && atMs >= (statedMs.get(run) ?? Number.POSITIVE_INFINITY) + statedDelayMs
+            );
+        },
+        arrivalsAt: (id: core.UpstreamId): readonly Arrival[] => arrivals.filter(({ upstream }) => upstream === id),
         crashEngines(count: number): void {
-            core.shuffle([...engineById.values()].filter(({ isUp }) => isUp), random).slice(0, count).forEach(crash);
+            core.shuffle([...upstreamById.values()].filter(({ isUp, pool: other }) => isUp && other === pool), random)
+                .slice(0, count).forEach(crash);
         },
         /** Breaks the connections of a share of the requests in flight, while their engines run on. */
         breakConnections(share: number): void {
-            engineById.forEach(engine =>
+            upstreamById.forEach(engine =>
                 [...engine.leases].filter(() => random() < share).forEach(lease => {
                     engine.leases.delete(lease);
                     lease.end("broken");
@@ -233,4 +344,4 @@
     };
 }
 
-export type CrashFleet = Awaited<ReturnType<typeof createCrashFleet>>;
+export type DispatchFleet = Awaited<ReturnType<typeof createDispatchFleet>>;
--- a/packages/dispatch/__tests__/unit/PromptQuarantine.test.ts
+++ b/packages/dispatch/__tests__/unit/PromptQuarantine.test.ts
@@ -1,6 +1,11 @@
 import * as assert from "node:assert/strict";
 import { afterEach, describe, it } from "node:test";
-import { type CrashFleet, type CrashFleetOptions, createCrashFleet, type RequestOutcome } from "./CrashFleet.js";
+import {
+    createDispatchFleet,
+    type DispatchFleet,
+    type DispatchFleetOptions,
+    type RequestOutcome,
+} from "./DispatchFleet.js";
 
 /** Time in ms from the fifth crash of a part until prompts with it may no longer reach engines. */
 const contactMs = 3_000;
@@ -12,11 +17,11 @@
 const lantern = { vms: 6, engines: 13 };
 
 describe("Prompts with a part that crashes engines", () => {
-    let fleet: CrashFleet;
+    let fleet: DispatchFleet;
     afterEach(() => fleet.dispose());
 
-    async function startFleet(options: CrashFleetOptions): Promise<void> {
-        fleet = await createCrashFleet(options);
+    async function startFleet(options: DispatchFleetOptions): Promise<void> {
+        fleet = await createDispatchFleet(options);
     }
 
     /** Sound prompts share their first part with each other and with the prompts that crash engines. */
@@ -48,7 +53,7 @@
         return fleet.arrivalsOf(part, fifthCrashMs + contactMs, contactMs).length;
     };
 
-    async function checkIsHeldBack(options: CrashFleetOptions, parts: readonly string[], share: number) {
+    async function checkIsHeldBack(options: DispatchFleetOptions, parts: readonly string[], share: number) {
         await startFleet(options);
         await offerPrompts(6_000);
         parts.forEach(part => fleet.crashingParts.add(part));
@@ -93,7 +98,7 @@
 });
 
 describe("Sound prompts", () => {
-    let fleet: CrashFleet;
+    let fleet: DispatchFleet;
     afterEach(() => fleet.dispose());
 
     const template = (): string => `template-${Math.floor(fleet.random() * 3)}`;
@@ -122,22 +127,22 @@
 
     for (const seed of [1, 2, 3, 4]) {
         it(`are not held back when engines crash one by one, seed ${seed}`, async () => {
-            fleet = await createCrashFleet({ ...canelones, seed });
+            fleet = await createDispatchFleet({ ...canelones, seed });
             checkNoneIsHeldBack(await offerDuring(20_000, () => fleet.crashEngines(1)), seed);
         });
 
         it(`are not held back when all engines crash at once, again and again, seed ${seed}`, async () => {
-            fleet = await createCrashFleet({ ...canelones, seed });
+            fleet = await createDispatchFleet({ ...canelones, seed });
             checkNoneIsHeldBack(await offerDuring(20_000, () => fleet.crashEngines(canelones.engines)), seed);
         });
 
         it(`are not held back when connections break, seed ${seed}`, async () => {
-            fleet = await createCrashFleet({ ...canelones, seed });
+            fleet = await createDispatchFleet({ ...canelones, seed });
             checkNoneIsHeldBack(await offerDuring(20_000, () => fleet.breakConnections(0.8)), seed);
         });
 
         it(`are not held back when engines crash and VMs restart without state, seed ${seed}`, async () => {
-            fleet = await createCrashFleet({ ...canelones, seed });
+            fleet = await createDispatchFleet({ ...canelones, seed });
             const restart = (): void => fleet.restartVm(Math.floor(fleet.random() * canelones.vms));
             const outcomes = await offerDuring(20_000, () => {
                 fleet.crashEngines(2);
