dispatch: judge the service under a heavy customer by the mean of eight seeds

The test compared one seed with a bound that the mean of many seeds exceeds by 0.4% only: a tenth of the seeds' standard deviation is less. Any change that reads the virtual clock once more shifts the draws.

The bound is unchanged and applies to the mean over seeds 6 to 13; every light customer must still be served in full on each seed, which now are eight instead of one.

--- a/packages/dispatch/__tests__/unit/LargeFleet.test.ts
+++ b/packages/dispatch/__tests__/unit/LargeFleet.test.ts
@@ -154,23 +154,28 @@
 
     it("serves light customers in full while one customer demands more than half of the capacity", async () => {
         const engines = 24;
-        const fleet = await createFleet(
-            { vms: 30, engines, sessions: 360, customers: 30, load: 1.4, heavyShare: 0.5 },
-            6,
-        );
-        await fleet.run(8_000);
-        fleet.resetCounts();
         const durationMs = 6_000;
-        await fleet.run(durationMs);
-        fleet.dispose();
-        const { refused, onTime } = fleet.counts;
+        const seeds = [6, 7, 8, 9, 10, 11, 12, 13];
+        let totalOnTime = 0;
+        for (const seed of seeds) {
+            const fleet = await createFleet(
+                { vms: 30, engines, sessions: 360, customers: 30, load: 1.4, heavyShare: 0.5 },
+                seed,
+            );
+            await fleet.run(8_000);
+            fleet.resetCounts();
+            await fleet.run(durationMs);
+            fleet.dispose();
+            totalOnTime += fleet.counts.onTime;
+            fleet.countsByCustomer.forEach((customerCounts, id) =>
+                assert.ok(
+                    id === "c0" || customerCounts.onTime >= customerCounts.offered * 0.9,
+                    `seed ${seed}, ${id}: ${customerCounts.onTime} of ${customerCounts.offered}`,
+                )
+            );
+        }
+        const onTime = totalOnTime / seeds.length;
         const capacity = (durationMs * engines * prefillTokensPerMs) / ownTokens;
-        assert.ok(onTime >= capacity * 0.9, `${onTime} of ${Math.round(capacity)} on time, ${refused} refused`);
-        fleet.countsByCustomer.forEach((customerCounts, id) =>
-            assert.ok(
-                id === "c0" || customerCounts.onTime >= customerCounts.offered * 0.9,
-                `${id}: ${customerCounts.onTime} of ${customerCounts.offered}`,
-            )
-        );
+        assert.ok(onTime >= capacity * 0.9, `${Math.round(onTime)} of ${Math.round(capacity)} on time`);
     });
 });
