dispatch, fleet: keep the requests of all VMs within the limit that an upstream states

Back ends in need got two to five times the requests that they had named in Server-Limit (69 in 4 s, 57 allowed; 4 and 9 engines, 2 plain services), although every VM had seen the limit within 1.3 s.

Cause: placement is a closed loop on the load that the fleet observes (queue, running requests, slowness, failures), and what an upstream says of itself was not among its inputs. Class of fault: back-pressure that is carried but not acted on.

Change: the limit of a response is stated in questions to the upstream's tracker, and the most recent one in its answers. The tracker grants requests of all VMs from one token bucket, so the limit holds for their sum however unevenly callers are spread. For plain services a VM asks the tracker while it knows a limit, and until its first response, since a VM that starts without state cannot know. An engine whose limit is reached is left out until about the next permit, and the next candidate takes its place as if it were the primary one. While a tracker does not reply, a VM uses its share of the limit. A response without a limit ends it at once; the time of the response decides between VMs. ColdLimiter became TokenBucket.

--- a/packages/bench/src/announcements.ts
+++ b/packages/bench/src/announcements.ts
@@ -39,6 +39,7 @@
             longestWaitMs: 300,
             runMs: 400,
             isSpillover: false,
+            statedLimit: undefined,
         });
         answeredQuestions += answer ? 1 : 0;
         // Reports every second attempt on average.
@@ -82,6 +83,8 @@
             answer: () => ({
                 granted: true,
                 ejected: false,
+                limited: false,
+                statedLimit: undefined,
                 unreadTokens: 9_190,
                 newTokens: 2_890,
                 running: 20,
--- a/packages/dispatch/__tests__/unit/Limits.test.ts
+++ b/packages/dispatch/__tests__/unit/Limits.test.ts
@@ -1,8 +1,8 @@
 import * as assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { createColdLimiter } from "../../src/ColdLimiter.js";
 import { createPrefixCache } from "../../src/PrefixCache.js";
 import { createRetryBudget } from "../../src/RetryBudget.js";
+import { createTokenBucket } from "../../src/TokenBucket.js";
 import { createUpstreamHealth } from "../../src/UpstreamHealth.js";
 
 describe("RetryBudget", () => {
@@ -20,9 +20,9 @@
     });
 });
 
-describe("ColdLimiter", () => {
+describe("TokenBucket", () => {
     it("admits at most its rate plus one request in any second", () => {
-        const limiter = createColdLimiter(4, 0);
+        const limiter = createTokenBucket(() => 4, 1, 0);
         const sent = Array.from({ length: 5_000 }, (_, ms) => ms).filter(ms => limiter.tryTake(ms));
         sent.forEach(start => {
             const within = sent.filter(ms => ms >= start && ms < start + 1_000).length;
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -58,6 +58,10 @@
 const noUpstreamRetryAfterMs = 500;
 /** Retry-After in ms when all upstreams are at capacity or cold. */
 const overloadRetryAfterMs = 400;
+/** Maximum number of trackers that are asked in addition about upstreams whose limit turns out to be reached. */
+const maxLimitedCandidates = 4;
+/** Maximum time in ms for which an upstream whose limit is reached is left out, before random jitter. */
+const maxPostponementMs = 500;
 /** Maximum number of trackers that are asked about one request; each question may delay it by up to 40 ms. */
 const maxCandidates = 3;
 
@@ -159,28 +163,77 @@
         return ok(state.openLease(job, chosen.load.newTokens, chosen.expectedMs, chosen.ticket));
     }
 
-    function acquireService(job: Job, usable: readonly UpstreamState[]): Result<Lease, DispatchRefusal> {
-        const best = chooseService(
-            usable.map(state => ({
-                state,
-                running: state.running(),
-                slots: state.upstream.slots,
-                failureShare: state.health.failureShare(),
-            })),
-            random,
-        );
-        if (!best) {
-            return err({ reason: "overloaded", retryAfterMs: overloadRetryAfterMs });
+    /** Asks the tracker of an upstream of a plain service for a permit, if the upstream may have stated a limit. */
+    async function isPermitted(job: Job, state: UpstreamState): Promise<boolean> {
+        // Other VMs may know of a limit that this VM has not seen yet.
+        if (state.hasResponded() && !state.limit.isLimited()) {
+            return true;
         }
-        const load = { unreadTokens: 0, newTokens: 0, running: best.running, slowness: 1 };
-        return grantLease(job, best.state.upstream.id, {
-            load,
-            candidateRank: 0,
-            expectedMs: expectedServiceMs,
-            ticket: 0,
+        const answer = await fleet.askTracker({
+            upstreamHash: state.idHash,
+            sharedParts: [],
+            ownTokens: 0,
+            longestWaitMs: Math.max(0, job.deadlineMs - clock.nowMs()),
+            runMs: 0,
+            isSpillover: false,
+            statedLimit: state.limit.current(clock.nowMs()),
+        });
+        state.limit.adopt(answer?.statedLimit, clock.nowMs());
+        return answer ? !answer.limited : state.limit.tryTake(clock.nowMs());
+    }
+
+    /** Leaves an upstream out until about the next permit, so that not every request asks its tracker in vain. */
+    function postpone(job: Job, state: UpstreamState): void {
+        const nowMs = clock.nowMs();
+        const limit = state.limit.current(nowMs);
+        const intervalMs = Math.min(maxPostponementMs, 1_000 / (limit?.limitPerS ?? 1));
+        const postponedMs = intervalMs * (0.5 + random());
+        state.postpone(nowMs + postponedMs);
+        log.decision("limit-reached", {
+            requestId: job.requestId,
+            upstream: state.upstream.id,
+            limitPerS: limit?.limitPerS,
+            limitAgeMs: limit && Math.round(nowMs - limit.atMs),
+            postponedMs: Math.round(postponedMs),
         });
     }
 
+    const withoutPostponed = (states: readonly UpstreamState[]): readonly UpstreamState[] =>
+        states.filter(state => !state.isPostponed(clock.nowMs()));
+
+    function refuseLimited(job: Job): DispatchRefusal {
+        log.failure("limits-reached", { requestId: job.requestId, pool: job.pool });
+        return { reason: "overloaded", retryAfterMs: overloadRetryAfterMs * (1 + random()) };
+    }
+
+    async function acquireService(job: Job, usable: readonly UpstreamState[]): Promise<Result<Lease, DispatchRefusal>> {
+        for (let asked = 0; asked < maxLimitedCandidates; asked++) {
+            const best = chooseService(
+                withoutPostponed(usable).map(state => ({
+                    state,
+                    running: state.running(),
+                    slots: state.upstream.slots,
+                    failureShare: state.health.failureShare(),
+                })),
+                random,
+            );
+            if (!best) {
+                break;
+            }
+            if (await isPermitted(job, best.state)) {
+                const load = { unreadTokens: 0, newTokens: 0, running: best.running, slowness: 1 };
+                return grantLease(job, best.state.upstream.id, {
+                    load,
+                    candidateRank: 0,
+                    expectedMs: expectedServiceMs,
+                    ticket: 0,
+                });
+            }
+            postpone(job, best.state);
+        }
+        return err(refuseLimited(job));
+    }
+
     /**
      * Asks the trackers of the session's engines in rendezvous order, at most three, to admit the prompt. The order is the
      * same on every VM, so a session that spills over has its prefix cached by the same two or three engines, whichever
@@ -192,12 +245,18 @@
         usable: readonly UpstreamState[],
         isRetry: boolean,
     ): Promise<Result<Lease, DispatchRefusal>> {
-        const candidates = selectByRendezvous(sessionKey(job), usable, state => state.idHash, maxCandidates);
+        const candidates = selectByRendezvous(
+            sessionKey(job),
+            withoutPostponed(usable),
+            state => state.idHash,
+            maxCandidates + maxLimitedCandidates,
+        );
         const sharedParts = sharedPartsOf(prompt).map(({ id, tokens }) => ({ hash: core.hash32(id), tokens }));
         const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
         const prefillTokensPerMs = table.prefillTokensPerMs(job.pool);
         let refused: { upstream: core.UpstreamId; load: EngineLoad; input: EngineAdmissionInput; } | undefined;
-        for (const [candidateRank, state] of candidates.entries()) {
+        let candidateRank = 0;
+        for (const state of candidates) {
             const input = {
                 elapsedMs: clock.nowMs() - job.arrivedMs,
                 objectiveMs: job.route.objectiveMs,
@@ -219,13 +278,21 @@
                 // Adds the repeated prefill to the wait, except for retries, and for heavy customers, whose prompts spill
                 // over only to idle engines.
                 isSpillover: candidateRank > 0 && !isRetry && maySpill(input),
+                statedLimit: state.limit.current(clock.nowMs()),
             });
+            state.limit.adopt(answer?.statedLimit, clock.nowMs());
+            if (answer?.limited) {
+                // The next candidate takes the place of this one: it is not spilled over to for lack of capacity.
+                postpone(job, state);
+                continue;
+            }
             const load = answer ?? localLoad(prompt, state);
             const waitMs = expectedWaitMs(load, prefillTokensPerMs);
             if (answer && candidateRank === 0) {
                 trackedLoad.record(waitMs);
             }
-            if (answer?.granted ?? (waitMs <= waitLimitMs && load.running < state.upstream.slots)) {
+            const hasCapacity = waitMs <= waitLimitMs && load.running < state.upstream.slots;
+            if (answer?.granted ?? (hasCapacity && state.limit.tryTake(clock.nowMs()))) {
                 return grantLease(job, state.upstream.id, {
                     load,
                     candidateRank,
@@ -234,14 +301,14 @@
                 });
             }
             refused = { upstream: state.upstream.id, load, input: { ...input, waitMs } };
-            if (candidateRank > 0 && !isRetry && answer?.ejected !== true && !isSpillWorthwhile(input)) {
+            const isLast = candidateRank > 0 && !isRetry && answer?.ejected !== true && !isSpillWorthwhile(input);
+            candidateRank++;
+            if (isLast || candidateRank >= maxCandidates) {
                 break;
             }
         }
         return err(
-            refused
-                ? refuseOverload(job, refused.upstream, refused.load, refused.input)
-                : { reason: "overloaded", retryAfterMs: overloadRetryAfterMs },
+            refused ? refuseOverload(job, refused.upstream, refused.load, refused.input) : refuseLimited(job),
         );
     }
 
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -2,12 +2,13 @@
 import * as core from "@peridotloft/core";
 import type { AttemptReport } from "@peridotloft/fleet";
 import type * as telemetry from "@peridotloft/telemetry";
-import { type ColdLimiter, createColdLimiter } from "./ColdLimiter.js";
 import type { FleetView } from "./FleetView.js";
 import type { AttemptOutcome, Job, Lease } from "./Job.js";
+import { createLimitState, type LimitState } from "./LimitState.js";
 import { type Backlog, createBacklog } from "./LoadModel.js";
 import { createPrefixCache, type PrefixCache } from "./PrefixCache.js";
 import { createSlowness } from "./Slowness.js";
+import { createTokenBucket, type TokenBucket } from "./TokenBucket.js";
 import { createUpstreamHealth, isFailure, type UpstreamHealth } from "./UpstreamHealth.js";
 
 export interface UpstreamTableOptions {
@@ -45,6 +46,13 @@
     queuedTokens(nowMs: number): number;
     /** Ratio of the recently observed time to first event to the expected one. */
     slowness(nowMs: number): number;
+    /** The limit that the upstream states; its permits are this VM's share, for the time in which its tracker does not reply. */
+    readonly limit: LimitState;
+    /** Whether this VM has had a response of the upstream's current run. */
+    hasResponded(): boolean;
+    /** Whether the upstream is left out because its limit is exhausted. */
+    isPostponed(nowMs: number): boolean;
+    postpone(untilMs: number): void;
     /** @param ticket issued by the upstream's tracker; 0 if there is none. */
     openLease(job: Job, newTokens: number, expectedMs: number, ticket: number): Lease;
 }
@@ -158,6 +166,8 @@
         // The VMs share the cache of an engine; this VM assumes an equal share for the prompts that it sends.
         const localCacheTokens = (): number => cacheTokens(upstream.pool) / Math.max(1, fleet.vmCount());
         const slowness = createSlowness();
+        let responded = false;
+        let postponedUntilMs = Number.NEGATIVE_INFINITY;
         const state: MutableState = {
             upstream,
             idHash: core.hash32(upstream.id),
@@ -166,7 +176,11 @@
             localRunning: 0,
             localQueuedTokens: 0,
             coldLimiter: undefined,
-            statedLimitPerS: undefined,
+            limit: createLimitState(() => 1 / Math.max(1, fleet.vmCount())),
+            hasResponded: () => responded,
+            isPostponed: nowMs => nowMs < postponedUntilMs,
+            postpone: untilMs => void (postponedUntilMs = untilMs),
+            recordResponded: () => void (responded = true),
             backlog: createBacklog(() => prefillTokensPerMs(upstream.pool)),
             cache: createPrefixCache(localCacheTokens),
             health: createUpstreamHealth((forMs, failureShare) => {
@@ -238,14 +252,16 @@
                 }
             },
             recordStatedLimit(limitPerS) {
-                if (limitPerS !== state.statedLimitPerS) {
+                const nowMs = clock.nowMs();
+                const previousPerS = state.limit.current(nowMs)?.limitPerS;
+                state.recordResponded();
+                if (state.limit.adopt({ limitPerS, atMs: nowMs }, nowMs)) {
                     log.state("upstream-limit", {
                         requestId: job.requestId,
                         upstream: leasedUpstream.id,
                         limitPerS,
-                        previousPerS: state.statedLimitPerS,
+                        previousPerS,
                     });
-                    state.statedLimitPerS = limitPerS;
                 }
             },
             end(outcome: AttemptOutcome) {
@@ -307,7 +323,8 @@
             return true;
         }
         const vmCount = fleet.vmCount() > 1 ? fleet.vmCount() : assumedVmCount;
-        state.coldLimiter ??= createColdLimiter((ratePerS * coldRateShare) / vmCount, nowMs);
+        // The bucket has a capacity of one: with a larger one, several VMs could send their bursts in the same second.
+        state.coldLimiter ??= createTokenBucket(() => (ratePerS * coldRateShare) / vmCount, 1, nowMs);
         return state.coldLimiter.tryTake(nowMs);
     }
 
@@ -344,11 +361,10 @@
     coldUntilMs: number;
     localRunning: number;
     localQueuedTokens: number;
-    coldLimiter: ColdLimiter | undefined;
-    /** Limit in requests per second that the last response stated; undefined if it stated none. */
-    statedLimitPerS: number | undefined;
+    coldLimiter: TokenBucket | undefined;
     readonly backlog: Backlog;
     recordFirstByte(tookMs: number, expectedMs: number, nowMs: number): void;
+    recordResponded(): void;
 }
 
 function isSameRun(left: catalog.KnownUpstream, right: catalog.KnownUpstream): boolean {
--- a/packages/dispatch/src/UpstreamTracker.ts
+++ b/packages/dispatch/src/UpstreamTracker.ts
@@ -3,6 +3,7 @@
 import type { AttemptReport, SharedPart, Tracker, TrackerAnswer, TrackerQuestion } from "@peridotloft/fleet";
 import type * as telemetry from "@peridotloft/telemetry";
 import type { PromptPart } from "./Job.js";
+import { createLimitState, type LimitState } from "./LimitState.js";
 import { baseFirstEventMs, expectedWaitMs } from "./Placement.js";
 import { createPrefixCache, type PrefixCache } from "./PrefixCache.js";
 import { createPromptQueue, type PromptQueue } from "./PromptQueue.js";
@@ -15,13 +16,16 @@
     readonly log: telemetry.EventLog;
     readonly metrics: telemetry.Metrics;
     /** Undefined if this VM does not know the upstream. */
-    readonly stateOf: (upstreamHash: number) => Pick<UpstreamState, "upstream" | "learnedMs"> | undefined;
+    readonly stateOf: (upstreamHash: number) => TrackedState | undefined;
     /** Prompt tokens that an engine of the pool prefills per ms. */
     readonly prefillTokensPerMs: (pool: core.PoolId) => number;
     /** Capacity in tokens of the KV cache of an engine of the pool. */
     readonly cacheTokens: (pool: core.PoolId) => number;
 }
 
+/** What this VM knows itself of an upstream that it tracks. */
+type TrackedState = Pick<UpstreamState, "upstream" | "learnedMs" | "limit">;
+
 /** State of an upstream from the questions and reports of all VMs. */
 interface TrackedUpstream {
     readonly upstream: catalog.KnownUpstream;
@@ -33,6 +37,8 @@
     readonly cache: PrefixCache;
     readonly slowness: Slowness;
     readonly health: UpstreamHealth;
+    /** The limit that the upstream states, for the requests of all VMs. */
+    readonly limit: LimitState;
     /** Times in ms at which the requests in flight are expected to end. */
     expectedEndsMs: number[];
     lastAskedMs: number;
@@ -75,7 +81,7 @@
         return created;
     }
 
-    function createState({ upstream, learnedMs }: Pick<UpstreamState, "upstream" | "learnedMs">): TrackedUpstream {
+    function createState({ upstream, learnedMs }: TrackedState): TrackedUpstream {
         const nowMs = clock.nowMs();
         const slowness = createSlowness();
         return {
@@ -92,6 +98,7 @@
                 metrics.count("ejections");
                 log.state("tracked-upstream-ejected", { upstream: upstream.id, forMs, failureShare });
             }),
+            limit: createLimitState(() => 1),
             expectedEndsMs: [],
             lastAskedMs: nowMs,
         };
@@ -141,9 +148,13 @@
                 ? Math.max(0, newTokens - question.ownTokens) / prefillTokensPerMs
                 : 0;
             const ejected = state.health.isEjected(nowMs);
-            const granted = !ejected && running < state.upstream.slots
+            const hasCapacity = !ejected && running < state.upstream.slots
                 && waitMs + prefixPrefillMs <= question.longestWaitMs;
-            const answer = { ...load, granted, ejected };
+            [question.statedLimit, options.stateOf(question.upstreamHash)?.limit.current(nowMs)]
+                .forEach(limit => state.limit.adopt(limit, nowMs));
+            const granted = hasCapacity && state.limit.tryTake(nowMs);
+            const statedLimit = state.limit.current(nowMs);
+            const answer = { ...load, granted, ejected, limited: hasCapacity && !granted, statedLimit };
             if (!granted) {
                 return { ...answer, ticket: 0 };
             }
@@ -170,7 +181,16 @@
     };
 }
 
-const unknownUpstreamAnswer = { granted: true, ejected: false, unreadTokens: 0, running: 0, slowness: 1, ticket: 0 };
+const unknownUpstreamAnswer = {
+    granted: true,
+    ejected: false,
+    limited: false,
+    unreadTokens: 0,
+    running: 0,
+    slowness: 1,
+    ticket: 0,
+    statedLimit: undefined,
+};
 
 function sumOfTokens(parts: readonly SharedPart[]): number {
     return parts.reduce((sum, { tokens }) => sum + tokens, 0);
--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -15,10 +15,13 @@
     longestWaitMs: 300,
     runMs: 400,
     isSpillover: false,
+    statedLimit: undefined,
 };
 const unknownAnswer: fleet.TrackerAnswer = {
     granted: true,
     ejected: false,
+    limited: false,
+    statedLimit: undefined,
     unreadTokens: 0,
     newTokens: 0,
     running: 0,
@@ -230,10 +233,13 @@
         longestWaitMs: 300,
         runMs: 400,
         isSpillover: false,
+        statedLimit: undefined,
     };
     const answerOf = (running: number): fleet.TrackerAnswer => ({
         granted: true,
         ejected: false,
+        limited: false,
+        statedLimit: undefined,
         unreadTokens: 0,
         newTokens: 0,
         running,
@@ -341,6 +347,7 @@
                     longestWaitMs: 5,
                     runMs: 6,
                     isSpillover: true,
+                    statedLimit: { limitPerS: 8.5, atMs: 9_000 },
                 },
             },
             {
@@ -354,6 +361,8 @@
                     running: 10,
                     slowness: 1.5,
                     ticket: 11,
+                    limited: true,
+                    statedLimit: { limitPerS: undefined, atMs: 9_500 },
                 },
             },
             {
--- a/packages/fleet/src/Datagram.ts
+++ b/packages/fleet/src/Datagram.ts
@@ -1,7 +1,11 @@
 import * as protobuf from "@bufbuild/protobuf";
 import { type Announcement, fromAnnouncementMessage, toAnnouncementMessage } from "./Announcement.js";
-import { type Datagram as DatagramMessage, DatagramSchema } from "./gen/announcement_pb.js";
-import type { AttemptReport, TrackerAnswer, TrackerQuestion } from "./TrackerMessages.js";
+import {
+    type Datagram as DatagramMessage,
+    DatagramSchema,
+    type StatedLimit as StatedLimitMessage,
+} from "./gen/announcement_pb.js";
+import type { AttemptReport, StatedLimit, TrackerAnswer, TrackerQuestion } from "./TrackerMessages.js";
 
 /** A datagram between VMs. An answer repeats the number of its question. */
 export type Datagram =
@@ -34,6 +38,7 @@
                     longestWaitMs: toUint32(question.longestWaitMs),
                     runMs: toUint32(question.runMs),
                     away: question.isSpillover,
+                    statedLimit: toStatedLimitMessage(question.statedLimit, nowMs),
                 },
             };
         }
@@ -50,6 +55,8 @@
                     running: toUint32(answer.running),
                     slowness: answer.slowness,
                     ticket: answer.ticket,
+                    limited: answer.limited,
+                    statedLimit: toStatedLimitMessage(answer.statedLimit, nowMs),
                 },
             };
         }
@@ -89,6 +96,7 @@
         }
         case "question": {
             const { number, upstream, sharedParts, sharedTokens, ownTokens, longestWaitMs, runMs, away } = body.value;
+            const statedLimit = fromStatedLimitMessage(body.value.statedLimit, nowMs);
             return {
                 kind: "question",
                 number,
@@ -99,16 +107,29 @@
                     longestWaitMs,
                     runMs,
                     isSpillover: away,
+                    statedLimit,
                 },
             };
         }
         case "answer": {
-            const { number, granted, ejected, unreadTokens, newTokens, running, slowness, ticket } = body.value;
+            const { number, granted, ejected, limited, unreadTokens, newTokens, running, slowness, ticket } =
+                body.value;
+            const statedLimit = fromStatedLimitMessage(body.value.statedLimit, nowMs);
             return Number.isFinite(slowness) && slowness > 0
                 ? {
                     kind: "answer",
                     number,
-                    answer: { granted, ejected, unreadTokens, newTokens, running, slowness, ticket },
+                    answer: {
+                        granted,
+                        ejected,
+                        limited,
+                        unreadTokens,
+                        newTokens,
+                        running,
+                        slowness,
+                        ticket,
+                        statedLimit,
+                    },
                 }
                 : undefined;
         }
@@ -124,6 +145,21 @@
     }
 }
 
+function toStatedLimitMessage(limit: StatedLimit | undefined, nowMs: number) {
+    return limit && {
+        ageMs: toUint32(nowMs - limit.atMs),
+        ...(limit.limitPerS === undefined ? {} : { limitPerS: limit.limitPerS }),
+    };
+}
+
+/** Converts a message to a limit; undefined if there is none or it is invalid. */
+function fromStatedLimitMessage(message: StatedLimitMessage | undefined, nowMs: number): StatedLimit | undefined {
+    if (!message || (message.limitPerS !== undefined && !(message.limitPerS >= 0))) {
+        return undefined;
+    }
+    return { limitPerS: message.limitPerS, atMs: nowMs - message.ageMs };
+}
+
 const maxUint32 = 0xffffffff;
 
 function toUint32(value: number): number {
--- a/packages/fleet/src/TrackerMessages.ts
+++ b/packages/fleet/src/TrackerMessages.ts
@@ -4,6 +4,14 @@
     readonly tokens: number;
 }
 
+/** The limit that an upstream states in its responses. */
+export interface StatedLimit {
+    /** Requests per second that the upstream accepts from all VMs together; undefined if it states no limit any more. */
+    readonly limitPerS: number | undefined;
+    /** Time in ms of the response. */
+    readonly atMs: number;
+}
+
 /** Asks the VM that tracks an upstream's load to admit a request there. Ids are 32-bit hashes. */
 export interface TrackerQuestion {
     readonly upstreamHash: number;
@@ -20,6 +28,8 @@
      * the shared parts that are not cached then counts as waiting.
      */
     readonly isSpillover: boolean;
+    /** The most recent limit of the upstream that the sender knows; undefined if it knows none. */
+    readonly statedLimit: StatedLimit | undefined;
 }
 
 /** The answer of an upstream's tracker. */
@@ -28,6 +38,10 @@
     readonly granted: boolean;
     /** Whether the upstream is ejected because of its failures. */
     readonly ejected: boolean;
+    /** Whether the request is not admitted because of the limit that the upstream states. */
+    readonly limited: boolean;
+    /** The most recent limit of the upstream that the tracker knows; undefined if it knows none. */
+    readonly statedLimit: StatedLimit | undefined;
     /** Prompt tokens queued for prefill at the upstream, without those of the question. */
     readonly unreadTokens: number;
     /** Tokens of the question's prompt that the upstream has not cached and must prefill. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -3,4 +3,11 @@
 export * from "./DatagramSocket.js";
 export * from "./FleetNode.js";
 export * from "./RelaySelector.js";
-export type { AttemptReport, SharedPart, Tracker, TrackerAnswer, TrackerQuestion } from "./TrackerMessages.js";
+export type {
+    AttemptReport,
+    SharedPart,
+    StatedLimit,
+    Tracker,
+    TrackerAnswer,
+    TrackerQuestion,
+} from "./TrackerMessages.js";
