dispatch: quarantine at the third crash instead of four tenths of a second later

Cause: every crash had to be 0.4 s old before it counted, and meanwhile retries took the same part to the next engines (crashes at 13.25, 13.42, 14.72, 14.93, 15.38, 15.72; quarantine at 15.36).

Change: one crash that is not settled counts, evidence of this VM is evaluated at once, and a part without any response that was in flight at two crashes is refused, with a Retry-After, until they are settled. Since one unsettled crash counts now, a suspect that had responses needs four crashes; without that, one of the tests with two crashing engines a second held back a session.

Tried and not taken: settling within 0.25 s (a test then saw 6 crashes, another a conviction that a response had still to contradict).

--- a/packages/dispatch/__tests__/unit/PromptQuarantine.test.ts
+++ b/packages/dispatch/__tests__/unit/PromptQuarantine.test.ts
@@ -83,6 +83,17 @@
             checkIsHeldBack({ vms: 40, engines: 30, seed, lossShare: 0.1 }, ["deadly"], 0.06));
     }
 
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
+        it(`crash few engines, seed ${seed}`, async () => {
+            await startFleet({ ...canelones, seed });
+            await offerPrompts(6_000);
+            fleet.crashingParts.add("deadly");
+            await offerPrompts(8_000, 0.04);
+            const crashes = fleet.crashTimesOf("deadly").length;
+            assert.ok(crashes <= 5, `seed ${seed}: ${crashes} engines crashed`);
+        });
+    }
+
     it("are held back by VMs that have restarted without state", async () => {
         await startFleet({ ...canelones, seed: 4 });
         await offerPrompts(4_000);
--- a/packages/dispatch/src/CrashSuspects.ts
+++ b/packages/dispatch/src/CrashSuspects.ts
@@ -21,6 +21,11 @@
      * Crashes at which a quarantined suspect was in flight do not convict another one on their own.
      */
     findConviction(nowMs: number, isQuarantined: (hash: number) => boolean): Conviction | undefined;
+    /**
+     * Time in ms until the crashes of a suspect without a response are settled, if there are enough of them to wait for that
+     * before the suspect is sent to another upstream; otherwise 0.
+     */
+    remainingSettleMs(suspectHash: number, nowMs: number): number;
     /** Whether the evidence suffices for a suspect that had responses before. */
     isEvidenceSufficientDespiteResponses(suspectHash: number, nowMs: number): boolean;
     /** Discards the marks of a suspect and lowers the number of crashes that convict it to one. */
@@ -37,6 +42,8 @@
     readonly isConfirmed: boolean;
 }
 
+/** Number of crashes from which a suspect waits until they are settled. */
+const crashesToWait = 2;
 /** Minimum number of crashes; even two by coincidence are rare. */
 const minCrashes = 3;
 /**
@@ -52,7 +59,10 @@
 const unexplainedCrashesToConvict = 2;
 /** Time in ms after which marks and responses expire. */
 const evidenceLifetimeMs = 60_000;
-/** Time in ms after which a mark counts. Until then, other VMs may report responses that contradict it. */
+/**
+ * Time in ms after which a crash is settled. Until then, other VMs may report responses that contradict it. At most one crash
+ * that is not settled counts.
+ */
 const settleMs = 400;
 /** Time in ms after a crash in which VMs may still receive responses that the upstream sent before it. */
 const crashSlackMs = 200;
@@ -62,7 +72,8 @@
  */
 const minResponses = 3;
 const minSpanMs = 500;
-/** The same for a suspect that has had a response before; both are required, since popular parts are in flight everywhere. */
+/** The same for a suspect that has had a response before; all are required, since popular parts are in flight everywhere. */
+const minCrashesToConfirm = 4;
 const minResponsesToConfirm = 8;
 const minSpanToConfirmMs = 1_000;
 /** Maximum numbers of suspects and of response times; beyond them the oldest are evicted. */
@@ -85,8 +96,8 @@
 /** The evidence against a suspect. */
 interface Evidence {
     readonly suspect: Suspect;
-    /** Its crashes that other VMs have had time to contradict, by run. */
-    readonly settled: readonly [number, Crash][];
+    /** Its crashes that count, by run. */
+    readonly counted: readonly [number, Crash][];
     /** Number of these at which no quarantined suspect was in flight. */
     readonly unexplained: number;
     /** Share of these in all such crashes since its first one, 0 to 1. */
@@ -158,46 +169,49 @@
     const hasResponseAfter = (hash: number, atMs: number): boolean =>
         (responseTimesMs.get(hash) ?? Number.NEGATIVE_INFINITY) >= atMs;
 
-    function settledCrashes(suspect: Suspect, nowMs: number): [number, Crash][] {
-        return [...suspect.crashes].filter(([, crash]) => isSettled(crash, nowMs));
+    /** The crashes of a suspect that count: the settled ones, and one more. */
+    function countedCrashes(suspect: Suspect, nowMs: number): [number, Crash][] {
+        const settled = [...suspect.crashes].filter(([, crash]) => isSettled(crash, nowMs));
+        const unsettled = [...suspect.crashes].filter(([, crash]) => !isSettled(crash, nowMs));
+        return [...settled, ...unsettled.slice(0, 1)];
     }
 
     /** The crashes of a suspect that count, and the share that they have in those that no quarantined suspect explains. */
     function assess(suspect: Suspect, quarantined: readonly Suspect[], nowMs: number): Evidence {
-        const settled = settledCrashes(suspect, nowMs);
+        const counted = countedCrashes(suspect, nowMs);
         const isExplained = (runHash: number): boolean => quarantined.some(other => other.crashes.has(runHash));
-        const unexplained = settled.filter(([runHash]) => !isExplained(runHash));
+        const unexplained = counted.filter(([runHash]) => !isExplained(runHash));
         const firstMs = Math.min(...timesMs(unexplained));
         const sinceFirst = [...crashes].filter(([runHash, crash]) =>
             crash.atMs >= firstMs && isSettled(crash, nowMs) && !isExplained(runHash)
         );
         return {
             suspect,
-            settled,
+            counted,
             unexplained: unexplained.length,
             share: unexplained.length / Math.max(unexplained.length, sinceFirst.length, 1),
         };
     }
 
-    function isEvidenceSufficient({ suspect, settled, unexplained, share }: Evidence, nowMs: number): boolean {
+    function isEvidenceSufficient({ suspect, counted, unexplained, share }: Evidence, nowMs: number): boolean {
         if (onProbation.has(suspect.hash)) {
             return unexplained > 0;
         }
         return unexplained >= unexplainedCrashesToConvict
-            && crashesToConvict.some(({ minShare, crashes: count }) => share >= minShare && settled.length >= count)
-            && (hasResponsesSince(settled, minResponses) || spanMs(settled) >= minSpanMs)
-            && (lastResponseMs(suspect.hash, nowMs) === undefined || isConfirmed(settled));
+            && crashesToConvict.some(({ minShare, crashes: count }) => share >= minShare && counted.length >= count)
+            && (hasResponsesSince(counted, minResponses) || spanMs(counted) >= minSpanMs)
+            && (lastResponseMs(suspect.hash, nowMs) === undefined || isConfirmed(counted));
     }
 
     /** Whether this VM has received a number of responses since the first of some crashes. */
-    function hasResponsesSince(settled: readonly [number, Crash][], count: number): boolean {
-        const firstCrashMs = Math.min(...timesMs(settled));
+    function hasResponsesSince(counted: readonly [number, Crash][], count: number): boolean {
+        const firstCrashMs = Math.min(...timesMs(counted));
         return (recentResponsesMs.at(-count) ?? Number.NEGATIVE_INFINITY) > firstCrashMs + crashSlackMs;
     }
 
-    function isConfirmed(settled: readonly [number, Crash][]): boolean {
-        return settled.length >= minCrashes && hasResponsesSince(settled, minResponsesToConfirm)
-            && spanMs(settled) >= minSpanToConfirmMs;
+    function isConfirmed(counted: readonly [number, Crash][]): boolean {
+        return counted.length >= minCrashesToConfirm && hasResponsesSince(counted, minResponsesToConfirm)
+            && spanMs(counted) >= minSpanToConfirmMs;
     }
 
     function lastResponseMs(hash: number, nowMs: number): number | undefined {
@@ -254,14 +268,22 @@
                 )[0];
             return found && {
                 suspectHash: found.suspect.hash,
-                crashes: found.settled.length,
-                firstCrashAgeMs: nowMs - Math.min(...timesMs(found.settled)),
-                isConfirmed: isConfirmed(found.settled),
+                crashes: found.counted.length,
+                firstCrashAgeMs: nowMs - Math.min(...timesMs(found.counted)),
+                isConfirmed: isConfirmed(found.counted),
             };
         },
+        remainingSettleMs(suspectHash, nowMs) {
+            const suspect = suspects.get(suspectHash);
+            if (!suspect || suspect.crashes.size < crashesToWait || lastResponseMs(suspectHash, nowMs) !== undefined) {
+                return 0;
+            }
+            const lastLearnedMs = Math.max(...[...suspect.crashes.values()].map(({ learnedMs }) => learnedMs));
+            return Math.max(0, lastLearnedMs + settleMs - nowMs);
+        },
         isEvidenceSufficientDespiteResponses(suspectHash, nowMs) {
             const suspect = suspects.get(suspectHash);
-            return suspect !== undefined && isConfirmed(settledCrashes(suspect, nowMs));
+            return suspect !== undefined && isConfirmed(countedCrashes(suspect, nowMs));
         },
         putOnProbation(suspectHash) {
             onProbation.add(suspectHash);
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -325,8 +325,9 @@
 
     return {
         async acquire(job, avoided, isRetry) {
-            if (poisonGuard.isQuarantined(job)) {
-                return err({ reason: "quarantined", retryAfterMs: undefined });
+            const refusal = poisonGuard.check(job);
+            if (refusal) {
+                return err(refusal);
             }
             const budget = retryBudgetFor(job.pool);
             if (!isRetry) {
--- a/packages/dispatch/src/Job.ts
+++ b/packages/dispatch/src/Job.ts
@@ -41,7 +41,14 @@
 
 /** Why a request was refused. A refused request has not run. */
 export interface DispatchRefusal {
-    readonly reason: "no-upstream" | "overloaded" | "deadline" | "retry-budget" | "quarantined" | "cancelled";
+    readonly reason:
+        | "no-upstream"
+        | "overloaded"
+        | "deadline"
+        | "retry-budget"
+        | "quarantined"
+        | "suspected"
+        | "cancelled";
     /** Time in ms after which the caller may retry; undefined if a retry does not help. */
     readonly retryAfterMs: number | undefined;
 }
--- a/packages/dispatch/src/PoisonGuard.ts
+++ b/packages/dispatch/src/PoisonGuard.ts
@@ -4,7 +4,7 @@
 import type * as telemetry from "@peridotloft/telemetry";
 import { createCrashSuspects } from "./CrashSuspects.js";
 import type { FleetView } from "./FleetView.js";
-import { type Job, sharedPartsOf } from "./Job.js";
+import { type DispatchRefusal, type Job, sharedPartsOf } from "./Job.js";
 import { createQuarantine } from "./Quarantine.js";
 
 export interface PoisonGuardOptions {
@@ -23,7 +23,8 @@
     recordCrash(job: Job, upstream: catalog.KnownUpstream): void;
     /** Records that an upstream began to respond. */
     recordResponse(job: Job, upstream: catalog.KnownUpstream): void;
-    isQuarantined(job: Job): boolean;
+    /** Decides whether a request may be sent to an upstream; undefined if it may. */
+    check(job: Job): DispatchRefusal | undefined;
     dispose(): void;
 }
 
@@ -134,6 +135,16 @@
         }
     }
 
+    /** Refuses a request for a short time if it was in flight at several crashes that may prove to be none. */
+    function waitUntilSettled(job: Job, hashes: readonly number[], nowMs: number): DispatchRefusal | undefined {
+        const retryAfterMs = Math.max(...hashes.map(hash => suspects.remainingSettleMs(hash, nowMs)));
+        if (retryAfterMs <= 0) {
+            return undefined;
+        }
+        log.failure("suspect-refused", { requestId: job.requestId, retryAfterMs: Math.round(retryAfterMs) });
+        return { reason: "suspected", retryAfterMs };
+    }
+
     return {
         recordCrash(job, upstream) {
             const atMs = clock.nowMs();
@@ -146,6 +157,8 @@
                 }
                 recordMark(mark);
             });
+            evaluatedMs = Number.NEGATIVE_INFINITY;
+            evaluate();
         },
         recordResponse(job, upstream) {
             const nowMs = clock.nowMs();
@@ -153,21 +166,23 @@
             recordResponseTo([...partHashesOf(job), ...fingerprints, runHashOf(upstream)], nowMs, true)
                 .forEach(hash => fleet.announceResponse({ hash, atMs: nowMs }));
         },
-        isQuarantined(job) {
+        check(job) {
             evaluate();
-            if (quarantine.isEmpty()) {
-                return false;
+            const nowMs = clock.nowMs();
+            if (quarantine.isEmpty() && !suspects.hasRecentMarks(nowMs)) {
+                return undefined;
             }
-            const suspectHash = [...partHashesOf(job), job.fingerprint()].find(quarantine.has);
+            const hashes = [...partHashesOf(job), job.fingerprint()];
+            const suspectHash = hashes.find(quarantine.has);
             if (suspectHash === undefined) {
-                return false;
+                return waitUntilSettled(job, hashes, nowMs);
             }
             log.failure("quarantine-refused", {
                 requestId: job.requestId,
                 suspect: suspectHash,
                 quarantineAgeMs: ageMs(quarantine.get(suspectHash)?.atMs ?? clock.nowMs()),
             });
-            return true;
+            return { reason: "quarantined", retryAfterMs: undefined };
         },
         dispose: removeListener,
     };
--- a/packages/gateway/src/Refusal.ts
+++ b/packages/gateway/src/Refusal.ts
@@ -31,6 +31,7 @@
     "deadline": 503,
     "retry-budget": 503,
     "quarantined": 503,
+    "suspected": 503,
     "cancelled": 503,
     "processor-overloaded": 503,
     "starting": 503,
