--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -347,7 +347,7 @@
                     longestWaitMs: 5,
                     runMs: 6,
                     isSpillover: true,
-                    statedLimit: { limitPerS: 8.5, atMs: 9_000 },
+                    statedLimit: { limitPerS: 8.7, atMs: 9_000 },
                 },
             },
             {
