platform, dispatch: do not take a malformed or zero limit for the end of an upstream

An upstream whose responses carry an empty Server-Limit got no more requests for good: the empty text was read as the number 0, and with a limit of 0 no response can ever lift it.

The unused waitMs of the token bucket is gone.

--- a/packages/dispatch/src/LimitState.ts
+++ b/packages/dispatch/src/LimitState.ts
@@ -11,12 +11,12 @@
     isLimited(): boolean;
     /** Takes a permit for one request; false if the limit does not permit it. Always true without a limit. */
     tryTake(nowMs: number): boolean;
-    /** Time in ms until the next permit. */
-    waitMs(nowMs: number): number;
 }
 
 /** Part of a limit, in ms of its rate, that may be used at once. */
 const burstMs = 250;
+/** Minimum rate in requests per second: only a response shows that an upstream has lifted its limit. */
+const minRatePerS = 0.2;
 /** Time in ms for which the end of a limit is remembered, so that older information does not restore the limit. */
 const endLifetimeMs = 10_000;
 
@@ -25,8 +25,10 @@
     let current: StatedLimit | undefined;
     let bucket: TokenBucket | undefined;
 
-    const createBucket = (limitPerS: number, nowMs: number): TokenBucket =>
-        createTokenBucket(() => limitPerS * share(), 1 + (limitPerS * share() * burstMs) / 1_000, nowMs);
+    const createBucket = (limitPerS: number, nowMs: number): TokenBucket => {
+        const ratePerS = (): number => Math.max(limitPerS, minRatePerS) * share();
+        return createTokenBucket(ratePerS, 1 + (ratePerS() * burstMs) / 1_000, nowMs);
+    };
 
     return {
         current(nowMs) {
@@ -49,6 +51,5 @@
         },
         isLimited: () => bucket !== undefined,
         tryTake: nowMs => bucket?.tryTake(nowMs) ?? true,
-        waitMs: nowMs => bucket?.waitMs(nowMs) ?? 0,
     };
 }
