dispatch: name the decisions on suspects after quarantine; bound the remembered expiries

Reading the change: the words of a court (conviction, probation) are replaced by those of the code beside them. The set of suspects whose quarantine has expired had no maximum size, and a response did not clear them; both are mended, the latter with an assertion that fails without it. Suspects with too few crashes are left out before their evidence is weighed.

--- a/packages/dispatch/__tests__/unit/CrashSuspects.test.ts
+++ b/packages/dispatch/__tests__/unit/CrashSuspects.test.ts
@@ -19,157 +19,158 @@
             );
         },
         /** Quarantines all suspects with sufficient evidence and returns them. */
-        convict(nowMs: number): readonly number[] {
-            const convicted: number[] = [];
+        quarantine(nowMs: number): readonly number[] {
+            const found: number[] = [];
             for (;;) {
-                const conviction = suspects.findConviction(nowMs, hash => quarantined.has(hash));
-                if (!conviction) {
-                    return convicted;
+                const decision = suspects.findNextToQuarantine(nowMs, hash => quarantined.has(hash));
+                if (!decision) {
+                    return found;
                 }
-                quarantined.add(conviction.suspectHash);
-                convicted.push(conviction.suspectHash);
+                quarantined.add(decision.suspectHash);
+                found.push(decision.suspectHash);
             }
         },
     };
 }
 
 describe("CrashSuspects", () => {
-    it("convicts a request that was in flight at three crashes, once, and no other request", () => {
-        const { crash, convict } = createFixture();
+    it("quarantines a request that was in flight at three crashes, once, and no other request", () => {
+        const { crash, quarantine } = createFixture();
         [1, 2, 3].forEach(run => {
-            assert.deepEqual(convict(run * 2_000), []);
+            assert.deepEqual(quarantine(run * 2_000), []);
             crash(77, run, run * 2_000);
             crash(100 + run, run, run * 2_000);
         });
-        assert.deepEqual(convict(6_000 + settledMs), [77]);
-        assert.deepEqual(convict(7_000), []);
+        assert.deepEqual(quarantine(6_000 + settledMs), [77]);
+        assert.deepEqual(quarantine(7_000), []);
     });
 
     it("counts a crash once if several VMs report it, and counts the crash of the next run separately", () => {
-        const { crash, convict } = createFixture();
+        const { crash, quarantine } = createFixture();
         Array.from({ length: 6 }, (_, index) => crash(7, 1, index * 100));
         crash(7, 2, 10_000);
-        assert.deepEqual(convict(15_000), []);
+        assert.deepEqual(quarantine(15_000), []);
         crash(7, 3, 20_000);
-        assert.deepEqual(convict(20_000 + settledMs), [7]);
+        assert.deepEqual(quarantine(20_000 + settledMs), [7]);
     });
 
     it("discards marks after a minute", () => {
-        const { suspects, crash, convict } = createFixture();
+        const { suspects, crash, quarantine } = createFixture();
         [1, 2].forEach(run => crash(7, run, run));
         crash(7, 3, 62_000);
-        assert.deepEqual(convict(62_000 + settledMs), []);
+        assert.deepEqual(quarantine(62_000 + settledMs), []);
         assert.ok(suspects.hasRecentMarks(63_000));
         assert.ok(!suspects.hasRecentMarks(122_001));
     });
 
-    it("does not convict on broken connections to an upstream that goes on responding", () => {
-        const { suspects, crash, convict } = createFixture();
+    it("does not quarantine on broken connections to an upstream that goes on responding", () => {
+        const { suspects, crash, quarantine } = createFixture();
         [1, 2, 3, 4, 5].forEach(run => {
             crash(7, run, run * 1_000);
             suspects.recordResponse([run], run * 1_000 + 250, true);
         });
-        assert.deepEqual(convict(10_000), []);
+        assert.deepEqual(quarantine(10_000), []);
     });
 
     it("takes the last bytes of a crashed upstream for no sign of life", () => {
-        const { suspects, crash, convict } = createFixture();
+        const { suspects, crash, quarantine } = createFixture();
         [1, 2, 3].forEach(run => {
             crash(7, run, run * 1_000);
             suspects.recordResponse([run], run * 1_000 + 50, true);
         });
-        assert.deepEqual(convict(5_000), [7]);
+        assert.deepEqual(quarantine(5_000), [7]);
     });
 
     it("clears a part by a response to any prompt with it", () => {
-        const { suspects, crash, convict } = createFixture();
+        const { suspects, crash, quarantine } = createFixture();
         [1, 2].forEach(run => crash(7, run, run * 1_000));
         assert.deepEqual(suspects.recordResponse([7, 8], 2_500, true), [7]);
         crash(7, 3, 3_000);
-        assert.deepEqual(convict(5_000), []);
+        assert.deepEqual(quarantine(5_000), []);
     });
 
-    it("waits for responses that contradict a crash before it convicts", () => {
-        const { suspects, crash, convict } = createFixture();
+    it("waits for responses that contradict a crash before it quarantines", () => {
+        const { suspects, crash, quarantine } = createFixture();
         [1, 2, 3].forEach(run => crash(7, run, run));
-        assert.deepEqual(convict(300), []);
+        assert.deepEqual(quarantine(300), []);
         suspects.recordResponse([7], 300, true);
-        assert.deepEqual(convict(5_000), []);
+        assert.deepEqual(quarantine(5_000), []);
     });
 
-    it("convicts at once if the earlier crashes have had time to be contradicted", () => {
-        const { crash, convict } = createFixture();
+    it("quarantines at once if the earlier crashes have had time to be contradicted", () => {
+        const { crash, quarantine } = createFixture();
         [1, 2].forEach(run => crash(7, run, run * 200));
         crash(7, 3, 1_500);
-        assert.deepEqual(convict(1_500), [7]);
+        assert.deepEqual(quarantine(1_500), [7]);
     });
 
-    it("convicts only the most specific part of those that were in flight at the same crashes", () => {
-        const { crash, convict } = createFixture();
+    it("quarantines only the most specific part of those that were in flight at the same crashes", () => {
+        const { crash, quarantine } = createFixture();
         [1, 2, 3].forEach(run => [10, 11, 12].forEach((part, depth) => crash(part, run, run, depth)));
-        assert.deepEqual(convict(5_000), [12]);
+        assert.deepEqual(quarantine(5_000), [12]);
     });
 
-    it("convicts a less specific part at the second crash without the more specific one", () => {
-        const { crash, convict } = createFixture();
+    it("quarantines a less specific part at the second crash without the more specific one", () => {
+        const { crash, quarantine } = createFixture();
         [1, 2, 3].forEach(run => [10, 11].forEach((part, depth) => crash(part, run, run, depth)));
-        assert.deepEqual(convict(5_000), [11]);
+        assert.deepEqual(quarantine(5_000), [11]);
         crash(10, 4, 6_000, 0);
-        assert.deepEqual(convict(6_000 + settledMs), []);
+        assert.deepEqual(quarantine(6_000 + settledMs), []);
         crash(10, 5, 7_000, 0);
-        assert.deepEqual(convict(7_000 + settledMs), [10]);
+        assert.deepEqual(quarantine(7_000 + settledMs), [10]);
     });
 
-    it("does not convict a part that had responses before an outage of all upstreams", () => {
-        const { suspects, crash, convict } = createFixture();
+    it("does not quarantine a part that had responses before an outage of all upstreams", () => {
+        const { suspects, crash, quarantine } = createFixture();
         suspects.recordResponse([7], 900, true);
         [1, 2, 3, 4, 5, 6].forEach(run => crash(7, run, 1_000));
-        assert.deepEqual(convict(5_000), []);
+        assert.deepEqual(quarantine(5_000), []);
     });
 
-    it("does not convict on an outage of all upstreams at once, but on crashes one after the other", () => {
+    it("does not quarantine on an outage of all upstreams at once, but on crashes one after the other", () => {
         const outage = createFixture();
         [1, 2, 3, 4, 5, 6].forEach(run => outage.crash(7, run, 1_000, 0, 0));
-        assert.deepEqual(outage.convict(10_000), []);
-        const { crash, convict } = createFixture();
+        assert.deepEqual(outage.quarantine(10_000), []);
+        const { crash, quarantine } = createFixture();
         [1, 2, 3].forEach(run => crash(7, run, run * 300, 0, 0));
-        assert.deepEqual(convict(10_000), [7]);
+        assert.deepEqual(quarantine(10_000), [7]);
     });
 
     it("requires more crashes of a part that was not in flight at all of them", () => {
-        const { crash, convict } = createFixture();
+        const { crash, quarantine } = createFixture();
         [1, 2, 3].forEach(run => crash(7, run, run * 1_000));
         crash(8, 4, 2_500);
-        assert.deepEqual(convict(3_000 + settledMs), []);
+        assert.deepEqual(quarantine(3_000 + settledMs), []);
         crash(7, 5, 4_000);
-        assert.deepEqual(convict(4_000 + settledMs), [7]);
+        assert.deepEqual(quarantine(4_000 + settledMs), [7]);
     });
 
-    it("does not convict a part that was in flight at a few of many crashes", () => {
-        const { crash, convict } = createFixture();
+    it("does not quarantine a part that was in flight at a few of many crashes", () => {
+        const { crash, quarantine } = createFixture();
         Array.from({ length: 60 }, (_, index) => crash(index % 10 === 0 ? 7 : 100 + index, index, index * 500));
-        assert.deepEqual(convict(40_000), []);
+        assert.deepEqual(quarantine(40_000), []);
     });
 
-    it("convicts two parts that crash upstreams at the same time", () => {
-        const { crash, convict } = createFixture();
+    it("quarantines two parts that crash upstreams at the same time", () => {
+        const { crash, quarantine } = createFixture();
         Array.from({ length: 8 }, (_, index) => crash(index % 2 === 0 ? 7 : 8, index, index * 500));
-        assert.deepEqual([...convict(5_000)].sort(), [7, 8]);
+        assert.deepEqual([...quarantine(5_000)].sort(), [7, 8]);
     });
 
-    it("convicts a part that had responses before, once it crashes upstreams while others have responses", () => {
-        const { suspects, crash, convict } = createFixture();
+    it("quarantines a part that had responses before, once it crashes upstreams while others have responses", () => {
+        const { suspects, crash, quarantine } = createFixture();
         suspects.recordResponse([7], 900, true);
         [1, 2, 3, 4].forEach(run => {
             crash(7, run, run * 1_000);
         });
-        assert.deepEqual(convict(5_000), [7]);
+        assert.deepEqual(quarantine(5_000), [7]);
     });
 
-    it("convicts a suspect on probation at its next crash", () => {
-        const { suspects, crash, convict } = createFixture();
-        suspects.putOnProbation(7);
-        crash(7, 1, 1_000);
-        assert.deepEqual(convict(2_000), [7]);
+    it("quarantines a suspect whose quarantine has expired at its next crash", () => {
+        const { suspects, crash, quarantine } = createFixture();
+        [7, 8].forEach(suspect => suspects.requireSingleCrash(suspect));
+        suspects.recordResponse([8], 500, true);
+        [7, 8].forEach(suspect => crash(suspect, suspect, 1_000));
+        assert.deepEqual(quarantine(2_000), [7]);
     });
 });
--- a/packages/dispatch/src/CrashSuspects.ts
+++ b/packages/dispatch/src/CrashSuspects.ts
@@ -18,9 +18,9 @@
     hasRecentMarks(nowMs: number): boolean;
     /**
      * Returns a suspect with sufficient evidence, the most specific one if several were in flight at the same crashes.
-     * Crashes at which a quarantined suspect was in flight do not convict another one on their own.
+     * Crashes at which a quarantined suspect was in flight do not suffice to quarantine another one.
      */
-    findConviction(nowMs: number, isQuarantined: (hash: number) => boolean): Conviction | undefined;
+    findNextToQuarantine(nowMs: number, isQuarantined: (hash: number) => boolean): QuarantineDecision | undefined;
     /**
      * Time in ms until the crashes of a suspect without a response are settled, if there are enough of them to wait for that
      * before the suspect is sent to another upstream; otherwise 0.
@@ -28,13 +28,13 @@
     remainingSettleMs(suspectHash: number, nowMs: number): number;
     /** Whether the evidence suffices for a suspect that had responses before. */
     isEvidenceSufficientDespiteResponses(suspectHash: number, nowMs: number): boolean;
-    /** Discards the marks of a suspect and lowers the number of crashes that convict it to one. */
-    putOnProbation(suspectHash: number): void;
+    /** Discards the marks of a suspect and lowers the number of crashes after which it is quarantined to one. */
+    requireSingleCrash(suspectHash: number): void;
 }
 
-export interface Conviction {
+export interface QuarantineDecision {
     readonly suspectHash: number;
-    /** Number of crashes that led to the conviction. */
+    /** Number of crashes that led to the decision. */
     readonly crashes: number;
     /** Time in ms since the first of them. */
     readonly firstCrashAgeMs: number;
@@ -47,16 +47,16 @@
 /** Minimum number of crashes; even two by coincidence are rare. */
 const minCrashes = 3;
 /**
- * Number of crashes that convict a suspect, by its minimum share of the crashes since its first one. Where many upstreams
- * crash for other reasons, some sound requests are in flight at several of them by coincidence.
+ * Number of crashes after which a suspect is quarantined, by its minimum share of the crashes since its first one. Where
+ * many upstreams crash for other reasons, some sound requests are in flight at several of them by coincidence.
  */
-const crashesToConvict = [
+const crashesToQuarantine = [
     { minShare: 1, crashes: minCrashes },
     { minShare: 0.5, crashes: 4 },
     { minShare: 0.2, crashes: 5 },
 ];
 /** Number of these at which no quarantined suspect was in flight. */
-const unexplainedCrashesToConvict = 2;
+const minUnexplainedCrashes = 2;
 /** Time in ms after which marks and responses expire. */
 const evidenceLifetimeMs = 60_000;
 /**
@@ -67,7 +67,7 @@
 /** Time in ms after a crash in which VMs may still receive responses that the upstream sent before it. */
 const crashSlackMs = 200;
 /**
- * An outage also breaks the connections to several upstreams. A suspect is convicted only if this VM has received this number
+ * An outage also breaks the connections to several upstreams. A suspect is quarantined only if this VM has received this number
  * of responses since the first crash, or if the crashes span this time in ms.
  */
 const minResponses = 3;
@@ -111,7 +111,7 @@
     const suspectsByRun = new Map<number, Set<number>>();
     /** Times in ms of the last response to each suspect and of each run. */
     const responseTimesMs = new Map<number, number>();
-    const onProbation = new Set<number>();
+    const singleCrashSuffices = new Set<number>();
     /** Times in ms of the most recent responses that this VM received itself. */
     let recentResponsesMs: number[] = [];
     let lastMarkMs = Number.NEGATIVE_INFINITY;
@@ -194,11 +194,11 @@
     }
 
     function isEvidenceSufficient({ suspect, counted, unexplained, share }: Evidence, nowMs: number): boolean {
-        if (onProbation.has(suspect.hash)) {
+        if (singleCrashSuffices.has(suspect.hash)) {
             return unexplained > 0;
         }
-        return unexplained >= unexplainedCrashesToConvict
-            && crashesToConvict.some(({ minShare, crashes: count }) => share >= minShare && counted.length >= count)
+        return unexplained >= minUnexplainedCrashes
+            && crashesToQuarantine.some(({ minShare, crashes: count }) => share >= minShare && counted.length >= count)
             && (hasResponsesSince(counted, minResponses) || spanMs(counted) >= minSpanMs)
             && (lastResponseMs(suspect.hash, nowMs) === undefined || isConfirmed(counted));
     }
@@ -252,15 +252,18 @@
             }
             return hashes.filter(hash => {
                 recordResponseTime(hash, atMs);
+                singleCrashSuffices.delete(hash);
                 return dropContradictedMarks(hash, atMs);
             });
         },
         lastResponseMs,
         hasRecentMarks: nowMs => nowMs - lastMarkMs <= evidenceLifetimeMs,
-        findConviction(nowMs, isQuarantined) {
+        findNextToQuarantine(nowMs, isQuarantined) {
             const quarantined = [...suspects.values()].filter(({ hash }) => isQuarantined(hash));
             const found = [...suspects.values()]
-                .filter(({ hash }) => !isQuarantined(hash))
+                .filter(({ hash, crashes: own }) =>
+                    !isQuarantined(hash) && (own.size >= minCrashes || singleCrashSuffices.has(hash))
+                )
                 .map(suspect => assess(suspect, quarantined, nowMs))
                 .filter(evidence => isEvidenceSufficient(evidence, nowMs))
                 .sort((left, right) =>
@@ -285,8 +288,12 @@
             const suspect = suspects.get(suspectHash);
             return suspect !== undefined && isConfirmed(countedCrashes(suspect, nowMs));
         },
-        putOnProbation(suspectHash) {
-            onProbation.add(suspectHash);
+        requireSingleCrash(suspectHash) {
+            singleCrashSuffices.add(suspectHash);
+            const oldest = singleCrashSuffices.values().next().value;
+            if (singleCrashSuffices.size > maxSuspects && oldest !== undefined) {
+                singleCrashSuffices.delete(oldest);
+            }
             const suspect = suspects.get(suspectHash);
             if (suspect) {
                 dropMarks(suspect, () => true);
--- a/packages/dispatch/src/PoisonGuard.ts
+++ b/packages/dispatch/src/PoisonGuard.ts
@@ -117,12 +117,12 @@
         evaluatedMs = nowMs;
         announcedMs.forEach((atMs, hash) => nowMs - atMs >= responseAnnouncementIntervalMs && announcedMs.delete(hash));
         quarantine.removeExpired(nowMs).forEach(suspectHash => {
-            suspects.putOnProbation(suspectHash);
+            suspects.requireSingleCrash(suspectHash);
             log.state("quarantine-ended", { suspect: suspectHash, reason: "expired" });
         });
-        const find = () => suspects.findConviction(nowMs, quarantine.has);
-        for (let conviction = find(); conviction; conviction = find()) {
-            const { suspectHash, crashes, firstCrashAgeMs, isConfirmed } = conviction;
+        const find = () => suspects.findNextToQuarantine(nowMs, quarantine.has);
+        for (let decision = find(); decision; decision = find()) {
+            const { suspectHash, crashes, firstCrashAgeMs, isConfirmed } = decision;
             fleet.announceQuarantine(quarantine.add(suspectHash, isConfirmed, nowMs));
             metrics.count("quarantines");
             log.state("quarantined", {
