dispatch: let the next engine take the place of an ejected one

Callers of sound requests were refused for overload although an engine was free: while most engines are down, all three engines that a VM asks about a session may be ejected, and an engine behind an ejected one admitted heavy customers only when idle. Cause: an ejected engine, which will not serve the session whatever its load, counted as a candidate that lacks capacity. It is passed over now like one whose limit is reached, and the next candidate is the primary engine for this prompt.

The new test fails without the change (the first of 40 sessions is refused with one of six engines up).

--- a/packages/dispatch/__tests__/unit/Dispatcher.test.ts
+++ b/packages/dispatch/__tests__/unit/Dispatcher.test.ts
@@ -125,6 +125,25 @@
         assert.ok(next !== undefined && next !== primary);
     });
 
+    it("finds the engine that is up while most engines are ejected, the usual ones of a session among them", async () => {
+        const { acquire } = await createFixture({ engines: 6 });
+        const failed = new Set<string>();
+        for (let i = 0; i < 40; i++) {
+            const lease = await acquire(`session-${i}`, { ownTokens: 1 });
+            const isUp = lease !== undefined && !failed.has(lease.upstream.id) && failed.size === 5;
+            if (lease && !isUp) {
+                failed.add(lease.upstream.id);
+            }
+            lease?.end(isUp ? "ok" : "connect-failed");
+        }
+        assert.equal(failed.size, 5);
+        for (let i = 0; i < 40; i++) {
+            const lease = await acquire(`session-${i}`, { ownTokens: 1 });
+            assert.ok(lease && !failed.has(lease.upstream.id), `session ${i}: ${lease?.upstream.id}`);
+            lease.end("ok");
+        }
+    });
+
     it("decides from this VM's own requests while trackers do not answer, and still bounds the queue of an engine", async () => {
         const { acquire, setTrackersUnresponsive } = await createFixture({ engines: 2 });
         setTrackersUnresponsive(true);
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -58,8 +58,8 @@
 const noUpstreamRetryAfterMs = 500;
 /** Retry-After in ms when all upstreams are at capacity or cold. */
 const overloadRetryAfterMs = 400;
-/** Maximum number of trackers that are asked in addition about upstreams whose limit turns out to be reached. */
-const maxLimitedCandidates = 4;
+/** Maximum number of trackers that are asked in addition, about upstreams that are ejected or have reached their limit. */
+const maxUnavailableCandidates = 4;
 /** Maximum time in ms for which an upstream whose limit is reached is left out, before random jitter. */
 const maxPostponementMs = 500;
 /** Maximum number of trackers that are asked about one request; each question may delay it by up to 40 ms. */
@@ -207,7 +207,7 @@
     }
 
     async function acquireService(job: Job, usable: readonly UpstreamState[]): Promise<Result<Lease, DispatchRefusal>> {
-        for (let asked = 0; asked < maxLimitedCandidates; asked++) {
+        for (let asked = 0; asked < maxUnavailableCandidates; asked++) {
             const best = chooseService(
                 withoutPostponed(usable).map(state => ({
                     state,
@@ -249,7 +249,7 @@
             sessionKey(job),
             withoutPostponed(usable),
             state => state.idHash,
-            maxCandidates + maxLimitedCandidates,
+            maxCandidates + maxUnavailableCandidates,
         );
         const sharedParts = sharedPartsOf(prompt).map(({ id, tokens }) => ({ hash: core.hash32(id), tokens }));
         const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
@@ -282,12 +282,15 @@
             });
             state.limit.adopt(answer?.statedLimit, clock.nowMs());
             if (answer?.limited) {
-                // The next candidate takes the place of this one: it is not spilled over to for lack of capacity.
                 postpone(job, state);
-                continue;
             }
             const load = answer ?? localLoad(prompt, state);
             const waitMs = expectedWaitMs(load, prefillTokensPerMs);
+            if (answer?.limited || answer?.ejected) {
+                // The next candidate takes the place of this one: it is not spilled over to for lack of capacity.
+                refused ??= { upstream: state.upstream.id, load, input: { ...input, waitMs } };
+                continue;
+            }
             if (answer && candidateRank === 0) {
                 trackedLoad.record(waitMs);
             }
@@ -301,7 +304,7 @@
                 });
             }
             refused = { upstream: state.upstream.id, load, input: { ...input, waitMs } };
-            const isLast = candidateRank > 0 && !isRetry && answer?.ejected !== true && !isSpillWorthwhile(input);
+            const isLast = candidateRank > 0 && !isRetry && !isSpillWorthwhile(input);
             candidateRank++;
             if (isLast || candidateRank >= maxCandidates) {
                 break;
