fleet: share the question and answer of the tests of FleetNode

The tests that were added with the evidence on crashes wrote the same question and answer again that the tests of TrackerLink have; one of each serves both. No assertion has changed.

--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -227,25 +227,11 @@
 
 describe("TrackerLink", () => {
     const question: fleet.TrackerQuestion = {
-        upstreamHash: 0,
+        ...emptyQuestion,
         sharedParts: [{ hash: 0x7fffffff, tokens: 2_520 }, { hash: 0xffffffff, tokens: 3_780 }],
         ownTokens: 2_890,
-        longestWaitMs: 300,
-        runMs: 400,
-        isSpillover: false,
-        statedLimit: undefined,
     };
-    const answerOf = (running: number): fleet.TrackerAnswer => ({
-        granted: true,
-        ejected: false,
-        limited: false,
-        statedLimit: undefined,
-        unreadTokens: 0,
-        newTokens: 0,
-        running,
-        slowness: 1,
-        ticket: 1,
-    });
+    const answerOf = (running: number): fleet.TrackerAnswer => ({ ...unknownAnswer, running });
 
     async function startTracking(size: number) {
         const network = createNetwork(size, 3);
