gateway, router: discard the rest of a body that is refused before its end

Callers saw: a request whose body is above the limit ended with EPIPE or ECONNRESET instead of a 413.

Cause: the response was ended and the connection closed while the caller was still sending. Closing a socket with unread bytes resets the connection; the caller's next write fails, and a reset can discard a response that has arrived.

Change: the response is sent at once with its length, and the connection is closed when the body has ended, after 2 s, or after 64 MiB (RFC 9112, section 9.6). The same holds for requests that a draining process refuses before their body is read. Refusals at the connection (ConnectionRefusal) did this already.

--- /dev/null
+++ b/packages/core/src/LingeringClose.ts
@@ -0,0 +1,33 @@
+import type * as http from "node:http";
+import type { Clock } from "./Clock.js";
+
+/** Time in ms for which the rest of a request body is read and discarded. */
+const lingerMs = 2_000;
+/** Bytes of a request body that are discarded at most. */
+const maxDiscardedBytes = 64 * 1024 * 1024;
+
+/**
+ * Sends a complete response to a request whose body has not been read to its end, and closes the connection once the
+ * body has ended, after 2 s, or after 64 MiB. A connection that is closed with unread bytes is reset, and its client
+ * may lose a response that has already arrived (RFC 9112, section 9.6).
+ *
+ * The headers must have been sent, with the length of `body`.
+ */
+export function endAfterRequestBody(response: http.ServerResponse, body: Uint8Array, clock: Clock): void {
+    const request = response.req;
+    let discardedBytes = 0;
+    const end = (): void => {
+        cancelTimer();
+        request.off("end", end).off("close", end).off("data", discard);
+        response.end();
+    };
+    const discard = (chunk: Buffer): void => {
+        discardedBytes += chunk.length;
+        if (discardedBytes > maxDiscardedBytes) {
+            end();
+        }
+    };
+    const cancelTimer = clock.setTimer(lingerMs, end);
+    response.write(body);
+    request.on("data", discard).on("end", end).on("close", end).resume();
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export * from "./Hash.js";
 export * from "./Ids.js";
 export * from "./Invariant.js";
+export * from "./LingeringClose.js";
 export * from "./Peer.js";
 export * from "./Random.js";
 export * from "./SnapshotCell.js";
--- a/packages/gateway/src/CallerResponse.ts
+++ b/packages/gateway/src/CallerResponse.ts
@@ -1,4 +1,4 @@
-import type * as core from "@peridotloft/core";
+import * as core from "@peridotloft/core";
 import type * as http from "node:http";
 import { formatRefusalBody, type Refusal } from "./Refusal.js";
 import type { RawHeaders, WireCodec } from "./WireCodec.js";
@@ -22,9 +22,11 @@
     response: http.ServerResponse,
     codec: WireCodec,
     shouldClose: () => boolean,
+    clock: core.Clock,
 ): CallerResponse {
     // A write to a closed connection is not an error of this process; the close event reports the disconnect.
     response.on("error", () => undefined);
+    let hasSent = false;
 
     function writeHead(statusCode: number, headers: RawHeaders): void {
         response.sendDate = false;
@@ -41,12 +43,18 @@
             return;
         }
         writeHead(statusCode, [...headers, "Content-Length", String(body.length)]);
-        response.end(body);
+        hasSent = true;
+        if (!response.shouldKeepAlive && !response.req.complete) {
+            core.endAfterRequestBody(response, body, clock);
+        }
+        else {
+            response.end(body);
+        }
     }
 
     return {
         hasBegun: () => response.headersSent,
-        hasEnded: () => response.writableEnded || response.destroyed,
+        hasEnded: () => hasSent || response.writableEnded || response.destroyed,
         begin(statusCode, headers) {
             writeHead(statusCode, headers);
             response.flushHeaders();
--- a/packages/gateway/src/RequestBody.ts
+++ b/packages/gateway/src/RequestBody.ts
@@ -11,10 +11,7 @@
         const chunks: Buffer[] = [];
         readChunks(request, maxBytes, {
             onChunk: chunk => void chunks.push(chunk),
-            onTooLarge() {
-                request.pause();
-                resolve(err("too-large"));
-            },
+            onTooLarge: () => resolve(err("too-large")),
         });
         request.once("end", () => resolve(ok(chunks.length === 1 && chunks[0] ? chunks[0] : Buffer.concat(chunks))));
         request.once("close", () => resolve(err("disconnected")));
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -48,7 +48,12 @@
     const arrivedMs = clock.nowMs();
     const path = request.url ?? "/";
     const requestHead = codec.readRequestHead(request.rawHeaders);
-    const callerResponse = createCallerResponse(response, codec, () => context.drainElapsedMs() !== undefined);
+    const callerResponse = createCallerResponse(
+        response,
+        codec,
+        () => context.drainElapsedMs() !== undefined,
+        context.clock,
+    );
     let kind = "unknown";
     let attemptSequence: AttemptSequence | undefined;
     let callerDisconnected = false;
--- a/packages/router/__tests__/integration/BackPressure.test.ts
+++ b/packages/router/__tests__/integration/BackPressure.test.ts
@@ -51,7 +51,13 @@
         const upstreamPort = await listening(upstream);
         entry = createServer(async (_, callerResponse) => {
             const { signal } = controller.current;
-            const caller = createCallerResponse(core.requestId("r"), callerResponse, signal, () => false);
+            const caller = createCallerResponse(
+                core.requestId("r"),
+                callerResponse,
+                signal,
+                () => false,
+                core.createSystemClock(),
+            );
             const clock = core.createSystemClock();
             const call = {
                 upstream: { id: core.upstreamId("e1"), url: `http://127.0.0.1:${upstreamPort}` } as documents.Upstream,
--- a/packages/router/__tests__/integration/Requests.test.ts
+++ b/packages/router/__tests__/integration/Requests.test.ts
@@ -222,6 +222,16 @@
         });
     });
 
+    // Closing a connection with unread bytes resets it, and the caller may lose a response that has arrived already.
+    it("refuses a body above the limit before its end, and the caller can still read the refusal", async () => {
+        const body = Buffer.alloc(8_000_000);
+        const received = await Promise.all(Array.from({ length: 20 }, () => send(router, "/holds", { body })));
+        assert.deepEqual(
+            received.map(({ statusCode, complete }) => [statusCode, complete]),
+            received.map(() => [413, true]),
+        );
+    });
+
     describe("runs a non-idempotent operation", () => {
         const executionsOf = async (body: string) =>
             (await control<Executions>(service, "/admin/executions")).executions[body] ?? 0;
--- a/packages/router/src/CallerResponse.ts
+++ b/packages/router/src/CallerResponse.ts
@@ -1,4 +1,4 @@
-import type * as core from "@peridotloft/core";
+import * as core from "@peridotloft/core";
 import type { ServerResponse } from "node:http";
 import * as headers from "./HeaderUtils.js";
 import type { FailureKind, Refusal } from "./RequestFailure.js";
@@ -31,6 +31,7 @@
     response: ServerResponse,
     signal: AbortSignal,
     closesConnections: () => boolean,
+    clock: core.Clock,
 ): CallerResponse {
     let isEventStream = false;
     response.setHeader("x-request-id", requestId);
@@ -50,7 +51,12 @@
     function send(statusCode: number, list: headers.HeaderList, body: Uint8Array): void {
         const others = list.filter(([name]) => name.toLowerCase() !== "content-length");
         writeHead(statusCode, [...others, ["content-length", String(body.length)]]);
-        response.end(body);
+        if (response.getHeader("connection") === "close" && !response.req.complete) {
+            core.endAfterRequestBody(response, body, clock);
+        }
+        else {
+            response.end(body);
+        }
     }
 
     function sendJson(statusCode: number, value: unknown): void {
--- a/packages/router/src/RequestHandler.ts
+++ b/packages/router/src/RequestHandler.ts
@@ -66,7 +66,13 @@
         const startMs = context.clock.nowMs();
         const inFlight = context.inFlight.add(response);
         const requestId = core.requestId(randomUUID());
-        const caller = createCallerResponse(requestId, response, inFlight.signal, context.closesConnections);
+        const caller = createCallerResponse(
+            requestId,
+            response,
+            inFlight.signal,
+            context.closesConnections,
+            context.clock,
+        );
         response.once("close", () => {
             inFlight.close();
             recordRequestMetrics(context, response, startMs);
