dispatch: log which VM tracks the upstream of a placed request

The line `placed` said only whether a tracker had granted the request. The line now names the tracker's address; it is absent if the VM decided alone. No decision changes.

--- a/packages/dispatch/__tests__/unit/Dispatcher.test.ts
+++ b/packages/dispatch/__tests__/unit/Dispatcher.test.ts
@@ -23,7 +23,12 @@
         ),
         fleet: {
             ...standaloneView,
-            askTracker: question => Promise.resolve(areTrackersUnresponsive ? undefined : tracker?.answer(question)),
+            askTracker: question =>
+                Promise.resolve(
+                    areTrackersUnresponsive || !tracker
+                        ? undefined
+                        : { ...tracker.answer(question), tracker: "10.0.0.1" },
+                ),
             reportAttempt: report => tracker?.recordReport(report),
             registerTracker(added) {
                 tracker = added;
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -74,6 +74,15 @@
     readonly expectedMs: number;
     /** Ticket issued by the upstream's tracker; 0 if there is none. */
     readonly ticket: number;
+    /** Address of the VM that tracks the upstream; undefined if it was not asked or did not answer. */
+    readonly tracker: string | undefined;
+}
+
+/** Whether a request may be sent to an upstream of a plain service. */
+interface Permit {
+    readonly granted: boolean;
+    /** Address of the VM that decided; undefined if this VM did. */
+    readonly tracker: string | undefined;
 }
 
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
@@ -154,7 +163,7 @@
             running: chosen.load.running,
             slowness: chosen.load.slowness,
             expectedMs: Math.round(chosen.expectedMs),
-            tracked: chosen.ticket > 0,
+            tracker: chosen.tracker,
         });
         if (cost > 0) {
             usage.record(customerHash, cost, clock.nowMs());
@@ -164,10 +173,10 @@
     }
 
     /** Asks the tracker of an upstream of a plain service for a permit, if the upstream may have stated a limit. */
-    async function isPermitted(job: Job, state: UpstreamState): Promise<boolean> {
+    async function requestPermit(job: Job, state: UpstreamState): Promise<Permit> {
         // Other VMs may know of a limit that this VM has not seen yet.
         if (state.hasResponded() && !state.limit.isLimited()) {
-            return true;
+            return { granted: true, tracker: undefined };
         }
         const answer = await fleet.askTracker({
             upstreamHash: state.idHash,
@@ -179,7 +188,8 @@
             statedLimit: state.limit.current(clock.nowMs()),
         });
         state.limit.adopt(answer?.statedLimit, clock.nowMs());
-        return answer ? !answer.limited : state.limit.tryTake(clock.nowMs());
+        const granted = answer ? !answer.limited : state.limit.tryTake(clock.nowMs());
+        return { granted, tracker: answer?.tracker };
     }
 
     /** Leaves an upstream out until about the next permit, so that not every request asks its tracker in vain. */
@@ -220,13 +230,15 @@
             if (!best) {
                 break;
             }
-            if (await isPermitted(job, best.state)) {
+            const { granted, tracker } = await requestPermit(job, best.state);
+            if (granted) {
                 const load = { unreadTokens: 0, newTokens: 0, running: best.running, slowness: 1 };
                 return grantLease(job, best.state.upstream.id, {
                     load,
                     candidateRank: 0,
                     expectedMs: expectedServiceMs,
                     ticket: 0,
+                    tracker,
                 });
             }
             postpone(job, best.state);
@@ -301,6 +313,7 @@
                     candidateRank,
                     expectedMs: expectedFirstEventMs(load, prefillTokensPerMs),
                     ticket: answer?.ticket ?? 0,
+                    tracker: answer?.tracker,
                 });
             }
             refused = { upstream: state.upstream.id, load, input: { ...input, waitMs } };
--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -11,7 +11,7 @@
 import { type Datagram, decodeDatagram, encodeDatagram } from "./Datagram.js";
 import type { DatagramSocket } from "./DatagramSocket.js";
 import { createTrackerLink } from "./TrackerLink.js";
-import type { AttemptReport, Tracker, TrackerAnswer, TrackerQuestion } from "./TrackerMessages.js";
+import type { AttemptReport, Tracker, TrackerQuestion, TrackerReply } from "./TrackerMessages.js";
 
 export interface FleetNodeOptions {
     /** IPv4 address of this VM. */
@@ -48,7 +48,7 @@
     /** Announces the usage of a customer to other VMs, within 500 ms as long as the bandwidth suffices. */
     announceUsage(usage: CustomerCost): void;
     /** Asks the tracker of an upstream; undefined if it does not answer within 40 ms. */
-    askTracker(question: TrackerQuestion): Promise<TrackerAnswer | undefined>;
+    askTracker(question: TrackerQuestion): Promise<TrackerReply | undefined>;
     /** Reports the outcome of an attempt to the tracker of its upstream. */
     reportAttempt(report: AttemptReport): void;
     /** Sets the handler for the upstreams that this VM tracks; returns a function that removes it. */
--- a/packages/fleet/src/TrackerLink.ts
+++ b/packages/fleet/src/TrackerLink.ts
@@ -1,7 +1,7 @@
 import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
 import type { Datagram } from "./Datagram.js";
-import type { AttemptReport, Tracker, TrackerAnswer, TrackerQuestion } from "./TrackerMessages.js";
+import type { AttemptReport, Tracker, TrackerAnswer, TrackerQuestion, TrackerReply } from "./TrackerMessages.js";
 
 export interface TrackerLinkOptions {
     readonly address: string;
@@ -20,7 +20,7 @@
  * membership, an upstream can have two trackers, each of which records only a part of its load.
  */
 export interface TrackerLink {
-    ask(question: TrackerQuestion): Promise<TrackerAnswer | undefined>;
+    ask(question: TrackerQuestion): Promise<TrackerReply | undefined>;
     report(report: AttemptReport): void;
     registerTracker(tracker: Tracker): () => void;
     handleQuestion(number: number, question: TrackerQuestion, from: string): void;
@@ -86,7 +86,7 @@
             const peer = trackerOf(question.upstreamHash);
             if (peer === address) {
                 metrics.count("trackerQuestions", { outcome: "own" });
-                return Promise.resolve(tracker?.answer(question));
+                return Promise.resolve(tracker && { ...tracker.answer(question), tracker: address });
             }
             lastNumber = (lastNumber + 1) >>> 0;
             const number = lastNumber;
@@ -98,7 +98,7 @@
                 const settle = (answer: TrackerAnswer | undefined): void => {
                     cancelTimer();
                     pendingQuestions.delete(number);
-                    resolve(answer);
+                    resolve(answer && { ...answer, tracker: peer });
                 };
                 pendingQuestions.set(number, settle);
                 options.send({ kind: "question", number, question }, peer);
--- a/packages/fleet/src/TrackerMessages.ts
+++ b/packages/fleet/src/TrackerMessages.ts
@@ -54,6 +54,12 @@
     readonly ticket: number;
 }
 
+/** An answer as the asking VM receives it. */
+export interface TrackerReply extends TrackerAnswer {
+    /** IPv4 address of the VM that answered. */
+    readonly tracker: string;
+}
+
 /** Reports the outcome of an attempt to the tracker of the upstream. */
 export interface AttemptReport {
     readonly upstreamHash: number;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -10,4 +10,5 @@
     Tracker,
     TrackerAnswer,
     TrackerQuestion,
+    TrackerReply,
 } from "./TrackerMessages.js";
