fleet: VMs that start greet the others, and are told of them

Cause: an upstream had several trackers. While a tracker is down, its successor by rank grants permits. After its restart the others resume with it only when an announcement of it reaches them, which takes up to several seconds of a fleet's rounds, and VMs that restart know three seeds only and choose trackers among few. Each of these trackers grants the whole limit. In the own test fleet (66 VMs, 30 engines of 4 requests/s) three trackers of one engine granted 2 requests per half second each from 0.7 to 5 s after a kill.

Ruled out: the decisions of VMs without an answer of the tracker (0 to 2 of the requests of a window), lost limits.

Change: a VM sends one small announcement to each VM that it learns of, 32 KB per run at most, and answers the first announcement of a VM's run with up to 60 addresses (2,000 bytes/s, 8,000 at once). VMs that restart and the others know of each other after 400 ms instead of seconds.

Tests: FleetNode "lets VMs that restart and the others know of each other within 400 ms" failed before.

--- a/packages/dispatch/__tests__/unit/DispatchFleet.ts
+++ b/packages/dispatch/__tests__/unit/DispatchFleet.ts
@@ -15,6 +15,8 @@
     readonly seed: number;
     /** Share of the datagrams between VMs that are lost. */
     readonly lossShare?: number;
+    /** Share of the datagrams between VMs that arrive after a question has timed out, as from a busy VM. */
+    readonly lateShare?: number;
 }
 
 /** A prompt that a caller sends. */
@@ -52,6 +54,10 @@
 const statedDelayMs = 500;
 const serviceRoute: typeof route = { ...route, kind: "idempotent", objectiveMs: 120, timeoutMs: 1_000 };
 const servicePool = core.poolId("register");
+/** Delay in ms of a datagram. */
+const datagramMs = 1;
+/** Delay in ms of a late datagram. */
+const lateDatagramMs = 70;
 /** Time in ms that a plain service takes. */
 const serviceResponseMs = 40;
 
@@ -65,7 +71,8 @@
  * VMs with a dispatcher each, and upstreams. Engines crash when they begin to respond to a prompt with certain parts, and
  * upstreams may state a limit in their responses.
  */
-export async function createDispatchFleet({ vms, engines, services = 0, seed, lossShare = 0 }: DispatchFleetOptions) {
+export async function createDispatchFleet(options: DispatchFleetOptions) {
+    const { vms, engines, services = 0, seed, lossShare = 0, lateShare = 0 } = options;
     const clock = testing.createVirtualClock();
     const random = testing.createSeededRandom(seed);
     const metrics = testing.createNoopMetrics();
@@ -118,8 +125,12 @@
             seeds: ["10.0.0.1", "10.0.0.2", "10.0.0.3"],
             incarnation: ++incarnation,
             socket: {
-                send: (bytes, to) =>
-                    void (random() >= lossShare && clock.setTimer(1, () => receivers.get(to)?.(bytes, address))),
+                send(bytes, to) {
+                    if (random() >= lossShare) {
+                        const delayMs = lateShare > 0 && random() < lateShare ? lateDatagramMs : datagramMs;
+                        clock.setTimer(delayMs, () => receivers.get(to)?.(bytes, address));
+                    }
+                },
                 onMessage: receive => void receivers.set(address, receive),
                 close: () => void receivers.delete(address),
             },
@@ -134,8 +145,14 @@
     }
 
     const fleet = Array.from({ length: vms }, (_, index) => startVm(index));
+    const downVms = new Set<number>();
     await clock.advance(6_000);
 
+    function randomVm(): number {
+        const running = fleet.map((_, index) => index).filter(index => !downVms.has(index));
+        return running[Math.floor(random() * running.length)] ?? 0;
+    }
+
     function publish(changes: readonly catalog.PositionedChange[]): void {
         snapshot.update(current => catalog.applyChanges(current, changes, clock.nowMs()));
     }
@@ -264,7 +281,7 @@
     }
 
     async function serve(prompt: OfferedPrompt, fingerprint: number): Promise<RequestOutcome> {
-        const vm = prompt.vm ?? Math.floor(random() * vms);
+        const vm = prompt.vm ?? randomVm();
         const job = createJob(prompt, fingerprint);
         const avoided = new Set<core.UpstreamId>();
         for (let attempt = 0; attempt < route.maxAttempts; attempt++) {
@@ -293,7 +310,7 @@
             const outcome = await serve(prompt, fingerprint);
             return outcome === "failed" ? serve(prompt, fingerprint) : outcome;
         },
-        callService: (): Promise<RequestOutcome> => callService(Math.floor(random() * vms)),
+        callService: (): Promise<RequestOutcome> => callService(randomVm()),
         /** Makes a number of engines, or of upstreams of the plain service, state a limit; returns their ids. */
         limitUpstreams(count: number, limitPerS: number, kind: "engine" | "service"): readonly core.UpstreamId[] {
             const limited = [...upstreamById.values()]
@@ -324,6 +341,18 @@
                 })
             );
         },
+        /** Ends VMs, and starts them without state after `downMs`. */
+        killVms(indexes: readonly number[], downMs: number): void {
+            indexes.filter(index => !downVms.has(index)).forEach(index => {
+                downVms.add(index);
+                fleet[index]!.dispatcher.dispose();
+                fleet[index]!.node.dispose();
+                clock.setTimer(downMs, () => {
+                    downVms.delete(index);
+                    fleet[index] = startVm(index);
+                });
+            });
+        },
         /** Replaces a VM by one without state. */
         restartVm(index: number): void {
             fleet[index]!.dispatcher.dispose();
--- a/packages/dispatch/__tests__/unit/StatedLimits.test.ts
+++ b/packages/dispatch/__tests__/unit/StatedLimits.test.ts
@@ -12,26 +12,28 @@
 
 const promptsPerS = 60;
 const callsPerS = 40;
+const defaultPrompts = { ratePerS: promptsPerS, sessions: 40 };
+const manyPrompts = { ratePerS: 400, sessions: 400 };
 
 describe("Upstreams that state a limit", () => {
     let fleet: DispatchFleet;
     afterEach(() => fleet.dispose());
 
     /** Sends prompts and calls at a constant rate. */
-    async function offerLoad(durationMs: number, calls = 0) {
+    async function offerLoad(durationMs: number, calls = 0, { ratePerS, sessions } = defaultPrompts) {
         const prompts: RequestOutcome[] = [];
         const services: RequestOutcome[] = [];
         const endMs = fleet.clock.nowMs() + durationMs;
-        const callShare = calls / (calls + promptsPerS);
+        const callShare = calls / (calls + ratePerS);
         while (fleet.clock.nowMs() < endMs) {
             if (fleet.random() < callShare) {
                 void fleet.callService().then(outcome => services.push(outcome));
             }
             else {
-                const session = `session-${Math.floor(fleet.random() * 40)}`;
+                const session = `session-${Math.floor(fleet.random() * sessions)}`;
                 void fleet.offer({ sharedParts: ["template", session] }).then(outcome => prompts.push(outcome));
             }
-            await fleet.clock.advance(1_000 / (calls + promptsPerS));
+            await fleet.clock.advance(1_000 / (calls + ratePerS));
         }
         return { prompts, services };
     }
@@ -118,6 +120,22 @@
             });
         });
 
+        it(`get no more than it from 66 VMs of which many are killed at once and restart, seed ${seed}`, async () => {
+            const vms = 66;
+            fleet = await createDispatchFleet({ vms, engines: 30, services: 6, seed, lateShare: 0.05 });
+            const randomVms = (share: number) =>
+                Array.from({ length: vms }, (_, vm) => vm).filter(() => fleet.random() < share);
+            await offerLoad(3_000, callsPerS, manyPrompts);
+            const sinceMs = fleet.clock.nowMs();
+            const limited = [...fleet.limitUpstreams(30, 4, "engine"), ...fleet.limitUpstreams(4, 5, "service")];
+            await offerLoad(5_000, callsPerS, manyPrompts);
+            fleet.killVms(randomVms(0.3), 1_000);
+            await offerLoad(6_000, callsPerS, manyPrompts);
+            fleet.killVms(randomVms(0.6), 1_000);
+            await offerLoad(6_000, callsPerS, manyPrompts);
+            limited.forEach(id => checkLimit(id, String(id).startsWith("r") ? 5 : 4, sinceMs, `seed ${seed}`));
+        });
+
         it(`get no more than it while VMs restart without state, seed ${seed}`, async () => {
             fleet = await createDispatchFleet({ vms: 6, engines: 8, services: 3, seed });
             await offerLoad(3_000, callsPerS);
--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -36,14 +36,15 @@
     const receivers = new Map<string, (bytes: Uint8Array, from: string) => void>();
     const sentBytes = new Map<string, number>();
     const partitioned = new Set<string>();
+    const log = testing.createRecordingLog();
     let lossShare = 0;
     const addresses = Array.from({ length: size }, (_, index) => `10.0.${index >> 8}.${index & 255}`);
-    const nodes = addresses.map(address =>
+    const createNode = (address: string, incarnation: bigint) =>
         fleet.createFleetNode({
             address,
             zone: core.zoneId(`z${Number(address.split(".").at(-1)) % 3}`),
             seeds: addresses.slice(0, seedCount),
-            incarnation: 1n,
+            incarnation,
             socket: {
                 send(bytes, to) {
                     sentBytes.set(address, (sentBytes.get(address) ?? 0) + bytes.length + 42);
@@ -56,11 +57,11 @@
             },
             clock,
             random,
-            log: testing.createRecordingLog(),
+            log,
             metrics: testing.createNoopMetrics(),
             ...(budgetBytesPerS === undefined ? {} : { budgetBytesPerS }),
-        })
-    );
+        });
+    const nodes = addresses.map(address => createNode(address, 1n));
     nodes.forEach(node => node.start());
     return {
         clock,
@@ -68,7 +69,16 @@
         addresses,
         partitioned,
         sentBytes,
+        log,
         setLossShare: (share: number): void => void (lossShare = share),
+        /** Ends VMs. */
+        stop: (indexes: readonly number[]): void => indexes.forEach(index => nodes[index]!.dispose()),
+        /** Starts VMs, which know only the seeds. */
+        restart: (indexes: readonly number[]): void =>
+            indexes.forEach(index => {
+                nodes[index] = createNode(addresses[index]!, 2n);
+                nodes[index].start();
+            }),
     };
 }
 
@@ -206,6 +216,22 @@
         assert.ok(Math.abs(received.quarantines[0]!.atMs - since) <= 3);
     });
 
+    it("lets VMs that restart and the others know of each other within 400 ms", async () => {
+        const size = 66;
+        const { clock, nodes, addresses, sentBytes, log, stop, restart } = createNetwork(size, 3);
+        await clock.advance(10_000);
+        const restarted = addresses.map((_, index) => index).filter(index => index % 3 === 1);
+        stop(restarted);
+        await clock.advance(1_000);
+        restart(restarted);
+        sentBytes.clear();
+        await clock.advance(400);
+        restarted.forEach(index => assert.equal(nodes[index]!.vmCount(), size));
+        const heard = log.lines.filter(({ event, fields }) => event === "peer-heard" && fields["incarnation"] === "2");
+        assert.equal(heard.length, restarted.length * (size - 1));
+        sentBytes.forEach((bytes, address) => assert.ok(bytes <= 12_000, `${address}: ${bytes} bytes`));
+    });
+
     it("stays within the bandwidth limit in a large fleet, and scales received usage to the right sum", async () => {
         const size = 120;
         const budgetBytesPerS = 5_000;
--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -84,6 +84,13 @@
 const usageIntervalMs = 400;
 /** Interval in ms of heartbeats, which are announcements without usage. */
 const heartbeatIntervalMs = 500;
+/** Bytes for greetings, in addition to the limit and once per run: enough for each VM of the target size. */
+const greetingBytes = 32_000;
+/** Bandwidth in bytes/s, in addition to the limit, for welcomes to VMs that have started, and the most at once in bytes. */
+const welcomeBytesPerS = 2_000;
+const maxWelcomeBytes = 8_000;
+/** Addresses of other VMs in a welcome. */
+const membersPerWelcome = 60;
 /** Minimum time in ms after which an unresponsive VM counts as dead. Tolerates six lost heartbeats in a small fleet. */
 const minPeerTimeoutMs = 3_000;
 /** The peer timeout is this multiple of the interval between two announcements to a peer under the bandwidth limit. */
@@ -111,6 +118,8 @@
     lastDatagramMs: number;
     /** Time in ms at which another VM last listed this one as a member. */
     lastListedMs: number;
+    /** Whether a datagram has been sent to its current run. */
+    isGreeted: boolean;
     incarnation: bigint;
     zoneHash: number;
 }
@@ -132,6 +141,8 @@
     let trackerTrafficBytes = 0;
     /** Bytes available for new evidence in addition to the others. */
     let evidenceBytes = evidenceBytesPerS;
+    let availableGreetingBytes = greetingBytes;
+    let availableWelcomeBytes = maxWelcomeBytes;
     let lastMembersSentMs = Number.NEGATIVE_INFINITY;
     let lastTickMs = clock.nowMs();
     let lastSentMs = Number.NEGATIVE_INFINITY;
@@ -153,6 +164,7 @@
             peers.set(address, {
                 lastDatagramMs: Number.NEGATIVE_INFINITY,
                 lastListedMs: Number.NEGATIVE_INFINITY,
+                isGreeted: false,
                 incarnation: 0n,
                 zoneHash: 0,
             });
@@ -226,9 +238,54 @@
         }
         if (peer.incarnation !== incarnation) {
             log.state("peer-heard", { peer: from, incarnation: String(incarnation), vmCount: vmCount() });
+            peer.isGreeted = peer.isGreeted && peer.incarnation === 0n;
         }
         peer.incarnation = incarnation;
         peer.zoneHash = zoneHash;
+        if (!peer.isGreeted) {
+            welcome(from, peer);
+        }
+    }
+
+    /** Sends an announcement outside the rounds, if it takes no more than `maxBytes`. Returns the bytes that it took. */
+    function sendDirectly(address: string, peer: Peer, members: readonly string[], maxBytes: number): number {
+        const bytes = encodeDatagram({
+            kind: "announcement",
+            announcement: {
+                incarnation: options.incarnation,
+                sampling: 1,
+                crashEvidence: crashEvidence.next(),
+                usages: [],
+                members,
+                zoneHash,
+            },
+        }, clock.nowMs());
+        const sizeBytes = bytes.length + datagramOverheadBytes;
+        if (sizeBytes > maxBytes) {
+            return 0;
+        }
+        peer.isGreeted = true;
+        metrics.count("peerMessages", { direction: "sent" });
+        socket.send(bytes, address);
+        return sizeBytes;
+    }
+
+    /**
+     * Greets VMs to which nothing has been sent yet. The rounds reach a VM of a large fleet only after seconds, in which
+     * the others would still choose other trackers in place of a VM that has restarted.
+     */
+    function greetPeers(): void {
+        peers.forEach((peer, address) => {
+            if (!peer.isGreeted) {
+                availableGreetingBytes -= sendDirectly(address, peer, [], availableGreetingBytes);
+            }
+        });
+    }
+
+    /** Sends a VM that has started the addresses of the others. */
+    function welcome(address: string, peer: Peer): void {
+        const members = core.shuffle(directlyAlivePeers(), random).slice(0, membersPerWelcome);
+        availableWelcomeBytes -= sendDirectly(address, peer, members, availableWelcomeBytes);
     }
 
     function alivePeers(): readonly string[] {
@@ -259,6 +316,7 @@
         availableBytes = Math.max(availableBytes, reservedBytes);
         reservedBytes = Math.min(minAnnouncementBytesPerS, reservedBytes + minAnnouncementBytesPerS * periodS);
         evidenceBytes = Math.min(evidenceBytesPerS, evidenceBytes + evidenceBytesPerS * periodS);
+        availableWelcomeBytes = Math.min(maxWelcomeBytes, availableWelcomeBytes + welcomeBytesPerS * periodS);
         trackerTrafficBytes = 0;
         lastTickMs = nowMs;
         seeds.forEach(addPeer);
@@ -270,6 +328,7 @@
                 peers.delete(address);
                 log.state("peer-forgotten", { peer: address, silentMs: peerRemovalMs });
             });
+        greetPeers();
         const minIntervalMs = crashEvidence.hasPending()
             ? 0
             : pendingCosts.size > 0
@@ -281,7 +340,7 @@
     }
 
     /** Returns peers in rounds, each in random order, so that the time between two sends to the same peer is bounded. */
-    function nextReceivers(count: number): readonly string[] {
+    function nextReceivers(count: number): readonly (readonly [string, Peer])[] {
         if (remainingInRound.length < count) {
             const stillInRound = new Set(remainingInRound);
             remainingInRound = [
@@ -289,7 +348,10 @@
                 ...core.shuffle([...peers.keys()].filter(address => !stillInRound.has(address)), random),
             ];
         }
-        return remainingInRound.splice(0, count).filter(address => peers.has(address));
+        return remainingInRound.splice(0, count).flatMap(address => {
+            const peer = peers.get(address);
+            return peer ? [[address, peer] as const] : [];
+        });
     }
 
     function sendAnnouncement(): void {
@@ -323,7 +385,10 @@
             return;
         }
         const bytes = encode(count / known.length);
-        nextReceivers(count).forEach(address => socket.send(bytes, address));
+        nextReceivers(count).forEach(([address, peer]) => {
+            peer.isGreeted = true;
+            socket.send(bytes, address);
+        });
         usages.forEach(({ customerHash }) => pendingCosts.delete(customerHash));
         lastMembersSentMs = includesMembers ? clock.nowMs() : lastMembersSentMs;
         metrics.count("peerMessages", { direction: "sent" }, count);
