fleet: skip an unresponsive tracker for 250 ms at first, and longer each time

Callers saw: on networks that lose datagrams, and beside trackers that answer too late, upstreams got up to twice the limit that they state.

Cause: after one question without an answer within 40 ms, a VM left the tracker out for ten seconds, or until a datagram of it arrived; in a large fleet that takes seconds. Meanwhile the VM's questions go to the successor, which grants the whole limit a second time.

Change: the first delay is 250 ms and doubles, up to the ten seconds, with each further timeout until a datagram arrives. Questions that time out together count once. A tracker that is gone costs a VM six timeouts in 17 s instead of two.

--- a/packages/dispatch/__tests__/unit/StatedLimits.test.ts
+++ b/packages/dispatch/__tests__/unit/StatedLimits.test.ts
@@ -136,6 +136,15 @@
             limited.forEach(id => checkLimit(id, String(id).startsWith("r") ? 5 : 4, sinceMs, `seed ${seed}`));
         });
 
+        it(`get no more than it from 66 VMs that lose datagrams, seed ${seed}`, async () => {
+            fleet = await createDispatchFleet({ vms: 66, engines: 30, seed, lossShare: 0.05 });
+            await offerLoad(3_000, 0, manyPrompts);
+            const sinceMs = fleet.clock.nowMs();
+            const limited = fleet.limitUpstreams(30, 4, "engine");
+            await offerLoad(10_000, 0, manyPrompts);
+            limited.forEach(id => checkLimit(id, 4, sinceMs, `seed ${seed}`));
+        });
+
         it(`get no more than it while VMs restart without state, seed ${seed}`, async () => {
             fleet = await createDispatchFleet({ vms: 6, engines: 8, services: 3, seed });
             await offerLoad(3_000, callsPerS);
--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -307,6 +307,33 @@
         assert.ok(second !== undefined && second !== first);
     });
 
+    it("asks a tracker again within a second of a lost question, but one that remains unresponsive less and less", async () => {
+        const { clock, nodes, partitioned, addresses, log } = await startTracking(120);
+        const ask = async (): Promise<number | undefined> => {
+            const answer = nodes[0]!.askTracker({ ...question, upstreamHash: 99 });
+            await clock.advance(50);
+            return (await answer)?.running;
+        };
+        const first = await ask();
+        assert.ok(first !== undefined && first !== 0, "the upstream of this test is tracked by another VM");
+        for (let lost = 0; lost < 3; lost++) {
+            partitioned.add(addresses[first]!);
+            assert.equal(await ask(), undefined);
+            partitioned.clear();
+            await clock.advance(900);
+            assert.equal(await ask(), first);
+        }
+        partitioned.add(addresses[first]!);
+        const linesBefore = log.count("tracker-silent");
+        for (let sent = 0; sent < 200; sent++) {
+            await ask();
+        }
+        assert.ok(
+            log.count("tracker-silent") - linesBefore <= 6,
+            `${log.count("tracker-silent") - linesBefore} in 10 s`,
+        );
+    });
+
     it("keeps the control traffic of a VM at 21 requests/s within 5,000 bytes/s", async () => {
         const { clock, nodes, sentBytes } = await startTracking(78);
         const run = async (seconds: number): Promise<void> => {
--- a/packages/fleet/src/TrackerLink.ts
+++ b/packages/fleet/src/TrackerLink.ts
@@ -42,15 +42,22 @@
 
 /** Timeout in ms of a question; the round trip takes about 2 ms, and a busy VM adds some tens of ms. */
 const answerTimeoutMs = 40;
-/** Time in ms for which an unresponsive VM is not chosen as a tracker, unless a datagram from it arrives earlier. */
-const trackerRetryDelayMs = 10_000;
+/**
+ * Time in ms for which a VM is not chosen as a tracker after a question without an answer, unless a datagram from it
+ * arrives earlier. It doubles with each further timeout: the first one may be a lost datagram, and meanwhile the upstream
+ * has a second tracker for this VM.
+ */
+const minRetryDelayMs = 250;
+const maxRetryDelayMs = 10_000;
+/** Time in ms after the end of such a delay until the timeout is forgotten. */
+const timeoutMemoryMs = 30_000;
 /** Time in ms for which the choice of trackers is cached before it is recomputed from the live VMs. */
 const candidatesRefreshMs = 500;
 
 export function createTrackerLink(options: TrackerLinkOptions): TrackerLink {
     const { address, clock, log, metrics } = options;
     const pendingQuestions = new Map<number, (answer: TrackerAnswer | undefined) => void>();
-    const unresponsiveUntilMs = new Map<string, number>();
+    const timeouts = new Map<string, { readonly untilMs: number; readonly delayMs: number; }>();
     const trackerByUpstream = new Map<number, string>();
     let candidates: readonly { readonly address: string; readonly hash: number; }[] = [];
     let candidatesUpdatedMs = Number.NEGATIVE_INFINITY;
@@ -62,10 +69,8 @@
         if (nowMs - candidatesUpdatedMs >= candidatesRefreshMs) {
             candidatesUpdatedMs = nowMs;
             trackerByUpstream.clear();
-            unresponsiveUntilMs.forEach((untilMs, unresponsive) =>
-                untilMs <= nowMs && unresponsiveUntilMs.delete(unresponsive)
-            );
-            candidates = [address, ...options.alivePeers().filter(peer => !unresponsiveUntilMs.has(peer))]
+            timeouts.forEach(({ untilMs }, peer) => nowMs - untilMs > timeoutMemoryMs && timeouts.delete(peer));
+            candidates = [address, ...options.alivePeers().filter(peer => !isSkipped(peer, nowMs))]
                 .map(candidate => ({ address: candidate, hash: core.hash32(candidate) }));
         }
         const cached = trackerByUpstream.get(upstreamHash);
@@ -83,11 +88,21 @@
         return highest.address;
     }
 
+    const isSkipped = (peer: string, nowMs: number): boolean =>
+        (timeouts.get(peer)?.untilMs ?? Number.NEGATIVE_INFINITY) > nowMs;
+
     function recordTimeout(peer: string): void {
-        unresponsiveUntilMs.set(peer, clock.nowMs() + trackerRetryDelayMs);
-        candidatesUpdatedMs = Number.NEGATIVE_INFINITY;
+        const nowMs = clock.nowMs();
         metrics.count("trackerQuestions", { outcome: "silent" });
-        log.state("tracker-silent", { peer, waitedMs: answerTimeoutMs });
+        // Questions that were sent together time out together.
+        if (isSkipped(peer, nowMs)) {
+            return;
+        }
+        const previous = timeouts.get(peer);
+        const delayMs = previous ? Math.min(maxRetryDelayMs, 2 * previous.delayMs) : minRetryDelayMs;
+        timeouts.set(peer, { untilMs: nowMs + delayMs, delayMs });
+        candidatesUpdatedMs = Number.NEGATIVE_INFINITY;
+        log.state("tracker-silent", { peer, waitedMs: answerTimeoutMs, skippedMs: delayMs });
     }
 
     return {
@@ -147,7 +162,7 @@
             }
         },
         recordDatagramFrom(peer) {
-            if (unresponsiveUntilMs.delete(peer)) {
+            if (timeouts.delete(peer)) {
                 candidatesUpdatedMs = Number.NEGATIVE_INFINITY;
             }
         },
