core: one evictOldest in place of five copies

CrashSuspects, Quarantine and RepeatedSends each wrote again what ReplayGuard had as a local function: remove the first entry of a map or set that has grown beyond its maximum. The function moves to packages/core and serves all of them. Behaviour is the same; the eviction of suspects, which also drops their marks by run, stays where it is. ReplayGuard, CrashSuspects, Quarantine, PromptQuarantine and FleetNode pass (87 tests).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./Clock.js";
+export * from "./EvictOldest.js";
 export * from "./Gossip.js";
 export * from "./Hash.js";
 export * from "./Ids.js";
--- a/packages/dispatch/src/CrashSuspects.ts
+++ b/packages/dispatch/src/CrashSuspects.ts
@@ -1,3 +1,4 @@
+import * as core from "@peridotloft/core";
 import type * as fleets from "@peridotloft/fleet";
 
 /** Collects evidence on which requests, or which parts of prompts, crash the upstreams that respond to them. */
@@ -145,10 +146,7 @@
         const previousMs = responseTimesMs.get(hash) ?? Number.NEGATIVE_INFINITY;
         responseTimesMs.delete(hash);
         responseTimesMs.set(hash, Math.max(previousMs, atMs));
-        const oldest = responseTimesMs.keys().next().value;
-        if (responseTimesMs.size > maxResponseTimes && oldest !== undefined) {
-            responseTimesMs.delete(oldest);
-        }
+        core.evictOldest(responseTimesMs, maxResponseTimes);
     }
 
     /** Drops the marks that a response to a suspect, or of a run, contradicts; returns whether there were any. */
@@ -290,10 +288,7 @@
         },
         requireSingleCrash(suspectHash) {
             singleCrashSuffices.add(suspectHash);
-            const oldest = singleCrashSuffices.values().next().value;
-            if (singleCrashSuffices.size > maxSuspects && oldest !== undefined) {
-                singleCrashSuffices.delete(oldest);
-            }
+            core.evictOldest(singleCrashSuffices, maxSuspects);
             const suspect = suspects.get(suspectHash);
             if (suspect) {
                 dropMarks(suspect, () => true);
--- a/packages/dispatch/src/Quarantine.ts
+++ b/packages/dispatch/src/Quarantine.ts
@@ -1,3 +1,4 @@
+import * as core from "@peridotloft/core";
 import type * as fleets from "@peridotloft/fleet";
 
 /** Requests and parts of prompts that are not sent to upstreams, since they crash them. */
@@ -38,12 +39,8 @@
         counts.set(mark.suspectHash, mark.count);
         quarantines.delete(mark.suspectHash);
         quarantines.set(mark.suspectHash, mark);
-        [quarantines, counts].forEach(map => {
-            const oldest = map.keys().next().value;
-            if (map.size > maxQuarantines && oldest !== undefined) {
-                map.delete(oldest);
-            }
-        });
+        core.evictOldest(quarantines, maxQuarantines);
+        core.evictOldest(counts, maxQuarantines);
     }
 
     return {
--- a/packages/fleet/src/RepeatedSends.ts
+++ b/packages/fleet/src/RepeatedSends.ts
@@ -1,3 +1,5 @@
+import * as core from "@peridotloft/core";
+
 /** A queue whose items are sent until each peer has probably received them, although single datagrams may be lost. */
 export interface RepeatedSends<T> {
     /** Queues an item; it replaces a queued one with the same key. */
@@ -32,10 +34,7 @@
             const key = keyOf(item);
             pending.delete(key);
             pending.set(key, { item, sendsLeft: sendsPerPeer });
-            const oldest = pending.keys().next().value;
-            if (pending.size > maxPending && oldest !== undefined) {
-                pending.delete(oldest);
-            }
+            core.evictOldest(pending, maxPending);
         },
         hasPending: () => pending.size > 0,
         next: () => nextEntries().map(([, { item }]) => item),
--- a/packages/peering/src/ReplayGuard.ts
+++ b/packages/peering/src/ReplayGuard.ts
@@ -1,3 +1,4 @@
+import * as core from "@peridotloft/core";
 import * as constants from "./PeeringConstants.js";
 
 /** Reason for which an authentic envelope is rejected. */
@@ -30,7 +31,7 @@
             const window = existing?.incarnation === incarnation ? existing : createWindow(incarnation);
             windows.delete(sender);
             windows.set(sender, window);
-            evictOldest(windows, maxSenders);
+            core.evictOldest(windows, maxSenders);
             return acceptCounter(window, counter) ? undefined : "replayed";
         },
         size: () => windows.size,
@@ -69,10 +70,3 @@
     }
     window.highest = counter;
 }
-
-function evictOldest(windows: Map<string, CounterWindow>, maxSenders: number): void {
-    const oldest = windows.keys().next().value;
-    if (windows.size > maxSenders && oldest !== undefined) {
-        windows.delete(oldest);
-    }
-}
