fleet: build announcements in one place

Greetings had copied the construction of an announcement from the rounds. Both call encodeAnnouncement now. Tried and left out: encoding the greeting once for all VMs of a tick.

--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -247,19 +247,14 @@
         }
     }
 
+    function encodeAnnouncement(contents: Omit<Announcement, "incarnation" | "zoneHash">): Uint8Array {
+        const announcement = { incarnation: options.incarnation, zoneHash, ...contents };
+        return encodeDatagram({ kind: "announcement", announcement }, clock.nowMs());
+    }
+
     /** Sends an announcement outside the rounds, if it takes no more than `maxBytes`. Returns the bytes that it took. */
     function sendDirectly(address: string, peer: Peer, members: readonly string[], maxBytes: number): number {
-        const bytes = encodeDatagram({
-            kind: "announcement",
-            announcement: {
-                incarnation: options.incarnation,
-                sampling: 1,
-                crashEvidence: crashEvidence.next(),
-                usages: [],
-                members,
-                zoneHash,
-            },
-        }, clock.nowMs());
+        const bytes = encodeAnnouncement({ sampling: 1, crashEvidence: crashEvidence.next(), usages: [], members });
         const sizeBytes = bytes.length + datagramOverheadBytes;
         if (sizeBytes > maxBytes) {
             return 0;
@@ -367,17 +362,7 @@
             ? core.shuffle(directlyAlivePeers(), random).slice(0, membersPerAnnouncement)
             : [];
         const encode = (sampling: number): Uint8Array =>
-            encodeDatagram({
-                kind: "announcement",
-                announcement: {
-                    incarnation: options.incarnation,
-                    sampling,
-                    crashEvidence: evidence,
-                    usages,
-                    members,
-                    zoneHash,
-                },
-            }, clock.nowMs());
+            encodeAnnouncement({ sampling, crashEvidence: evidence, usages, members });
         const sizeBytes = encode(1).length + datagramOverheadBytes;
         const extraBytes = crashEvidence.hasPending() ? evidenceBytes : 0;
         const count = Math.min(known.length, Math.floor((availableBytes + extraBytes) / sizeBytes));
