dispatch: one function asks the tracker for engines and plain services

Both paths sent the limit that this VM knows with their question and adopted the one of the answer, each in its own copy. Behaviour and the order of clock readings are the same.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,5 +1,6 @@
 import type * as catalog from "@peridotloft/catalog";
 import * as core from "@peridotloft/core";
+import type { TrackerQuestion, TrackerReply } from "@peridotloft/fleet";
 import type * as telemetry from "@peridotloft/telemetry";
 import { err, ok, type Result } from "neverthrow";
 import { createCustomerUsage } from "./CustomerUsage.js";
@@ -172,22 +173,33 @@
         return ok(state.openLease(job, chosen.load.newTokens, chosen.expectedMs, chosen.ticket));
     }
 
+    /** Asks the tracker of an upstream; both tell each other the limit that the upstream states. */
+    async function askTracker(
+        state: UpstreamState,
+        question: Omit<TrackerQuestion, "upstreamHash" | "statedLimit">,
+    ): Promise<TrackerReply | undefined> {
+        const answer = await fleet.askTracker({
+            ...question,
+            upstreamHash: state.idHash,
+            statedLimit: state.limit.current(clock.nowMs()),
+        });
+        state.limit.adopt(answer?.statedLimit, clock.nowMs());
+        return answer;
+    }
+
     /** Asks the tracker of an upstream of a plain service for a permit, if the upstream may have stated a limit. */
     async function requestPermit(job: Job, state: UpstreamState): Promise<Permit> {
         // Other VMs may know of a limit that this VM has not seen yet.
         if (state.hasResponded() && !state.limit.isLimited()) {
             return { granted: true, tracker: undefined };
         }
-        const answer = await fleet.askTracker({
-            upstreamHash: state.idHash,
+        const answer = await askTracker(state, {
             sharedParts: [],
             ownTokens: 0,
             longestWaitMs: Math.max(0, job.deadlineMs - clock.nowMs()),
             runMs: 0,
             isSpillover: false,
-            statedLimit: state.limit.current(clock.nowMs()),
         });
-        state.limit.adopt(answer?.statedLimit, clock.nowMs());
         const granted = answer ? !answer.limited : state.limit.tryTake(clock.nowMs());
         return { granted, tracker: answer?.tracker };
     }
@@ -281,8 +293,7 @@
                 : candidateRank === 0
                 ? maxWaitMs(input)
                 : maxSpillWaitMs(input);
-            const answer = await fleet.askTracker({
-                upstreamHash: state.idHash,
+            const answer = await askTracker(state, {
                 sharedParts,
                 ownTokens: Math.max(0, prompt.inputTokens - sharedTokens),
                 longestWaitMs: Math.max(0, waitLimitMs),
@@ -290,9 +301,7 @@
                 // Adds the repeated prefill to the wait, except for retries, and for heavy customers, whose prompts spill
                 // over only to idle engines.
                 isSpillover: candidateRank > 0 && !isRetry && maySpill(input),
-                statedLimit: state.limit.current(clock.nowMs()),
             });
-            state.limit.adopt(answer?.statedLimit, clock.nowMs());
             if (answer?.limited) {
                 postpone(job, state);
             }
