dispatch: look a tracked upstream up once per question

The tracker looked the upstream up to find its state and again for the limit that this VM knows itself. Same behaviour; Dispatcher, LargeFleet and StatedLimits pass.

--- a/packages/dispatch/src/UpstreamTracker.ts
+++ b/packages/dispatch/src/UpstreamTracker.ts
@@ -63,9 +63,10 @@
 
     function stateOf(upstreamHash: number): TrackedUpstream | undefined {
         const known = options.stateOf(upstreamHash);
-        if (!known) {
-            return undefined;
-        }
+        return known && track(upstreamHash, known);
+    }
+
+    function track(upstreamHash: number, known: TrackedState): TrackedUpstream {
         evictIdle();
         const state = trackedUpstreams.get(upstreamHash);
         if (state && state.upstream.startedWallMs === known.upstream.startedWallMs) {
@@ -129,11 +130,12 @@
 
     return {
         answer(question): TrackerAnswer {
-            const state = stateOf(question.upstreamHash);
-            if (!state) {
+            const known = options.stateOf(question.upstreamHash);
+            if (!known) {
                 // The catalog of this VM is behind that of the sender, so the sender's choice is accepted.
                 return { ...unknownUpstreamAnswer, newTokens: question.ownTokens + sumOfTokens(question.sharedParts) };
             }
+            const state = track(question.upstreamHash, known);
             const nowMs = clock.nowMs();
             state.lastAskedMs = nowMs;
             state.expectedEndsMs = state.expectedEndsMs.filter(expectedEndMs => expectedEndMs > nowMs);
@@ -150,7 +152,7 @@
             const ejected = state.health.isEjected(nowMs);
             const hasCapacity = !ejected && running < state.upstream.slots
                 && waitMs + prefixPrefillMs <= question.longestWaitMs;
-            [question.statedLimit, options.stateOf(question.upstreamHash)?.limit.current(nowMs)]
+            [question.statedLimit, known.limit.current(nowMs)]
                 .forEach(limit => state.limit.adopt(limit, nowMs));
             const granted = hasCapacity && state.limit.tryTake(nowMs);
             const statedLimit = state.limit.current(nowMs);
