dispatch: keep what an upstream has stated in the fields of its state

Whether an upstream has responded and until when it is left out were local variables behind four functions, beside a state object that holds the rest as fields. They are fields like the others now. Same behaviour; Dispatcher, UpstreamTable, LargeFleet, StatedLimits and PromptQuarantine pass (81 tests).

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -190,7 +190,7 @@
     /** Asks the tracker of an upstream of a plain service for a permit, if the upstream may have stated a limit. */
     async function requestPermit(job: Job, state: UpstreamState): Promise<Permit> {
         // Other VMs may know of a limit that this VM has not seen yet.
-        if (state.hasResponded() && !state.limit.isLimited()) {
+        if (state.hasResponded && !state.limit.isLimited()) {
             return { granted: true, tracker: undefined };
         }
         const answer = await askTracker(state, {
@@ -221,7 +221,7 @@
     }
 
     const withoutPostponed = (states: readonly UpstreamState[]): readonly UpstreamState[] =>
-        states.filter(state => !state.isPostponed(clock.nowMs()));
+        states.filter(state => state.postponedUntilMs <= clock.nowMs());
 
     function refuseLimited(job: Job): DispatchRefusal {
         log.failure("limits-reached", { requestId: job.requestId, pool: job.pool });
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -49,9 +49,9 @@
     /** The limit that the upstream states; its permits are this VM's share, for the time in which its tracker does not reply. */
     readonly limit: LimitState;
     /** Whether this VM has had a response of the upstream's current run. */
-    hasResponded(): boolean;
-    /** Whether the upstream is left out because its limit is exhausted. */
-    isPostponed(nowMs: number): boolean;
+    readonly hasResponded: boolean;
+    /** Time in ms until which the upstream is left out because its limit is exhausted. */
+    readonly postponedUntilMs: number;
     postpone(untilMs: number): void;
     /** @param ticket issued by the upstream's tracker; 0 if there is none. */
     openLease(job: Job, newTokens: number, expectedMs: number, ticket: number): Lease;
@@ -166,8 +166,6 @@
         // The VMs share the cache of an engine; this VM assumes an equal share for the prompts that it sends.
         const localCacheTokens = (): number => cacheTokens(upstream.pool) / Math.max(1, fleet.vmCount());
         const slowness = createSlowness();
-        let responded = false;
-        let postponedUntilMs = Number.NEGATIVE_INFINITY;
         const state: MutableState = {
             upstream,
             idHash: core.hash32(upstream.id),
@@ -177,10 +175,9 @@
             localQueuedTokens: 0,
             coldLimiter: undefined,
             limit: createLimitState(() => 1 / Math.max(1, fleet.vmCount())),
-            hasResponded: () => responded,
-            isPostponed: nowMs => nowMs < postponedUntilMs,
-            postpone: untilMs => void (postponedUntilMs = untilMs),
-            recordResponded: () => void (responded = true),
+            hasResponded: false,
+            postponedUntilMs: Number.NEGATIVE_INFINITY,
+            postpone: untilMs => void (state.postponedUntilMs = untilMs),
             backlog: createBacklog(() => prefillTokensPerMs(upstream.pool)),
             cache: createPrefixCache(localCacheTokens),
             health: createUpstreamHealth((forMs, failureShare) => {
@@ -254,7 +251,7 @@
             recordStatedLimit(limitPerS) {
                 const nowMs = clock.nowMs();
                 const previousPerS = state.limit.current(nowMs)?.limitPerS;
-                state.recordResponded();
+                state.hasResponded = true;
                 const statedLimit = { limitPerS, atMs: nowMs };
                 if (state.limit.adopt(statedLimit, nowMs)) {
                     fleet.reportLimit({ upstreamHash: state.idHash, statedLimit });
@@ -363,10 +360,11 @@
     coldUntilMs: number;
     localRunning: number;
     localQueuedTokens: number;
+    hasResponded: boolean;
+    postponedUntilMs: number;
     coldLimiter: TokenBucket | undefined;
     readonly backlog: Backlog;
     recordFirstByte(tookMs: number, expectedMs: number, nowMs: number): void;
-    recordResponded(): void;
 }
 
 function isSameRun(left: catalog.KnownUpstream, right: catalog.KnownUpstream): boolean {
