core: decide in one place whether a response waits for the rest of the request

Gateway and router each asked whether the connection closes and the request is unread before they chose between two ways to end a response. endResponse takes that decision.

--- a/packages/core/src/LingeringClose.ts
+++ b/packages/core/src/EndResponse.ts
@@ -7,14 +7,23 @@
 const maxDiscardedBytes = 64 * 1024 * 1024;
 
 /**
- * Sends a complete response to a request whose body has not been read to its end, and closes the connection once the
- * body has ended, after 2 s, or after 64 MiB. A connection that is closed with unread bytes is reset, and its client
- * may lose a response that has already arrived (RFC 9112, section 9.6).
+ * Sends the body of a response whose headers, with the length of `body`, have been sent, and ends the response.
  *
- * The headers must have been sent, with the length of `body`.
+ * If the connection is closed after it and the request's body has not been read to its end, the response ends once that body
+ * has ended, after 2 s, or after 64 MiB: a connection that is closed with unread bytes is reset, and its client may
+ * lose a response that has already arrived (RFC 9112, section 9.6).
  */
-export function endAfterRequestBody(response: http.ServerResponse, body: Uint8Array, clock: Clock): void {
+export function endResponse(
+    response: http.ServerResponse,
+    body: Uint8Array,
+    closesConnection: boolean,
+    clock: Clock,
+): void {
     const request = response.req;
+    if (!closesConnection || request.complete) {
+        response.end(body);
+        return;
+    }
     let discardedBytes = 0;
     const end = (): void => {
         cancelTimer();
--- a/packages/gateway/src/CallerResponse.ts
+++ b/packages/gateway/src/CallerResponse.ts
@@ -44,12 +44,7 @@
         }
         writeHead(statusCode, [...headers, "Content-Length", String(body.length)]);
         hasSent = true;
-        if (!response.shouldKeepAlive && !response.req.complete) {
-            core.endAfterRequestBody(response, body, clock);
-        }
-        else {
-            response.end(body);
-        }
+        core.endResponse(response, body, !response.shouldKeepAlive, clock);
     }
 
     return {
--- a/packages/router/src/CallerResponse.ts
+++ b/packages/router/src/CallerResponse.ts
@@ -51,12 +51,7 @@
     function send(statusCode: number, list: headers.HeaderList, body: Uint8Array): void {
         const others = list.filter(([name]) => name.toLowerCase() !== "content-length");
         writeHead(statusCode, [...others, ["content-length", String(body.length)]]);
-        if (response.getHeader("connection") === "close" && !response.req.complete) {
-            core.endAfterRequestBody(response, body, clock);
-        }
-        else {
-            response.end(body);
-        }
+        core.endResponse(response, body, response.getHeader("connection") === "close", clock);
     }
 
     function sendJson(statusCode: number, value: unknown): void {
