testing: one simulated datagram network for four test fleets

FleetNode, LargeFleet, DispatchFleet and the bench of announcements each connected VMs with their own map of receivers. createDatagramNetwork does it; each fleet states the delay or the loss of a datagram. Two tests of TrackerLink also shared a copy of the function that asks. Draws of random numbers and clock readings are the same, no assertion changed: FleetNode, LargeFleet, PromptQuarantine and StatedLimits pass (85 tests).

--- a/packages/bench/src/announcements.ts
+++ b/packages/bench/src/announcements.ts
@@ -20,9 +20,15 @@
 async function measure(size: number) {
     const clock = testing.createVirtualClock();
     const random = testing.createSeededRandom(size);
-    const receivers = new Map<string, (bytes: Uint8Array, from: string) => void>();
     const addresses = Array.from({ length: size }, (_, index) => `10.0.${index >> 8}.${index & 255}`);
     let bytes = 0;
+    const network = testing.createDatagramNetwork({
+        clock,
+        delayMs(_from, _to, message) {
+            bytes += message.length + datagramOverheadBytes;
+            return 1;
+        },
+    });
     let receivedWeight = 0;
     let receivedUsages = 0;
     let askedQuestions = 0;
@@ -60,14 +66,7 @@
             zone: core.zoneId(`zone-${index % 12}`),
             seeds: addresses.slice(0, 3),
             incarnation: 1n,
-            socket: {
-                send(message, to) {
-                    bytes += message.length + datagramOverheadBytes;
-                    clock.setTimer(1, () => receivers.get(to)?.(message, address));
-                },
-                onMessage: receive => void receivers.set(address, receive),
-                close: () => undefined,
-            },
+            socket: network.openSocket(address),
             clock,
             random,
             log: testing.createRecordingLog(),
--- a/packages/dispatch/__tests__/unit/DispatchFleet.ts
+++ b/packages/dispatch/__tests__/unit/DispatchFleet.ts
@@ -76,7 +76,15 @@
     const clock = testing.createVirtualClock();
     const random = testing.createSeededRandom(seed);
     const metrics = testing.createNoopMetrics();
-    const receivers = new Map<string, (bytes: Uint8Array, from: string) => void>();
+    const network = testing.createDatagramNetwork({
+        clock,
+        delayMs: () =>
+            random() < lossShare
+                ? undefined
+                : lateShare > 0 && random() < lateShare
+                ? lateDatagramMs
+                : datagramMs,
+    });
     const snapshot = core.createSnapshotCell(
         catalog.applyChanges(
             catalog.emptySnapshot,
@@ -124,16 +132,7 @@
             zone: core.zoneId(`z${index % 3}`),
             seeds: ["10.0.0.1", "10.0.0.2", "10.0.0.3"],
             incarnation: ++incarnation,
-            socket: {
-                send(bytes, to) {
-                    if (random() >= lossShare) {
-                        const delayMs = lateShare > 0 && random() < lateShare ? lateDatagramMs : datagramMs;
-                        clock.setTimer(delayMs, () => receivers.get(to)?.(bytes, address));
-                    }
-                },
-                onMessage: receive => void receivers.set(address, receive),
-                close: () => void receivers.delete(address),
-            },
+            socket: network.openSocket(address),
             clock,
             random,
             log,
--- a/packages/dispatch/__tests__/unit/LargeFleet.test.ts
+++ b/packages/dispatch/__tests__/unit/LargeFleet.test.ts
@@ -47,7 +47,7 @@
     const random = testing.createSeededRandom(seed);
     const log = testing.createRecordingLog();
     const metrics = testing.createNoopMetrics();
-    const receivers = new Map<string, (bytes: Uint8Array, from: string) => void>();
+    const network = testing.createDatagramNetwork({ clock, delayMs: () => 1 });
     const addresses = Array.from({ length: vms }, (_, index) => `10.0.0.${index + 1}`);
     const snapshot = core.createSnapshotCell(catalog.applyChanges(
         catalog.emptySnapshot,
@@ -60,11 +60,7 @@
             zone: core.zoneId(`z${index % 3}`),
             seeds: addresses.slice(0, 2),
             incarnation: 1n,
-            socket: {
-                send: (bytes, to) => void clock.setTimer(1, () => receivers.get(to)?.(bytes, address)),
-                onMessage: receive => void receivers.set(address, receive),
-                close: () => void receivers.delete(address),
-            },
+            socket: network.openSocket(address),
             clock,
             random,
             log,
--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -33,11 +33,17 @@
 function createNetwork(size: number, seedCount: number, budgetBytesPerS?: number) {
     const clock = testing.createVirtualClock();
     const random = testing.createSeededRandom(7);
-    const receivers = new Map<string, (bytes: Uint8Array, from: string) => void>();
     const sentBytes = new Map<string, number>();
     const partitioned = new Set<string>();
     const log = testing.createRecordingLog();
     let lossShare = 0;
+    const network = testing.createDatagramNetwork({
+        clock,
+        delayMs(from, to, bytes) {
+            sentBytes.set(from, (sentBytes.get(from) ?? 0) + bytes.length + 42);
+            return !partitioned.has(from) && !partitioned.has(to) && random() >= lossShare ? 1 : undefined;
+        },
+    });
     const addresses = Array.from({ length: size }, (_, index) => `10.0.${index >> 8}.${index & 255}`);
     const createNode = (address: string, incarnation: bigint) =>
         fleet.createFleetNode({
@@ -45,16 +51,7 @@
             zone: core.zoneId(`z${Number(address.split(".").at(-1)) % 3}`),
             seeds: addresses.slice(0, seedCount),
             incarnation,
-            socket: {
-                send(bytes, to) {
-                    sentBytes.set(address, (sentBytes.get(address) ?? 0) + bytes.length + 42);
-                    if (!partitioned.has(address) && !partitioned.has(to) && random() >= lossShare) {
-                        clock.setTimer(1, () => receivers.get(to)?.(bytes, address));
-                    }
-                },
-                onMessage: receive => void receivers.set(address, receive),
-                close: () => void receivers.delete(address),
-            },
+            socket: network.openSocket(address),
             clock,
             random,
             log,
@@ -280,7 +277,13 @@
             return upstreams;
         });
         await network.clock.advance(20_000);
-        return { ...network, questionsByNode };
+        /** The first VM asks about an upstream; returns the index of the VM that answers. */
+        const ask = async (): Promise<number | undefined> => {
+            const answer = network.nodes[0]!.askTracker({ ...question, upstreamHash: 99 });
+            await network.clock.advance(50);
+            return (await answer)?.running;
+        };
+        return { ...network, questionsByNode, ask };
     }
 
     it("chooses the same tracker of an upstream on all VMs of a large fleet", async () => {
@@ -293,12 +296,7 @@
     });
 
     it("returns no answer when a tracker is unresponsive, and asks another one the next time", async () => {
-        const { clock, nodes, partitioned, addresses } = await startTracking(30);
-        const ask = async (): Promise<number | undefined> => {
-            const answer = nodes[0]!.askTracker({ ...question, upstreamHash: 99 });
-            await clock.advance(50);
-            return (await answer)?.running;
-        };
+        const { ask, partitioned, addresses } = await startTracking(30);
         const first = await ask();
         assert.ok(first !== undefined && first !== 0, "the upstream of this test is tracked by another VM");
         partitioned.add(addresses[first]!);
@@ -308,12 +306,7 @@
     });
 
     it("asks a tracker again within a second of a lost question, but one that remains unresponsive less and less", async () => {
-        const { clock, nodes, partitioned, addresses, log } = await startTracking(120);
-        const ask = async (): Promise<number | undefined> => {
-            const answer = nodes[0]!.askTracker({ ...question, upstreamHash: 99 });
-            await clock.advance(50);
-            return (await answer)?.running;
-        };
+        const { clock, ask, partitioned, addresses, log } = await startTracking(120);
         const first = await ask();
         assert.ok(first !== undefined && first !== 0, "the upstream of this test is tracked by another VM");
         for (let lost = 0; lost < 3; lost++) {
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./DatagramNetwork.js";
 export * from "./FakeEngine.js";
 export * from "./FakeGossip.js";
 export * from "./FakePlatform.js";
