--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -135,6 +135,7 @@
         const retryAfterMs = computeRetryAfterMs(input, random);
         log.failure("admission-refused", {
             requestId: job.requestId,
+            customer: job.customer,
             upstream,
             waitMs: Math.round(input.waitMs),
             objectiveMs: input.objectiveMs,
@@ -157,6 +158,7 @@
         const cost = tokenCost(job.prompt);
         log.decision("placed", {
             requestId: job.requestId,
+            customer: job.customer,
             upstream: id,
             homeRank: chosen.candidateRank,
             newTokens: chosen.load.newTokens,
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -107,12 +107,13 @@
         });
     }
 
-    function recordRefusedConnection({ requestId }: CallerRequest, refusal: Refusal, heldMs: number): void {
+    function recordRefusedConnection({ requestId, key }: CallerRequest, refusal: Refusal, heldMs: number): void {
         const { reason, statusCode, retryAfterMs } = refusal;
         metrics.count("requests", { kind: "unknown", outcome: String(statusCode) });
         metrics.count("refusals", { reason });
         log.failure("request-refused", {
             requestId,
+            customer: follower.snapshot.read().activeConfig?.customersByKey.get(key ?? "")?.id,
             reason,
             statusCode,
             retryAfterMs,
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -55,6 +55,7 @@
         context.clock,
     );
     let kind = "unknown";
+    let customer: core.CustomerId | undefined;
     let attemptSequence: AttemptSequence | undefined;
     let callerDisconnected = false;
     let deadlineExceeded = false;
@@ -78,6 +79,7 @@
         metrics.count("refusals", { reason: refusal.reason });
         log.failure("request-refused", {
             requestId: requestHead.requestId,
+            customer,
             reason: refusal.reason,
             statusCode: refusal.statusCode,
             begun: callerResponse.hasBegun(),
@@ -98,10 +100,11 @@
             return refuse(allowed.error);
         }
         kind = allowed.value.route.kind;
+        customer = allowed.value.customer?.id;
         if (!isAcceptedWhileDraining(timeoutOf(allowed.value.route))) {
             return refuse(createRefusal("draining"));
         }
-        if (context.overload.refusesRequest(context.dispatcher.relativeUsage(allowed.value.customer?.id))) {
+        if (context.overload.refusesRequest(context.dispatcher.relativeUsage(customer))) {
             return refuse(createRefusal("processor-overloaded"));
         }
         const maxBodyBytes = context.follower.snapshot.read().activeConfig?.config.limits.maxBodyBytes ?? 0;
@@ -132,7 +135,7 @@
     }
 
     function serve(requestId: core.RequestId, allowed: AllowedRequest, body: Buffer): Promise<void> | void {
-        const { route, customer } = allowed;
+        const { route } = allowed;
         const pool = choosePool(route, context.random);
         if (pool === undefined) {
             return refuse(createRefusal("no-upstream"));
@@ -141,12 +144,12 @@
             requestId,
             route,
             pool,
-            customer: customer?.id,
-            priority: customer?.priority ?? route.priority,
+            customer,
+            priority: allowed.customer?.priority ?? route.priority,
             prompt: requestHead.prompt,
             arrivedMs,
             deadlineMs: arrivedMs + timeoutOf(route),
-            fingerprint: () => core.hash32(`${path} ${customer?.id ?? ""} ${body.toString("latin1")}`),
+            fingerprint: () => core.hash32(`${path} ${customer ?? ""} ${body.toString("latin1")}`),
         };
         const sequence = createAttemptSequence(context, {
             job,
@@ -177,8 +180,8 @@
         if (job.customer === undefined) {
             return true;
         }
-        const customer = context.follower.snapshot.read().activeConfig?.customersByKey.get(requestHead.key ?? "");
-        return customer?.id === job.customer && freshness.acceptsKeysWithoutConfirming();
+        const holder = context.follower.snapshot.read().activeConfig?.customersByKey.get(requestHead.key ?? "");
+        return holder?.id === job.customer && freshness.acceptsKeysWithoutConfirming();
     }
 
     async function serveBuffered(job: dispatch.Job, sequence: AttemptSequence): Promise<void> {
