dispatch: limit the slots of heavy customers like their waits

Cause: an engine admits a prompt if its wait is short enough, which depends on the usage of the customer, and if it has a free slot, which does not. So freed slots went to whoever asked first, in proportion to demand. The load that scales the bounds of heavy customers counted waits only, and was 0.57 although the engines were full. Class of fault: fair admission in front of one resource while another one binds.

Change: a question to a tracker carries the share of the slots that may be in use, 1 - 0.85 x relative usage x load, like the bound on the wait; the load is the larger one of the waits' and the slots' (idle up to half of the slots in use, full from 0.9). It takes 2 bytes of a question, none for customers without such a bound.

--- a/packages/bench/src/announcements.ts
+++ b/packages/bench/src/announcements.ts
@@ -43,6 +43,7 @@
             sharedParts: [{ hash: 0x9abcdef0, tokens: 2_520 }, { hash: 0x12345678, tokens: 3_780 }],
             ownTokens: 2_890,
             longestWaitMs: 300,
+            maxSlotShare: 0.4,
             runMs: 400,
             isSpillover: false,
             statedLimit: undefined,
--- a/packages/dispatch/__tests__/unit/LargeFleet.test.ts
+++ b/packages/dispatch/__tests__/unit/LargeFleet.test.ts
@@ -9,14 +9,19 @@
 
 const sharedTokens = 6_300;
 const ownTokens = 2_890;
+/** Time in ms from the end of the prefill of a prompt to its first event. */
+const firstEventDelayMs = 70;
 
 interface FleetSizes {
     readonly vms: number;
     readonly engines: number;
     readonly sessions: number;
     readonly customers: number;
-    /** Load relative to the prefill capacity of the engines if each session is cached by one engine only. */
+    /** Load relative to the capacity of the engines if each session is cached by one engine only. */
     readonly load: number;
+    /** Slots of an engine, and the time in ms from a prompt's first event to its last. */
+    readonly slots?: number;
+    readonly runMs?: number;
     /** Share of the requests moved to the customer "c0", in addition to those of its own sessions. */
     readonly heavyShare?: number;
 }
@@ -40,7 +45,7 @@
 
 /** Dispatchers of a fleet, and engines that prefill one prompt at a time. */
 async function createFleet(
-    { vms, engines, sessions, customers, load, heavyShare = 0 }: FleetSizes,
+    { vms, engines, sessions, customers, load, slots = 128, runMs = 300, heavyShare = 0 }: FleetSizes,
     seed: number,
 ) {
     const clock = testing.createVirtualClock();
@@ -51,7 +56,7 @@
     const addresses = Array.from({ length: vms }, (_, index) => `10.0.0.${index + 1}`);
     const snapshot = core.createSnapshotCell(catalog.applyChanges(
         catalog.emptySnapshot,
-        fleetChanges(engines, 128),
+        fleetChanges(engines, slots),
         clock.nowMs(),
     ));
     const nodes = addresses.map((address, index) =>
@@ -102,12 +107,12 @@
         const prefillMs = ((isCached ? 0 : sharedTokens) + ownTokens) / prefillTokensPerMs;
         const prefilledAtMs = Math.max(engineFreeAtMs.get(id) ?? 0, clock.nowMs()) + prefillMs;
         engineFreeAtMs.set(id, prefilledAtMs);
-        clock.setTimer(prefilledAtMs + 70 - clock.nowMs(), () => {
+        clock.setTimer(prefilledAtMs + firstEventDelayMs - clock.nowMs(), () => {
             lease.value.recordFirstByte();
             const isOnTime = clock.nowMs() - arrivedMs <= route.objectiveMs ? 1 : 0;
             counts.onTime += isOnTime;
             customerCounts.onTime += isOnTime;
-            clock.setTimer(300, () => lease.value.end("ok"));
+            clock.setTimer(runMs, () => lease.value.end("ok"));
         });
     }
 
@@ -116,7 +121,8 @@
         countsByCustomer,
         /** Offers prompts as a Poisson process. */
         async run(durationMs: number): Promise<void> {
-            const meanGapMs = ownTokens / prefillTokensPerMs / engines / load;
+            const prefillMs = ownTokens / prefillTokensPerMs;
+            const meanGapMs = Math.max(prefillMs, (prefillMs + firstEventDelayMs + runMs) / slots) / engines / load;
             const endMs = clock.nowMs() + durationMs;
             for (let number = 0; clock.nowMs() < endMs; number++) {
                 void offer(number);
@@ -174,4 +180,32 @@
         const capacity = (durationMs * engines * prefillTokensPerMs) / ownTokens;
         assert.ok(onTime >= capacity * 0.9, `${Math.round(onTime)} of ${Math.round(capacity)} on time`);
     });
+
+    it("does not refuse light customers for want of slots while one customer demands more than half of them", async () => {
+        const seeds = [14, 15];
+        let light = { offered: 0, onTime: 0 };
+        for (const seed of seeds) {
+            const fleet = await createFleet(
+                {
+                    vms: 30,
+                    engines: 24,
+                    sessions: 360,
+                    customers: 30,
+                    load: 1.4,
+                    slots: 12,
+                    runMs: 1_500,
+                    heavyShare: 0.5,
+                },
+                seed,
+            );
+            await fleet.run(8_000);
+            fleet.resetCounts();
+            await fleet.run(6_000);
+            fleet.dispose();
+            fleet.countsByCustomer.forEach(({ offered, onTime }, id) => {
+                light = id === "c0" ? light : { offered: light.offered + offered, onTime: light.onTime + onTime };
+            });
+        }
+        assert.ok(light.onTime >= light.offered * 0.9, `${light.onTime} of ${light.offered} on time`);
+    });
 });
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -8,6 +8,7 @@
     computeRetryAfterMs,
     type EngineAdmissionInput,
     isSpillWorthwhile,
+    maxSlotShare,
     maxSpillWaitMs,
     maxWaitMs,
     maySpill,
@@ -141,6 +142,7 @@
             objectiveMs: input.objectiveMs,
             relativeUsage: input.relativeUsage,
             load: input.meanLoad,
+            maxSlotShare: maxSlotShare(input),
             unreadTokens: Math.round(load.unreadTokens),
             running: load.running,
             slowness: load.slowness,
@@ -199,6 +201,7 @@
             sharedParts: [],
             ownTokens: 0,
             longestWaitMs: Math.max(0, job.deadlineMs - clock.nowMs()),
+            maxSlotShare: 1,
             runMs: 0,
             isSpillover: false,
         });
@@ -295,10 +298,12 @@
                 : candidateRank === 0
                 ? maxWaitMs(input)
                 : maxSpillWaitMs(input);
+            const slotShare = isRetry ? 1 : maxSlotShare(input);
             const answer = await askTracker(state, {
                 sharedParts,
                 ownTokens: Math.max(0, prompt.inputTokens - sharedTokens),
                 longestWaitMs: Math.max(0, waitLimitMs),
+                maxSlotShare: slotShare,
                 runMs: table.expectedRunMs(job),
                 // Adds the repeated prefill to the wait, except for retries, and for heavy customers, whose prompts spill
                 // over only to idle engines.
@@ -315,9 +320,9 @@
                 continue;
             }
             if (answer && candidateRank === 0) {
-                trackedLoad.record(waitMs);
+                trackedLoad.record(waitMs, Math.min(1, load.running / state.upstream.slots));
             }
-            const hasCapacity = waitMs <= waitLimitMs && load.running < state.upstream.slots;
+            const hasCapacity = waitMs <= waitLimitMs && load.running < state.upstream.slots * slotShare;
             if (answer?.granted ?? (hasCapacity && state.limit.tryTake(clock.nowMs()))) {
                 return grantLease(job, state.upstream.id, {
                     load,
--- a/packages/dispatch/src/EngineAdmission.ts
+++ b/packages/dispatch/src/EngineAdmission.ts
@@ -14,7 +14,10 @@
 
 /** Share of the objective that may be spent waiting. The rest is for the prefill and for estimation errors. */
 const maxWaitShare = 0.6;
-/** Share by which the allowed wait of the heaviest customer is reduced under full load, so that it is refused first. */
+/**
+ * Share by which the allowed wait, and the slots, of the heaviest customer are reduced under full load, so that it is refused
+ * first.
+ */
 const heaviestCustomerReduction = 0.85;
 /** Wait in ms up to which every prompt is admitted: it corresponds to one or two prompts in prefill. */
 const alwaysAdmittedWaitMs = 60;
@@ -35,6 +38,17 @@
     return alwaysAdmittedWaitMs + allowedMs * (1 - heaviestCustomerReduction * relativeUsage * meanLoad);
 }
 
+/**
+ * The share of an engine's slots, above 0 and at most 1, that may be in use for a prompt to be admitted. Engines with few slots
+ * run out of them before prompts wait for their prefill. Without this bound, the slots that become free go to whoever asks
+ * first, so customers are served in proportion to what they ask for.
+ */
+export function maxSlotShare(
+    { relativeUsage, meanLoad }: Pick<EngineAdmissionInput, "relativeUsage" | "meanLoad">,
+): number {
+    return 1 - heaviestCustomerReduction * relativeUsage * meanLoad;
+}
+
 /** Relative usage, weighted by load, up to which a prompt may spill over when its primary engine has no capacity. */
 const maxSpillUsage = 0.3;
 
--- a/packages/dispatch/src/Placement.ts
+++ b/packages/dispatch/src/Placement.ts
@@ -6,6 +6,9 @@
 const delayPerRunningMs = 0.1;
 /** Mean queue wait in ms at which engines count as fully loaded. */
 const fullLoadWaitMs = 150;
+/** Mean share of the slots in use up to which engines count as idle, and from which they count as fully loaded. */
+const idleSlotShare = 0.5;
+const fullLoadSlotShare = 0.9;
 
 /** Load of an engine at the time when a prompt is dispatched to it. The names are those of `TrackerAnswer`. */
 export interface EngineLoad {
@@ -31,9 +34,15 @@
         * slowness;
 }
 
-/** Load, 0 to 1, of engines whose mean queue wait is `waitMs`. */
-export function loadFromWaitMs(waitMs: number): number {
-    return Math.min(1, waitMs / fullLoadWaitMs);
+/**
+ * Load, 0 to 1, of engines.
+ *
+ * @param waitMs mean queue wait in ms.
+ * @param slotShare mean share of the slots in use, 0 to 1.
+ */
+export function loadOf(waitMs: number, slotShare: number): number {
+    const slotLoad = (slotShare - idleSlotShare) / (fullLoadSlotShare - idleSlotShare);
+    return Math.min(1, Math.max(0, waitMs / fullLoadWaitMs, slotLoad));
 }
 
 /** Load and health of one upstream of a plain service. */
--- a/packages/dispatch/src/UpstreamTracker.ts
+++ b/packages/dispatch/src/UpstreamTracker.ts
@@ -150,7 +150,7 @@
                 ? Math.max(0, newTokens - question.ownTokens) / prefillTokensPerMs
                 : 0;
             const ejected = state.health.isEjected(nowMs);
-            const hasCapacity = !ejected && running < state.upstream.slots
+            const hasCapacity = !ejected && running < state.upstream.slots * question.maxSlotShare
                 && waitMs + prefixPrefillMs <= question.longestWaitMs;
             [question.statedLimit, known.limit.current(nowMs)]
                 .forEach(limit => state.limit.adopt(limit, nowMs));
--- a/packages/fleet/src/Datagram.ts
+++ b/packages/fleet/src/Datagram.ts
@@ -37,6 +37,7 @@
                     sharedTokens: question.sharedParts.map(({ tokens }) => toUint32(tokens)),
                     ownTokens: toUint32(question.ownTokens),
                     longestWaitMs: toUint32(question.longestWaitMs),
+                    maxSlotPercent: toSlotPercent(question.maxSlotShare),
                     runMs: toUint32(question.runMs),
                     away: question.isSpillover,
                     statedLimit: toStatedLimitMessage(question.statedLimit, nowMs),
@@ -103,7 +104,17 @@
             return announcement && { kind: "announcement", announcement };
         }
         case "question": {
-            const { number, upstream, sharedParts, sharedTokens, ownTokens, longestWaitMs, runMs, away } = body.value;
+            const {
+                number,
+                upstream,
+                sharedParts,
+                sharedTokens,
+                ownTokens,
+                longestWaitMs,
+                maxSlotPercent,
+                runMs,
+                away,
+            } = body.value;
             const statedLimit = fromStatedLimitMessage(body.value.statedLimit, nowMs);
             return {
                 kind: "question",
@@ -113,6 +124,7 @@
                     sharedParts: sharedParts.map((hash, index) => ({ hash, tokens: sharedTokens[index] ?? 0 })),
                     ownTokens,
                     longestWaitMs,
+                    maxSlotShare: fromSlotPercent(maxSlotPercent),
                     runMs,
                     isSpillover: away,
                     statedLimit,
@@ -175,6 +187,15 @@
     return { limitPerS: message.limitPerS, atMs: nowMs - message.ageMs };
 }
 
+/** Converts a share to percent; 0 stands for 100, since a field of value 0 takes no bytes. */
+function toSlotPercent(share: number): number {
+    return Math.min(100, Math.max(1, Math.round(share * 100))) % 100;
+}
+
+function fromSlotPercent(percent: number): number {
+    return percent === 0 ? 1 : Math.min(1, percent / 100);
+}
+
 const maxUint32 = 0xffffffff;
 
 function toUint32(value: number): number {
--- a/packages/fleet/src/TrackerMessages.ts
+++ b/packages/fleet/src/TrackerMessages.ts
@@ -21,6 +21,8 @@
     readonly ownTokens: number;
     /** Longest acceptable wait at the upstream in ms; the request is not admitted if a longer one is expected. */
     readonly longestWaitMs: number;
+    /** Share of the upstream's slots, above 0 and at most 1, that may be in use; with more, the request is not admitted. */
+    readonly maxSlotShare: number;
     /** Expected run time of the request in ms. */
     readonly runMs: number;
     /**
