gateway: flush the accept queue instead of closing its connections one by one

Cause: a VM that gets more connections than it can accept refused those that had waited 300 ms and closed those that had waited 500 ms, one by one. In the second from 3.3 on edge-la-paz-7 accepted 751 connections and closed 741 of them; that took the whole processor time, and each reset makes the caller open another connection at once. Class of fault: shedding load costs as much as serving it (receive livelock).

Change: once connections wait 300 ms, the listening socket is closed and opened again. The kernel resets what waits there, at the same cost for any number, and open connections go on. A VM that cannot listen again retries every 100 ms and logs it.

OverloadGuard: the verdicts at 300, 499, 500 and 5,000 ms are all 'flush'; they were refuse, refuse, close, close. The test is as strict: each wait has one verdict, and the queue is emptied before its callers give up.

--- a/packages/gateway/__tests__/unit/AcceptQueueMonitor.test.ts
+++ b/packages/gateway/__tests__/unit/AcceptQueueMonitor.test.ts
@@ -52,6 +52,17 @@
         assert.equal(Math.round(loop.monitor.longestWaitMs()), 30);
     });
 
+    it("starts anew after the queue was flushed", async () => {
+        const loop = createMonitoredLoop();
+        for (let turn = 0; turn < 10; turn++) {
+            await loop.turn(20, true);
+        }
+        loop.monitor.recordFlushed();
+        assert.equal(Math.round(loop.monitor.longestWaitMs()), 0);
+        await loop.turn(20, true);
+        assert.equal(Math.round(loop.monitor.longestWaitMs()), 20);
+    });
+
     it("bounds the wait by the time in which a whole queue was accepted", async () => {
         const loop = createMonitoredLoop();
         for (let turn = 0; turn < 2_000; turn++) {
--- a/packages/gateway/src/AcceptQueueMonitor.ts
+++ b/packages/gateway/src/AcceptQueueMonitor.ts
@@ -9,8 +9,8 @@
 export interface AcceptQueueMonitor {
     /** Records that the server accepted a connection, whether it is served or not. */
     recordAccepted(): void;
-    /** Records that an accepted connection was closed unread. */
-    recordClosed(): void;
+    /** Records that the connections in the queue were discarded. */
+    recordFlushed(): void;
     /** Upper bound in ms on the time that the connection accepted last has waited; 0 while the queue is empty. */
     longestWaitMs(): number;
     dispose(): void;
@@ -35,7 +35,7 @@
     let acceptedCount = 0;
     let acceptedAtTurnEnd = 0;
     let acceptedAtReport = 0;
-    let closedSinceReport = 0;
+    let flushesSinceReport = 0;
     let busySinceMs: number | undefined;
     // Times at which the latest connections were accepted. Linux queues one connection more than the backlog, so the oldest
     // time is that of the connection that was accepted before the latest one can have joined the queue.
@@ -71,11 +71,11 @@
                 longestWaitMs: Math.round(reportedWaitMs),
                 longestTurnMs: Math.round(longestTurnMs),
                 accepted: acceptedCount - acceptedAtReport,
-                closedUnread: closedSinceReport,
+                flushes: flushesSinceReport,
             });
         }
         acceptedAtReport = acceptedCount;
-        closedSinceReport = 0;
+        flushesSinceReport = 0;
         reportedWaitMs = 0;
         longestTurnMs = 0;
     });
@@ -91,7 +91,10 @@
                 onTurnEnd(checkAtTurnEnd);
             }
         },
-        recordClosed: () => void closedSinceReport++,
+        recordFlushed() {
+            flushesSinceReport++;
+            busySinceMs = busySinceMs === undefined ? undefined : clock.nowMs();
+        },
         longestWaitMs,
         dispose: cancelReports,
     };
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import * as http from "node:http";
-import type * as net from "node:net";
+import * as net from "node:net";
 import { acceptBacklog } from "./AcceptQueueMonitor.js";
 import { refuseConnection } from "./ConnectionRefusal.js";
 import { createFreshness } from "./Freshness.js";
@@ -36,12 +36,15 @@
 /** Time in ms reserved at the end of the grace period for closing and exiting. */
 export const exitMarginMs = 500;
 const drainPollIntervalMs = 50;
-const connectionOutcomes = { serve: "served", refuse: "refused", close: "closed-unread" } as const;
+/** Time in ms after which a VM that cannot listen again after a flush of its accept queue tries once more. */
+const listenRetryDelayMs = 100;
+const connectionOutcomes = { serve: "served", refuse: "refused", flush: "flushed" } as const;
 
 export function createGateway(context: GatewayContext, onDrainStarted: () => void): Gateway {
     const { settings, clock, follower, acceptQueue, log, metrics } = context;
     const freshness = createFreshness(follower, settings);
     const inFlight = new Set<http.ServerResponse>();
+    let isClosed = false;
     const handleRequest = createRequestHandler(context, freshness);
     const callerServer = http.createServer({
         maxHeaderSize: maxHeaderBytes,
@@ -93,9 +96,9 @@
                 defaultListeners.forEach(listener => listener.call(server, socket));
                 return;
             }
-            if (verdict === "close") {
-                acceptQueue.recordClosed();
+            if (verdict === "flush") {
                 socket.resetAndDestroy();
+                flushAcceptQueue();
                 return;
             }
             refuseConnection(socket, {
@@ -107,6 +110,31 @@
         });
     }
 
+    /** Closes the listening socket, so that the kernel resets the connections that wait there, and listens again. */
+    function flushAcceptQueue(): void {
+        if (!callerServer.listening) {
+            return;
+        }
+        // Unlike the method of HTTP servers, this one leaves open connections untouched.
+        net.Server.prototype.close.call(callerServer);
+        acceptQueue.recordFlushed();
+        void listenAgain();
+    }
+
+    async function listenAgain(): Promise<void> {
+        while (!isClosed) {
+            const listening = await listen(callerServer, settings.entry, acceptBacklog);
+            if (listening.isOk()) {
+                break;
+            }
+            log.state("listen-failed", { error: listening.error, retryDelayMs: listenRetryDelayMs });
+            await delay(listenRetryDelayMs);
+        }
+        if (isClosed) {
+            callerServer.close();
+        }
+    }
+
     function recordRefusedConnection({ requestId, key }: CallerRequest, refusal: Refusal, heldMs: number): void {
         const { reason, statusCode, retryAfterMs } = refusal;
         metrics.count("requests", { kind: "unknown", outcome: String(statusCode) });
@@ -129,6 +157,7 @@
     }
 
     function close(): void {
+        isClosed = true;
         subscription.unsubscribe();
         removeAcceptQueueGauge();
         [callerServer, readinessServer, metricsServer].forEach(server => {
@@ -177,7 +206,11 @@
     backlog?: number,
 ): Promise<Result<void, string>> {
     return new Promise(resolve => {
-        server.once("error", error => resolve(err(`${host}:${port}: ${String(error)}`)));
-        server.listen({ port, host, backlog }, () => resolve(ok(undefined)));
+        const onError = (error: Error): void => resolve(err(`${host}:${port}: ${String(error)}`));
+        server.once("error", onError);
+        server.listen({ port, host, backlog }, () => {
+            server.off("error", onError);
+            resolve(ok(undefined));
+        });
     });
 }
--- a/packages/gateway/src/OverloadGuard.ts
+++ b/packages/gateway/src/OverloadGuard.ts
@@ -6,9 +6,10 @@
  * What happens to a new connection. Its request does not run unless the connection is served.
  *
  * - `refuse`: the caller gets a 503, which costs a fraction of serving the request.
- * - `close`: the connection is closed unread, which costs a fraction of refusing it.
+ * - `flush`: it is closed unread together with all connections that wait in the accept queue. The kernel closes those, so it
+ *   costs the same for any number of them.
  */
-export type ConnectionVerdict = "serve" | "refuse" | "close";
+export type ConnectionVerdict = "serve" | "refuse" | "flush";
 
 /** Detects that this process gets less processor time than its load requires, and decides what to refuse then. */
 export interface OverloadGuard {
@@ -54,10 +55,11 @@
 /** Lag in ms at which all requests are refused; callers would disconnect before their requests reach an upstream. */
 const refuseAllLagMs = 300;
 /**
- * Wait in ms for being accepted after which connections are closed unread. Callers allow a VM 1 s to read their request. The
- * queue is first in, first out: once the wait exceeds that, refusing the oldest ones delays the others until they are too old.
+ * Wait in ms for being accepted at which the accept queue is flushed. Callers allow a VM 1 s to read their request, and the
+ * queue is first in, first out. Closing or refusing the connections one by one would take the processor time in which the VM
+ * can serve requests, so under a sufficient load it would serve none.
  */
-const maxAcceptWaitMs = 500;
+const maxAcceptWaitMs = 300;
 /** Time in ms for which a lag or a wait must persist before readiness is turned off, and be absent before it is turned on. */
 const stateChangeDelayMs = 700;
 
@@ -84,7 +86,7 @@
     const lagMs = (): number => Math.max(lastLagMs, clock.nowMs() - expectedTickMs);
 
     const isLagging = (): boolean => lastLagMs >= heavyCustomerLagMs;
-    const isBehind = (): boolean => isLagging() || acceptQueue.longestWaitMs() >= refuseAllLagMs;
+    const isBehind = (): boolean => isLagging() || acceptQueue.longestWaitMs() >= maxAcceptWaitMs;
 
     function adjustRefusedShare(): void {
         const previousShare = refusedShare;
@@ -132,11 +134,10 @@
             return lag >= refuseAllLagMs || (lag >= heavyCustomerLagMs && relativeUsage >= heavyCustomerUsage);
         },
         judgeConnection() {
-            const waitMs = acceptQueue.longestWaitMs();
-            if (waitMs >= maxAcceptWaitMs) {
-                return "close";
+            if (acceptQueue.longestWaitMs() >= maxAcceptWaitMs) {
+                return "flush";
             }
-            return waitMs >= refuseAllLagMs || (refusedShare > 0 && random() < refusedShare) ? "refuse" : "serve";
+            return refusedShare > 0 && random() < refusedShare ? "refuse" : "serve";
         },
         dispose: () => cancelTimer(),
     };
