dispatch: hold customers back by the third power of their relative usage

Cause: the bounds fall in proportion to the usage relative to the heaviest customer. Usages are to become equal, so one with half of the largest usage should hardly be held back.

Change: the reduction is 0.85 x load x relative usage cubed, for waits and slots.

--- a/packages/dispatch/__tests__/unit/EngineAdmission.test.ts
+++ b/packages/dispatch/__tests__/unit/EngineAdmission.test.ts
@@ -1,3 +1,4 @@
+import * as core from "@peridotloft/core";
 import * as testing from "@peridotloft/testing";
 import * as assert from "node:assert/strict";
 import { describe, it } from "node:test";
@@ -5,9 +6,11 @@
 import {
     computeRetryAfterMs,
     type EngineAdmissionInput,
+    maxSlotShare,
     maxSpillWaitMs,
     maxWaitMs,
 } from "../../src/EngineAdmission.js";
+import { loadOf } from "../../src/Placement.js";
 
 const isAdmitted = (offered: EngineAdmissionInput): boolean => offered.waitMs <= maxWaitMs(offered);
 const input = { waitMs: 0, elapsedMs: 0, objectiveMs: 500, relativeUsage: 0, meanLoad: 1 };
@@ -47,6 +50,51 @@
         );
     });
 
+    describe("slots", () => {
+        it("hardly hold a customer with half of the largest usage back, and the heaviest customer much", () => {
+            assert.ok(maxSlotShare({ relativeUsage: 0.5, meanLoad: 1 }) >= 0.85);
+            assert.ok(maxSlotShare({ relativeUsage: 1, meanLoad: 1 }) <= 0.3);
+            assert.equal(maxSlotShare({ relativeUsage: 1, meanLoad: 0 }), 1);
+        });
+
+        /** Prompts that customers get admitted to engines whose slots are used in a random order of arrival. */
+        function admittedByCustomer(demandPerTick: readonly number[]): readonly number[] {
+            const random = testing.createSeededRandom(1);
+            const usage = createCustomerUsage();
+            const admitted = demandPerTick.map(() => 0);
+            const slots = 600;
+            const runTicks = 150;
+            const ends: number[] = [];
+            Array.from({ length: 2_000 }, (_, tick) => {
+                const nowMs = tick * 10;
+                while ((ends[0] ?? Number.POSITIVE_INFINITY) <= tick) {
+                    ends.shift();
+                }
+                const arrivals = demandPerTick.flatMap((demand, customer) =>
+                    Array.from({ length: Math.floor(demand + random()) }, () => customer)
+                );
+                core.shuffle(arrivals, random).forEach(customer => {
+                    const relativeUsage = usage.relative(customer, nowMs);
+                    if (
+                        ends.length < slots * maxSlotShare({ relativeUsage, meanLoad: loadOf(0, ends.length / slots) })
+                    ) {
+                        ends.push(tick + runTicks);
+                        admitted[customer]!++;
+                        usage.record(customer, 1, nowMs);
+                    }
+                });
+            });
+            return admitted;
+        }
+
+        it("go in about equal parts to customers that ask for more than their share, however much more", () => {
+            [[20, 2, 0.3, 0.3], [30, 2.5], [20, 2.2, 2.2]].forEach(demandPerTick => {
+                const [first = 0, second = 0] = admittedByCustomer(demandPerTick);
+                assert.ok(first <= 1.5 * second, `${first} and ${second} of ${demandPerTick}`);
+            });
+        });
+    });
+
     it("equalizes the usage of customers that exceed the capacity, and serves light customers in full", () => {
         const usage = createCustomerUsage();
         const demandPerTick = [40, 20, 10, 1];
--- a/packages/dispatch/src/EngineAdmission.ts
+++ b/packages/dispatch/src/EngineAdmission.ts
@@ -19,9 +19,21 @@
  * first.
  */
 const heaviestCustomerReduction = 0.85;
+/**
+ * Exponent of the relative usage in this reduction. With 1, a customer with half of the largest usage is held back as well, and
+ * one that asks more often stays ahead of it.
+ */
+const usageExponent = 3;
 /** Wait in ms up to which every prompt is admitted: it corresponds to one or two prompts in prefill. */
 const alwaysAdmittedWaitMs = 60;
 
+/** Share by which the bounds of a customer are reduced. */
+function reductionOf(
+    { relativeUsage, meanLoad }: Pick<EngineAdmissionInput, "relativeUsage" | "meanLoad">,
+): number {
+    return heaviestCustomerReduction * relativeUsage ** usageExponent * meanLoad;
+}
+
 /**
  * The longest expected wait in ms at an engine for which a prompt is admitted. Without this bound, a load above the
  * engines' prefill capacity fills their queues and every request misses its objective.
@@ -35,7 +47,7 @@
     { elapsedMs, objectiveMs, relativeUsage, meanLoad }: Omit<EngineAdmissionInput, "waitMs">,
 ): number {
     const allowedMs = Math.max(0, objectiveMs * maxWaitShare - elapsedMs - alwaysAdmittedWaitMs);
-    return alwaysAdmittedWaitMs + allowedMs * (1 - heaviestCustomerReduction * relativeUsage * meanLoad);
+    return alwaysAdmittedWaitMs + allowedMs * (1 - reductionOf({ relativeUsage, meanLoad }));
 }
 
 /**
@@ -46,7 +58,7 @@
 export function maxSlotShare(
     { relativeUsage, meanLoad }: Pick<EngineAdmissionInput, "relativeUsage" | "meanLoad">,
 ): number {
-    return 1 - heaviestCustomerReduction * relativeUsage * meanLoad;
+    return 1 - reductionOf({ relativeUsage, meanLoad });
 }
 
 /** Relative usage, weighted by load, up to which a prompt may spill over when its primary engine has no capacity. */
