catalog: order changes by the store's era, so that a restore from a copy does not hide later ones

Cause: items, positions, relays and deferred removals were ordered by revision alone, and a restored store issues revisions again. Class of fault: an ordering key that is unique only within one run of the one who issues it.

Change: a position is the store's era and a revision. A response of another era leads to a listing, one of an earlier era is ignored. Across eras configurations are ordered by version and upstreams by run and sequence number (CatalogItems); an upstream that left, or a zone that was taken back, does not return with the copy, and what the copy lacks is kept until it can have been written again. Relays state the era; of a VM of an earlier era only a newer configuration is taken.

--- a/packages/catalog/__tests__/integration/CatalogRelay.test.ts
+++ b/packages/catalog/__tests__/integration/CatalogRelay.test.ts
@@ -7,9 +7,9 @@
 import { afterEach, describe, it } from "node:test";
 import * as catalog from "../../src/index.js";
 
-const evacuated = (zone: string, position: number): catalog.PositionedChange => ({
+const evacuated = (zone: string, revision: number): catalog.PositionedChange => ({
     item: `zone/${zone}`,
-    position,
+    position: { era: 0, revision },
     change: { kind: "zone-evacuated", zone: core.zoneId(zone) },
 });
 
@@ -20,7 +20,7 @@
     let down = false;
     let calls = 0;
     const unreachable = () => err({ kind: "unreachable" as const, message: "down" });
-    const position = (): number => items.at(-1)?.position ?? 0;
+    const position = (): catalog.Position => items.at(-1)?.position ?? catalog.initialPosition;
     const source: catalog.CatalogSource = {
         async list() {
             calls++;
@@ -28,7 +28,7 @@
         },
         async watch(after, waitMs) {
             calls++;
-            if (!down && position() <= after) {
+            if (!down && !catalog.isAfter(position(), after)) {
                 await new Promise<void>(resolve => {
                     setTimeout(resolve, waitMs);
                     waiters.add(resolve);
@@ -36,7 +36,7 @@
             }
             return down
                 ? unreachable()
-                : ok({ position: position(), changes: items.filter(item => item.position > after) });
+                : ok({ position: position(), changes: items.filter(item => catalog.isAfter(item.position, after)) });
         },
     };
     return {
--- a/packages/catalog/__tests__/unit/CatalogFollower.test.ts
+++ b/packages/catalog/__tests__/unit/CatalogFollower.test.ts
@@ -1,138 +1,8 @@
 import * as core from "@peridotloft/core";
-import * as testing from "@peridotloft/testing";
-import { err, ok } from "neverthrow";
 import * as assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import * as catalog from "../../src/index.js";
-
-const limits: catalog.EntryLimits = {
-    maxHeaderBytes: 16_384,
-    maxBodyBytes: 1_000_000,
-    headerTimeoutMs: 3_000,
-    idleTimeoutMs: 15_000,
-    tokensPerS: undefined,
-};
-
-const config = (version: number): catalog.CatalogChange => ({
-    kind: "config",
-    config: { version, routes: [], pools: [], customers: [], limits },
-});
-
-const upstream = (id: string, more: Partial<catalog.Upstream> = {}): catalog.CatalogChange => ({
-    kind: "upstream",
-    upstream: {
-        id: core.upstreamId(id),
-        pool: core.poolId("pool"),
-        host: "127.0.0.1",
-        port: 1,
-        zone: core.zoneId("z"),
-        slots: 1,
-        leaving: false,
-        coldLeftMs: 0,
-        startedWallMs: undefined,
-        ...more,
-    },
-});
-
-const positionedChange = (item: string, position: number, change: catalog.CatalogChange): catalog.PositionedChange => ({
-    item,
-    position,
-    change,
-});
-
-/** A store in memory with faults that a test can set. */
-function createFakeSource(clock: core.Clock) {
-    const items = new Map<string, catalog.PositionedChange>();
-    let history: catalog.PositionedChange[] = [];
-    const waiters = new Set<() => void>();
-    let compactedUntil = 0;
-    let mode: "up" | "down" | "unresponsive" = "up";
-    let position = 10;
-    let watches = 0;
-    const down = () => err({ kind: "unreachable" as const, message: "down" });
-
-    const timeOut = async (timeoutMs: number) => {
-        await new Promise<void>(resolve => clock.setTimer(timeoutMs, resolve));
-        return down();
-    };
-    const source: catalog.CatalogSource = {
-        async list(timeoutMs) {
-            return mode === "unresponsive"
-                ? timeOut(timeoutMs)
-                : mode === "down"
-                ? down()
-                : ok({ position, items: [...items.values()] });
-        },
-        async watch(after, waitMs, timeoutMs) {
-            watches++;
-            const changesAfter = () => history.filter(change => change.position > after);
-            if (mode === "unresponsive") {
-                return timeOut(timeoutMs);
-            }
-            if (mode === "up" && after >= compactedUntil && changesAfter().length === 0) {
-                await new Promise<void>(resolve => {
-                    const cancel = clock.setTimer(waitMs, resolve);
-                    waiters.add(() => {
-                        cancel();
-                        resolve();
-                    });
-                });
-            }
-            if (mode !== "up") {
-                return down();
-            }
-            return after < compactedUntil
-                ? err({ kind: "history-lost", message: "compacted" })
-                : ok({ position, changes: changesAfter() });
-        },
-    };
-    const wake = (): void => {
-        waiters.forEach(waiter => waiter());
-        waiters.clear();
-    };
-    return {
-        source,
-        /** Number of watches started so far. */
-        watches: (): number => watches,
-        put(item: string, change: catalog.CatalogChange) {
-            position++;
-            items.set(item, positionedChange(item, position, change));
-            history.push(positionedChange(item, position, change));
-            wake();
-        },
-        remove(item: string, change: catalog.CatalogChange) {
-            position++;
-            items.delete(item);
-            history.push(positionedChange(item, position, change));
-            wake();
-        },
-        compact() {
-            history = [];
-            compactedUntil = position;
-            wake();
-        },
-        setMode(next: typeof mode) {
-            mode = next;
-            wake();
-        },
-    };
-}
-
-function createFixture() {
-    const clock = testing.createVirtualClock();
-    const store = createFakeSource(clock);
-    const log = testing.createRecordingLog();
-    const follower = catalog.createCatalogFollower({
-        source: store.source,
-        clock,
-        random: testing.createSeededRandom(1),
-        log,
-        metrics: testing.createNoopMetrics(),
-    });
-    const ids = (): string[] => [...follower.snapshot.read().upstreams.keys()].sort();
-    const version = (): number | undefined => follower.snapshot.read().activeConfig?.config.version;
-    return { clock, store, log, follower, ids, version };
-}
+import { config, createFixture, upstream } from "./CatalogFixture.js";
 
 describe("CatalogFollower", () => {
     describe("with a reachable store", () => {
@@ -268,7 +138,7 @@
             store.remove("up/a", { kind: "upstream-removed", id: core.upstreamId("a") });
             store.put("up/c", upstream("c"));
             await clock.advance(10);
-            const during = await follower.waitForChanges(0, 0);
+            const during = await follower.waitForChanges(catalog.initialPosition, 0);
             assert.ok(during);
             await clock.advance(2_500);
             const after = await follower.waitForChanges(during.position, 0);
--- a/packages/catalog/src/Catalog.ts
+++ b/packages/catalog/src/Catalog.ts
@@ -99,10 +99,33 @@
     readonly coldLeftMs: number;
     /** Start of its current run, in ms since 1970; undefined if it did not state one. */
     readonly startedWallMs: number | undefined;
+    /** Number of this statement, which increases within a run; undefined if it did not state one. */
+    readonly sequence: number | undefined;
 }
 
-/** Position in the store's change history. Increases with each change. */
-export type Position = number;
+/**
+ * Position in the store's change history. A store that is restored from a copy begins a new era and issues revisions after
+ * that of the copy again, so revisions of different eras are not comparable.
+ */
+export interface Position {
+    /** Increases each time that the store is restored. */
+    readonly era: number;
+    /** Increases with each change within an era. */
+    readonly revision: number;
+}
+
+/** The position before any change. */
+export const initialPosition: Position = { era: 0, revision: 0 };
+
+/** Whether a position is later than another one. */
+export function isAfter(left: Position, right: Position): boolean {
+    return left.era === right.era ? left.revision > right.revision : left.era > right.era;
+}
+
+/** Whether two positions are equal. */
+export function isSamePosition(left: Position | undefined, right: Position | undefined): boolean {
+    return left?.era === right?.era && left?.revision === right?.revision;
+}
 
 /** A change of one published item. */
 export type CatalogChange =
--- a/packages/catalog/src/CatalogFollower.ts
+++ b/packages/catalog/src/CatalogFollower.ts
@@ -1,6 +1,7 @@
 import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
-import type { CatalogChange, Position, PositionedChange } from "./Catalog.js";
+import { initialPosition, isAfter, isSamePosition, type Position, type PositionedChange } from "./Catalog.js";
+import { createCatalogItems } from "./CatalogItems.js";
 import { applyChanges, type CatalogSnapshot, emptySnapshot } from "./CatalogSnapshot.js";
 import type {
     CatalogRelaySource,
@@ -61,6 +62,11 @@
     readonly reregistrationGraceMs: number;
     /** Shortest outage of the store in which entries of live upstreams can expire. */
     readonly minExpiryOutageMs: number;
+    /**
+     * Time after a restore of the store in which a returned entry may be one that has been removed since the copy was made.
+     * The entry of an upstream that has ended expires in this time.
+     */
+    readonly restoreSettleMs: number;
     readonly minBackoffMs: number;
     readonly maxBackoffMs: number;
     /** Timeout of `confirm`. */
@@ -88,6 +94,8 @@
     reregistrationGraceMs: 1_400,
     // An entry expires after three missed heartbeats of 1.2 s.
     minExpiryOutageMs: 2_000,
+    // An entry expires after three missed heartbeats of 1.2 s.
+    restoreSettleMs: 4_000,
     minBackoffMs: 60,
     maxBackoffMs: 500,
     confirmTimeoutMs: 400,
@@ -112,25 +120,24 @@
     dispose(): void;
 }
 
-/** The last change applied for an item of the store. */
-interface AppliedItem {
-    readonly position: Position;
-    readonly change: CatalogChange;
-}
-
 export function createCatalogFollower(options: CatalogFollowerOptions): CatalogFollower {
     const { source, clock, random, log, metrics } = options;
     const timing = { ...defaultFollowerTiming, ...options.timing };
     const snapshot = core.createSnapshotCell<CatalogSnapshot>(emptySnapshot);
-    const items = new Map<string, AppliedItem>();
+    const items = createCatalogItems();
     const cancels = new Set<() => void>();
     const waiters = new Set<() => void>();
     const deferredRemovals = new Set<readonly PositionedChange[]>();
     const relayRetryAtMs = new Map<string, number>();
     /** Applied changes in order, without gaps after the position `historyStart`. */
     let history: readonly PositionedChange[] = [];
-    let historyStart: Position = 0;
+    let historyStart = initialPosition;
     let position: Position | undefined;
+    /** The latest known era of the store; undefined before the first listing. */
+    let era: number | undefined;
+    /** Time in ms from which entries of the current era are no longer remnants of the copy. */
+    let settledAtMs = Number.NEGATIVE_INFINITY;
+    let isRelistDue = false;
     let lastStoreCallMs = Number.NEGATIVE_INFINITY;
     let confirmedMs = Number.NEGATIVE_INFINITY;
     let storeFailingSinceMs: number | undefined;
@@ -143,11 +150,10 @@
     let disposed = false;
 
     function apply(changes: readonly PositionedChange[]): void {
-        const newChanges = changes.filter(({ item, position: at }) => at > (items.get(item)?.position ?? 0));
+        const newChanges = items.record(changes, clock.nowMs() >= settledAtMs);
         if (newChanges.length === 0) {
             return;
         }
-        newChanges.forEach(({ item, position: at, change }) => items.set(item, { position: at, change }));
         snapshot.update(current => applyChanges(current, newChanges, clock.nowMs()));
         newChanges.forEach(logChange);
         history = [...history, ...newChanges].slice(-timing.historyLength);
@@ -158,15 +164,15 @@
         metrics.count("catalogChanges", { kind: change.kind });
         switch (change.kind) {
             case "config":
-                return log.state("config-adopted", { position: at, version: change.config.version });
+                return log.state("config-adopted", { ...at, version: change.config.version });
             case "upstream": {
                 const { id, leaving, coldLeftMs, zone } = change.upstream;
-                return log.state("upstream-registered", { position: at, upstream: id, zone, leaving, coldLeftMs });
+                return log.state("upstream-registered", { ...at, upstream: id, zone, leaving, coldLeftMs });
             }
             case "unreadable":
-                return log.state("item-unreadable", { position: at, item, reason: change.reason });
+                return log.state("item-unreadable", { ...at, item, reason: change.reason });
             default:
-                return log.state(change.kind, { position: at, item });
+                return log.state(change.kind, { ...at, item });
         }
     }
 
@@ -187,26 +193,44 @@
         cancels.add(cancel);
     }
 
+    /**
+     * Adopts the era of a listing. What the store lost with a restore is written again, and until then this VM keeps what it
+     * knows.
+     */
+    function adoptEra(listed: Position): void {
+        if (era !== undefined && listed.era > era) {
+            settledAtMs = clock.nowMs() + timing.restoreSettleMs;
+            isRelistDue = true;
+            deferRemovalsUntilMs = Math.max(deferRemovalsUntilMs, clock.nowMs() + timing.reregistrationGraceMs);
+            metrics.count("storeRestores");
+            log.state("store-restored", { ...listed, previousEra: era, settleMs: timing.restoreSettleMs });
+        }
+        era = listed.era;
+    }
+
+    /** Whether a response is of an earlier era: it was delayed, or another VM does not know of a restore yet. */
+    const isOutdated = (read: Position): boolean => era !== undefined && read.era < era;
+
+    function advanceTo(read: Position): void {
+        position = position && isAfter(position, read) ? position : read;
+    }
+
     function applyListing(listing: Listing): void {
+        adoptEra(listing.position);
         apply(listing.items);
-        const listed = new Set(listing.items.map(({ item }) => item));
-        const missing = [...items].filter(([item]) => !listed.has(item));
-        applyRemovals(missing.flatMap(([item, { change }]) => {
-            const removal = removalChange(change);
-            return removal ? [{ item, position: listing.position, change: removal }] : [];
-        }));
-        position = Math.max(listing.position, position ?? 0);
+        applyRemovals(items.missingFrom(listing.items, listing.position));
+        advanceTo(listing.position);
         waiters.forEach(wake => wake());
         // The individual changes between the previous position and this listing are unknown.
         history = [];
-        historyStart = position;
+        historyStart = listing.position;
     }
 
     function applyBatch(batch: ChangeBatch): void {
         const isRemoval = ({ change }: PositionedChange): boolean => change.kind === "upstream-removed";
         apply(batch.changes.filter(change => !isRemoval(change)));
         applyRemovals(batch.changes.filter(isRemoval));
-        position = Math.max(batch.position, position ?? 0);
+        advanceTo(batch.position);
     }
 
     function recordStoreSuccess(completeUntilMs: number): void {
@@ -228,7 +252,7 @@
         metrics.count("storeCalls", { outcome: error.kind });
         if (storeFailingSinceMs === undefined) {
             storeFailingSinceMs = clock.nowMs();
-            log.state("store-lost", { call, kind: error.kind, message: error.message, position });
+            log.state("store-lost", { call, kind: error.kind, message: error.message, ...position });
         }
     }
 
@@ -239,10 +263,14 @@
             return false;
         }
         return result.match(listing => {
+            if (isOutdated(listing.position)) {
+                recordStoreFailure("list", outdatedError(listing.position));
+                return false;
+            }
             metrics.count("storeCalls", { outcome: "ok" });
             recordStoreSuccess(sentMs);
             applyListing(listing);
-            log.state("catalog-listed", { items: listing.items.length, position: listing.position });
+            log.state("catalog-listed", { items: listing.items.length, ...listing.position });
             return true;
         }, error => {
             recordStoreFailure("list", error);
@@ -256,14 +284,21 @@
             return false;
         }
         return result.match(batch => {
+            if (isOutdated(batch.position)) {
+                recordStoreFailure("watch", outdatedError(batch.position));
+                return false;
+            }
             metrics.count("storeCalls", { outcome: "ok" });
+            if (batch.position.era !== after.era) {
+                relist(after, `era ${batch.position.era}`);
+                return true;
+            }
             recordStoreSuccess(clock.nowMs() - timing.watchLagMs);
             applyBatch(batch);
             return true;
         }, error => {
             if (error.kind === "history-lost") {
-                log.state("history-lost", { position: after });
-                position = undefined;
+                relist(after, "compacted");
                 return true;
             }
             recordStoreFailure("watch", error);
@@ -271,11 +306,29 @@
         });
     }
 
+    // The other items of a VM may be outdated, and the removals that it lacks would not be read again.
+    function applyConfigs({ changes }: ChangeBatch): void {
+        apply(changes.filter(({ change }) => change.kind === "config"));
+    }
+
+    const outdatedError = (read: Position): SourceError => ({
+        kind: "outdated",
+        message: `response of era ${read.era} after one of era ${era ?? 0}`,
+    });
+
+    /** Discards the position, so that the next read is a listing, unless another response has replaced it already. */
+    function relist(after: Position, reason: string): void {
+        log.state("history-lost", { ...after, reason });
+        if (isSamePosition(position, after)) {
+            position = undefined;
+        }
+    }
+
     /** Reads from another VM; false if that VM cannot replace the store now. */
     async function readFromRelay(relay: CatalogRelaySource): Promise<boolean> {
         const sentMs = clock.nowMs();
         const timeoutMs = timing.relayWaitMs + timing.timeoutSlackMs;
-        const result = await relay.watch(position ?? 0, timing.relayWaitMs, timeoutMs);
+        const result = await relay.watch(position ?? initialPosition, timing.relayWaitMs, timeoutMs);
         if (disposed) {
             return false;
         }
@@ -289,6 +342,12 @@
             return false;
         }
         const batch = result.value;
+        if (isOutdated(batch.position)) {
+            applyConfigs(batch);
+            relayRetryAtMs.set(relay.address, clock.nowMs() + timing.relayRetryDelayMs);
+            log.state("relay-lost", { peer: relay.address, reason: outdatedError(batch.position).message });
+            return false;
+        }
         // The reply was made after the request was sent, so counting its age from the send time cannot understate it.
         confirmedMs = Math.max(confirmedMs, sentMs - batch.ageMs);
         if (batch.complete) {
@@ -313,6 +372,10 @@
 
     async function follow(): Promise<void> {
         while (!disposed) {
+            if (isRelistDue && clock.nowMs() >= settledAtMs) {
+                isRelistDue = false;
+                position = undefined;
+            }
             const relay = usableRelay();
             if (relay && await readFromRelay(relay)) {
                 continue;
@@ -328,7 +391,7 @@
             if (!succeeded) {
                 await backOff();
             }
-            else if (position !== before) {
+            else if (!isSamePosition(position, before)) {
                 await limitWatchRate();
             }
         }
@@ -337,8 +400,9 @@
     // Another VM requests only changes after the position that it received, so this position stays below those of deferred
     // removals, which are yet to be relayed.
     function relayedPosition(known: Position): Position {
-        const deferredPositions = [...deferredRemovals].flatMap(changes => changes.map(({ position: at }) => at - 1));
-        return Math.min(known, ...deferredPositions);
+        const deferredRevisions = [...deferredRemovals].flat()
+            .flatMap(({ position: at }) => at.era === known.era ? [at.revision - 1] : []);
+        return { era: known.era, revision: Math.min(known.revision, ...deferredRevisions) };
     }
 
     async function limitWatchRate(): Promise<void> {
@@ -383,7 +447,7 @@
         },
         async waitForChanges(after, waitMs) {
             // Waits for changes, or for the first listing if none has been read yet.
-            if (position === undefined || position <= after) {
+            if (position === undefined || (position.era === after.era && position.revision <= after.revision)) {
                 await new Promise<void>(resolve => {
                     const cancel = clock.setTimer(waitMs, () => wake());
                     const wake = (): void => {
@@ -397,14 +461,12 @@
             if (position === undefined) {
                 return undefined;
             }
-            const complete = after < historyStart;
-            const all = (): PositionedChange[] =>
-                [...items].map(([item, { position: at, change }]) => ({ item, position: at, change }));
+            const complete = after.era !== historyStart.era || after.revision < historyStart.revision;
             return {
                 position: relayedPosition(position),
                 ageMs: clock.nowMs() - confirmedMs,
                 complete,
-                changes: complete ? all() : history.filter(change => change.position > after),
+                changes: complete ? items.all() : history.filter(({ position: at }) => isAfter(at, after)),
             };
         },
         start: (delayMs = 0) => void delay(delayMs).then(follow),
@@ -414,15 +476,3 @@
         },
     };
 }
-
-/** The change that removes an item from the snapshot; undefined for the configuration, which is never removed. */
-function removalChange(change: CatalogChange): CatalogChange | undefined {
-    switch (change.kind) {
-        case "upstream":
-            return { kind: "upstream-removed", id: change.upstream.id };
-        case "zone-evacuated":
-            return { kind: "zone-restored", zone: change.zone };
-        default:
-            return undefined;
-    }
-}
--- a/packages/catalog/src/CatalogRelay.ts
+++ b/packages/catalog/src/CatalogRelay.ts
@@ -2,7 +2,7 @@
 import * as connectNode from "@connectrpc/connect-node";
 import { err, ok, type Result } from "neverthrow";
 import * as http from "node:http";
-import type { CatalogChange, PositionedChange } from "./Catalog.js";
+import type { CatalogChange, Position, PositionedChange } from "./Catalog.js";
 import type { CatalogFollower } from "./CatalogFollower.js";
 import type { CatalogRelaySource, SourceError } from "./CatalogSource.js";
 import { CatalogRelay } from "./gen/relay_pb.js";
@@ -17,17 +17,20 @@
     return http.createServer(connectNode.connectNodeAdapter({
         routes: router =>
             router.service(CatalogRelay, {
-                async watch({ after, waitMs }) {
-                    const batch = await follower.waitForChanges(Number(after), Math.min(waitMs, maxWaitMs));
+                async watch({ after, afterEra, waitMs }) {
+                    const known = { era: Number(afterEra), revision: Number(after) };
+                    const batch = await follower.waitForChanges(known, Math.min(waitMs, maxWaitMs));
                     // Before the first listing, the reply has the largest age, so that the caller does not use it.
                     return batch
                         ? {
-                            position: BigInt(batch.position),
+                            position: BigInt(batch.position.revision),
+                            era: BigInt(batch.position.era),
                             ageMs: Math.min(0xffffffff, Math.ceil(batch.ageMs)),
                             complete: batch.complete,
                             changes: batch.changes.map(({ item, position, change }) => ({
                                 item,
-                                position: BigInt(position),
+                                position: BigInt(position.revision),
+                                era: BigInt(position.era),
                                 change: JSON.stringify(change),
                             })),
                         }
@@ -56,12 +59,15 @@
         address,
         async watch(position, waitMs, timeoutMs) {
             try {
-                const reply = await client.watch({ after: BigInt(position), waitMs }, { timeoutMs });
-                const changes = reply.changes.map(({ item, position: at, change }) =>
-                    readChange(item, Number(at), change)
+                const reply = await client.watch(
+                    { after: BigInt(position.revision), afterEra: BigInt(position.era), waitMs },
+                    { timeoutMs },
+                );
+                const changes = reply.changes.map(({ item, position: revision, era, change }) =>
+                    readChange(item, { era: Number(era), revision: Number(revision) }, change)
                 );
                 return ok({
-                    position: Number(reply.position),
+                    position: { era: Number(reply.era), revision: Number(reply.position) },
                     ageMs: reply.ageMs,
                     complete: reply.complete,
                     changes,
@@ -74,7 +80,7 @@
     };
 }
 
-function readChange(item: string, position: number, text: string): PositionedChange {
+function readChange(item: string, position: Position, text: string): PositionedChange {
     return { item, position, change: JSON.parse(text) as CatalogChange };
 }
 
--- a/packages/catalog/src/CatalogSource.ts
+++ b/packages/catalog/src/CatalogSource.ts
@@ -8,8 +8,9 @@
      * - `rejected`: the store refused the call without executing it.
      * - `history-lost`: the store no longer has the changes after the position.
      * - `malformed`: the response cannot be parsed.
+     * - `outdated`: the response is of an earlier era of the store than one that was received before.
      */
-    readonly kind: "unreachable" | "rejected" | "history-lost" | "malformed";
+    readonly kind: "unreachable" | "rejected" | "history-lost" | "malformed" | "outdated";
     readonly message: string;
 }
 
@@ -37,13 +38,16 @@
 export interface CatalogRelaySource {
     /** Address of the other VM, for log lines. */
     readonly address: string;
-    /** Waits up to `waitMs` for changes after `position`; a position of 0 requests all items. */
+    /** Waits up to `waitMs` for changes after `position`; `initialPosition` requests all items. */
     watch(position: Position, waitMs: number, timeoutMs: number): Promise<Result<RelayedBatch, SourceError>>;
 }
 
 /** Lists and watches the items in the platform's store. Never throws or rejects. */
 export interface CatalogSource {
     list(timeoutMs: number): Promise<Result<Listing, SourceError>>;
-    /** Waits up to `waitMs` for changes after `position`; the batch is empty if there are none. */
+    /**
+     * Waits up to `waitMs` for changes after `position`; the batch is empty if there are none. A batch of another era than
+     * `position` lacks changes.
+     */
     watch(position: Position, waitMs: number, timeoutMs: number): Promise<Result<ChangeBatch, SourceError>>;
 }
--- a/packages/dispatch/__tests__/unit/DispatchFleet.ts
+++ b/packages/dispatch/__tests__/unit/DispatchFleet.ts
@@ -92,7 +92,7 @@
                 ...fleetChanges(engines, 128),
                 ...Array.from({ length: services }, (_, index): catalog.PositionedChange => ({
                     item: `servers/r-${index}`,
-                    position: index + 2,
+                    position: { era: 0, revision: index + 2 },
                     change: {
                         kind: "upstream",
                         upstream: upstreamOf(`r-${index}`, { pool: servicePool, port: 9_000 + index, slots: 6 }),
@@ -119,7 +119,7 @@
     const arrivals: Arrival[] = [];
     const crashTimesMs = new Map<string, number[]>();
     const startTimesMs: number[] = [];
-    let position = 1_000;
+    let revision = 1_000;
     let number = 0;
     let incarnation = 0n;
 
@@ -161,8 +161,9 @@
         [...engine.leases].forEach(lease => lease.end("broken"));
         engine.leases.clear();
         clock.setTimer(engineRestartMs, () => {
-            position++;
-            const id = core.upstreamId(`i-run-${position}`);
+            revision++;
+            const position = { era: 0, revision };
+            const id = core.upstreamId(`i-run-${revision}`);
             upstreamById.delete(engine.id);
             upstreamById.set(id, createUpstream(id, engine.pool));
             publish([
--- a/packages/dispatch/__tests__/unit/EngineFixtures.ts
+++ b/packages/dispatch/__tests__/unit/EngineFixtures.ts
@@ -51,15 +51,16 @@
     leaving: false,
     coldLeftMs: 0,
     startedWallMs: 1,
+    sequence: undefined,
     ...more,
 });
 
 /** The changes that publish a configuration and its engines. */
 export const fleetChanges = (engines: number, slots: number): catalog.PositionedChange[] => [
-    { item: "config", position: 1, change: { kind: "config", config: configOf(engines, slots) } },
+    { item: "config", position: { era: 0, revision: 1 }, change: { kind: "config", config: configOf(engines, slots) } },
     ...Array.from({ length: engines }, (_, index): catalog.PositionedChange => ({
         item: `servers/i-${index}`,
-        position: index + 2,
+        position: { era: 0, revision: index + 2 },
         change: { kind: "upstream", upstream: upstreamOf(`i-${index}`, { port: 8_000 + index, slots }) },
     })),
 ];
--- a/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
+++ b/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
@@ -19,16 +19,16 @@
         onBroken: () => undefined,
         onResponse: () => undefined,
     });
-    let position = 0;
+    let revision = 0;
     return {
         clock,
         table,
         /** @param catalogMs time on the catalog's clock. */
         register(upstream: catalog.Upstream, catalogMs: number): void {
-            position++;
+            revision++;
             const change: catalog.PositionedChange = {
                 item: upstream.id,
-                position,
+                position: { era: 0, revision },
                 change: { kind: "upstream", upstream },
             };
             snapshot.update(current => catalog.applyChanges(current, [change], catalogMs));
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -22,6 +22,7 @@
     ejections: ["upstream_ejections_total", "Upstreams ejected because of their responses.", []],
     quarantines: ["quarantines_total", "Requests and parts of prompts found to crash upstreams.", []],
     storeCalls: ["store_calls_total", "Calls to the platform's store, by outcome.", ["outcome"]],
+    storeRestores: ["store_restores_total", "Restores of the platform's store from a copy, as seen by this VM.", []],
     catalogChanges: ["catalog_changes_total", "Changes of the catalog that the platform publishes, by kind.", ["kind"]],
     trackerQuestions: ["tracker_questions_total", "Questions to the trackers of upstreams, by outcome.", [
         "outcome",
