catalog: read a newer configuration from another VM after the first listing and after a restore

A VM that starts, or comes back to the store, while the store lacks what it has acknowledged would serve an older version than the others until the operator has written the newer one again. After its first listing, and after one of a new era, it reads the catalog of another VM, up to three times, and takes a newer configuration from it. Other items are not taken: they may be outdated, and removals that they miss would not be read again.

StoreRestore "adopts a newer version of another VM if it starts while the store lacks it" failed before (version 3 in place of 9).

--- a/packages/catalog/__tests__/unit/StoreRestore.test.ts
+++ b/packages/catalog/__tests__/unit/StoreRestore.test.ts
@@ -96,6 +96,24 @@
             assert.equal(version(), 6);
         });
 
+        it("adopts a newer version of another VM if it starts while the store lacks it", async () => {
+            const newer = {
+                position: { era: 1, revision: 90 },
+                ageMs: 100,
+                complete: true,
+                changes: [{ item: "config", position: { era: 1, revision: 90 }, change: config(9) }],
+            };
+            const { clock, store, follower, version } = createFixture(isStoreUnreachable =>
+                isStoreUnreachable ? relayOf(newer) : undefined
+            );
+            const restore = store.backUp();
+            restore();
+            store.put("config", config(3));
+            follower.start();
+            await clock.advance(noticeMs);
+            assert.equal(version(), 9);
+        });
+
         it("takes the configuration, but no other items, of a VM that does not know of the restore", async () => {
             const older = {
                 position: { era: 1, revision: 90 },
--- a/packages/catalog/src/CatalogFollower.ts
+++ b/packages/catalog/src/CatalogFollower.ts
@@ -120,6 +120,9 @@
     dispose(): void;
 }
 
+/** Maximum number of other VMs that are asked for their catalog after the first listing and after a restore of the store. */
+const maxCatchUpReads = 3;
+
 export function createCatalogFollower(options: CatalogFollowerOptions): CatalogFollower {
     const { source, clock, random, log, metrics } = options;
     const timing = { ...defaultFollowerTiming, ...options.timing };
@@ -138,6 +141,7 @@
     /** Time in ms from which entries of the current era are no longer remnants of the copy. */
     let settledAtMs = Number.NEGATIVE_INFINITY;
     let isRelistDue = false;
+    let catchUpReads = 0;
     let lastStoreCallMs = Number.NEGATIVE_INFINITY;
     let confirmedMs = Number.NEGATIVE_INFINITY;
     let storeFailingSinceMs: number | undefined;
@@ -269,6 +273,7 @@
             }
             metrics.count("storeCalls", { outcome: "ok" });
             recordStoreSuccess(sentMs);
+            catchUpReads = listing.position.era === era ? catchUpReads : maxCatchUpReads;
             applyListing(listing);
             log.state("catalog-listed", { items: listing.items.length, ...listing.position });
             return true;
@@ -324,6 +329,21 @@
         }
     }
 
+    /** Reads the configuration of another VM, which may be newer than that of a store that was restored from a copy. */
+    async function catchUp(peer: CatalogRelaySource): Promise<void> {
+        catchUpReads--;
+        const result = await peer.watch(initialPosition, 0, timing.relayWaitMs + timing.timeoutSlackMs);
+        if (disposed) {
+            return;
+        }
+        result.match(batch => {
+            applyConfigs(batch);
+            catchUpReads = batch.changes.length > 0 ? 0 : catchUpReads;
+        }, error => {
+            log.state("relay-lost", { peer: peer.address, reason: error.message });
+        });
+    }
+
     /** Reads from another VM; false if that VM cannot replace the store now. */
     async function readFromRelay(relay: CatalogRelaySource): Promise<boolean> {
         const sentMs = clock.nowMs();
@@ -372,6 +392,10 @@
 
     async function follow(): Promise<void> {
         while (!disposed) {
+            const peer = catchUpReads > 0 ? options.chooseRelay?.(true) : undefined;
+            if (peer) {
+                await catchUp(peer);
+            }
             if (isRelistDue && clock.nowMs() >= settledAtMs) {
                 isRelistDue = false;
                 position = undefined;
