dispatch, platform: act on what upstreams state of themselves: leaving, pause, cold

Upstreams say in responses that they leave (Server-Leaving), that they want nothing from this VM for a time (Retry-After on a 503) and that they are cold (Cold-Ms).

Change: WireHeaders decodes the statements once, with units; values that are invalid, or stated twice, are logged and ignored. UpstreamStatements keeps them with the run of the upstream, beside its limit, and placement asks it one question; work that is placed already is checked again before the write. A pause counts as no failure. If all upstreams of a pool are paused, requests are refused at once with the end of the first pause and a spread of 0.4 s. Other VMs are not told. explain names the paused upstreams.

--- a/packages/cli/src/ExplainCommand.ts
+++ b/packages/cli/src/ExplainCommand.ts
@@ -88,6 +88,13 @@
     const brokenAttempt = findLastEvent("stream-broken") ?? findLastEvent("answer-broken")
         ?? findLastEvent("attempt-failed");
     const lateResponse = findLastEvent("answer-late");
+    const pause = findLastEvent("upstreams-paused");
+    if (pause) {
+        return `refused without being run: the upstreams that were left in pool ${
+            pause["pool"]
+        } had asked this VM for a pause `
+            + `(${pause["paused"]}: ${pause["upstreams"]}); the first pause ends ${pause["pauseMs"]} ms later.`;
+    }
     if (admissionRefusal) {
         return `refused without being run: the best engine (${admissionRefusal["upstream"]}) had a wait of ${
             admissionRefusal["waitMs"]
--- a/packages/dispatch/__tests__/unit/DispatchFleet.ts
+++ b/packages/dispatch/__tests__/unit/DispatchFleet.ts
@@ -201,7 +201,7 @@
         if (upstream.limitPerS !== undefined && !upstream.statedMs.has(run)) {
             upstream.statedMs.set(run, clock.nowMs());
         }
-        lease.recordStatedLimit(upstream.limitPerS);
+        lease.recordStatements({ ...dispatch.noStatements, limitPerS: upstream.limitPerS });
         lease.recordFirstByte();
     }
 
--- a/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
+++ b/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
@@ -4,8 +4,22 @@
 import * as assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { standaloneView } from "../../src/FleetView.js";
+import type { Job, Lease } from "../../src/Job.js";
+import { noStatements, type ResponseStatements } from "../../src/UpstreamStatements.js";
 import { createUpstreamTable } from "../../src/UpstreamTable.js";
-import { pool, upstreamOf } from "./EngineFixtures.js";
+import { pool, route, upstreamOf } from "./EngineFixtures.js";
+
+const job: Job = {
+    requestId: core.requestId("r1"),
+    route,
+    pool,
+    customer: undefined,
+    priority: 1,
+    prompt: undefined,
+    arrivedMs: 0,
+    deadlineMs: 5_000,
+    fingerprint: () => 1,
+};
 
 function createTable() {
     const clock = testing.createVirtualClock();
@@ -33,6 +47,13 @@
             };
             snapshot.update(current => catalog.applyChanges(current, [change], catalogMs));
         },
+        /** Lets an upstream respond to a request with statements; returns the lease, which has not ended. */
+        respond(id: string, statements: Partial<ResponseStatements>): Lease {
+            const lease = table.stateOf(core.upstreamId(id))!.openLease(job, 0, 100, 0);
+            lease.recordStatements({ ...noStatements, ...statements });
+            return lease;
+        },
+        firstPauseEndMs: (): number | undefined => table.pauses(pool, snapshot.read())[0]?.untilMs,
         usable: (): readonly string[] =>
             table.usableUpstreams(pool, snapshot.read(), new Set()).map(({ upstream }) => upstream.id),
     };
@@ -67,4 +88,48 @@
         fail("b");
         assert.deepEqual(preferred(), ["a", "b", "c"]);
     });
+
+    describe("what upstreams state in responses", () => {
+        it("sends nothing new to a run that leaves, also if the store shows it as ready later, but to another run", () => {
+            const { register, respond, usable } = createTable();
+            ["a", "b"].forEach(id => register(upstreamOf(id), 0));
+            const earlier = respond("a", {});
+            respond("a", { isLeaving: true });
+            assert.deepEqual(usable(), ["b"]);
+            assert.ok(!earlier.mayWrite(), "a request that was placed before is not written");
+            register(upstreamOf("a", { coldLeftMs: 0 }), 10);
+            assert.deepEqual(usable(), ["b"]);
+            register(upstreamOf("a", { startedWallMs: 2 }), 20);
+            assert.deepEqual(usable(), ["a", "b"]);
+        });
+
+        it("sends nothing to a paused upstream until its pause ends, and does not count the pause as a failure", async () => {
+            const { clock, register, respond, usable, table, firstPauseEndMs } = createTable();
+            ["a", "b"].forEach(id => register(upstreamOf(id), 0));
+            for (let i = 0; i < 10; i++) {
+                respond("a", { pauseMs: 1_500 }).end("failed");
+            }
+            assert.deepEqual(usable(), ["b"]);
+            respond("b", { pauseMs: 900 }).end("shed");
+            assert.deepEqual(usable(), []);
+            assert.equal(Math.round(firstPauseEndMs()! - clock.nowMs()), 900);
+            await clock.advance(901);
+            assert.deepEqual(usable(), ["b"]);
+            await clock.advance(600);
+            assert.deepEqual(usable(), ["a", "b"]);
+            assert.equal(firstPauseEndMs(), undefined);
+            assert.equal(table.stateOf(core.upstreamId("a"))!.health.failureShare(), 0);
+        });
+
+        it("prefers warm upstreams to one that states that it has become cold", async () => {
+            const { clock, register, respond, usable } = createTable();
+            ["a", "b"].forEach(id => register(upstreamOf(id), 0));
+            respond("a", { coldMs: 2_000 }).end("ok");
+            assert.deepEqual(usable(), ["b"]);
+            register(upstreamOf("a", { coldLeftMs: 0 }), 10);
+            assert.deepEqual(usable(), ["b"], "an entry of the store that lags does not end the cold time");
+            await clock.advance(2_001);
+            assert.deepEqual(usable(), ["a", "b"]);
+        });
+    });
 });
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -60,6 +60,10 @@
 const noUpstreamRetryAfterMs = 500;
 /** Retry-After in ms when all upstreams are at capacity or cold. */
 const overloadRetryAfterMs = 400;
+/** Maximum number of paused upstreams that a log line names. */
+const maxLoggedPauses = 8;
+/** Time in ms after the end of a pause over which refused callers are spread. */
+const pauseSpreadMs = 400;
 /** Maximum number of trackers that are asked in addition, about upstreams that are ejected or have reached their limit. */
 const maxUnavailableCandidates = 4;
 /** Maximum time in ms for which an upstream whose limit is reached is left out, before random jitter. */
@@ -233,6 +237,24 @@
         return { reason: "overloaded", retryAfterMs: overloadRetryAfterMs * (1 + random()) };
     }
 
+    /** Refuses a request for which no upstream is left. Callers return from the end of the first pause on, spread out. */
+    function refuseWithoutUpstream(job: Job): DispatchRefusal {
+        const pauses = table.pauses(job.pool, options.catalog.read());
+        const [first] = pauses;
+        if (!first) {
+            return { reason: "no-upstream", retryAfterMs: noUpstreamRetryAfterMs };
+        }
+        const pauseMs = Math.max(0, first.untilMs - clock.nowMs());
+        log.failure("upstreams-paused", {
+            requestId: job.requestId,
+            pool: job.pool,
+            pauseMs: Math.round(pauseMs),
+            paused: pauses.length,
+            upstreams: pauses.slice(0, maxLoggedPauses).map(({ id }) => id).join(),
+        });
+        return { reason: "paused", retryAfterMs: pauseMs + random() * pauseSpreadMs };
+    }
+
     async function acquireService(job: Job, usable: readonly UpstreamState[]): Promise<Result<Lease, DispatchRefusal>> {
         for (let asked = 0; asked < maxUnavailableCandidates; asked++) {
             const best = chooseService(
@@ -367,7 +389,7 @@
             }
             const usable = table.usableUpstreams(job.pool, options.catalog.read(), avoided);
             if (usable.length === 0) {
-                return err({ reason: "no-upstream", retryAfterMs: noUpstreamRetryAfterMs });
+                return err(refuseWithoutUpstream(job));
             }
             if (isRetry && !budget.tryTakeRetry()) {
                 return err({ reason: "retry-budget", retryAfterMs: overloadRetryAfterMs });
--- a/packages/dispatch/src/Job.ts
+++ b/packages/dispatch/src/Job.ts
@@ -1,5 +1,6 @@
 import type * as catalog from "@peridotloft/catalog";
 import type * as core from "@peridotloft/core";
+import type { ResponseStatements } from "./UpstreamStatements.js";
 
 /** A part of a prompt that other requests may share. An engine caches it only together with all parts before it. */
 export interface PromptPart {
@@ -48,6 +49,7 @@
         | "retry-budget"
         | "quarantined"
         | "suspected"
+        | "paused"
         | "cancelled";
     /** Time in ms after which the caller may retry; undefined if a retry does not help. */
     readonly retryAfterMs: number | undefined;
@@ -81,7 +83,7 @@
     mayWrite(): boolean;
     /** Records that the first event of a stream, or the response headers, arrived. */
     recordFirstByte(): void;
-    /** Records the limit in requests per second that the response states; undefined if it states none. */
-    recordStatedLimit(limitPerS: number | undefined): void;
+    /** Records what the upstream states about itself in the response. */
+    recordStatements(statements: ResponseStatements): void;
     end(outcome: AttemptOutcome): void;
 }
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -4,12 +4,13 @@
 import type * as telemetry from "@peridotloft/telemetry";
 import type { FleetView } from "./FleetView.js";
 import type { AttemptOutcome, Job, Lease } from "./Job.js";
-import { createLimitState, type LimitState } from "./LimitState.js";
+import type { LimitState } from "./LimitState.js";
 import { type Backlog, createBacklog } from "./LoadModel.js";
 import { createPrefixCache, type PrefixCache } from "./PrefixCache.js";
 import { createSlowness } from "./Slowness.js";
 import { createTokenBucket, type TokenBucket } from "./TokenBucket.js";
 import { createUpstreamHealth, isFailure, type UpstreamHealth } from "./UpstreamHealth.js";
+import { createUpstreamStatements, type ResponseStatements, type UpstreamStatements } from "./UpstreamStatements.js";
 
 export interface UpstreamTableOptions {
     readonly clock: core.Clock;
@@ -57,17 +58,25 @@
     openLease(job: Job, newTokens: number, expectedMs: number, ticket: number): Lease;
 }
 
+/** A pause that an upstream has asked this VM for. */
+export interface UpstreamPause {
+    readonly id: core.UpstreamId;
+    readonly untilMs: number;
+}
+
 /** The state of each registered upstream. */
 export interface UpstreamTable {
     /** Undefined if the upstream is not registered. */
     stateOf(id: core.UpstreamId): UpstreamState | undefined;
     stateOfHash(idHash: number): UpstreamState | undefined;
-    /** Upstreams of a pool that accept requests now: not leaving, evacuated or avoided, and within the cold rate limit. */
+    /** Upstreams of a pool that accept requests now: not leaving, paused, evacuated or avoided, and within the cold rate limit. */
     usableUpstreams(
         pool: core.PoolId,
         snapshot: catalog.CatalogSnapshot,
         avoided: ReadonlySet<core.UpstreamId>,
     ): readonly UpstreamState[];
+    /** The upstreams of a pool that are paused, and the times in ms at which their pauses end; the first to end comes first. */
+    pauses(pool: core.PoolId, snapshot: catalog.CatalogSnapshot): readonly UpstreamPause[];
     /**
      * The upstreams that are not ejected, or all of them if more than half are: so many failures at once have a common
      * cause, not single faulty upstreams.
@@ -108,6 +117,8 @@
     const byHash = new Map<number, MutableState>();
     const routableByPool = new Map<core.PoolId, readonly MutableState[]>();
     const ejectedStates = new Set<UpstreamState>();
+    /** Upstreams that have stated that they leave, or that they want no requests for a time. */
+    const unavailableStates = new Set<MutableState>();
     let routableSnapshot: catalog.CatalogSnapshot | undefined;
     /** Time in ms from which no upstream is cold. */
     let lastColdUntilMs = Number.NEGATIVE_INFINITY;
@@ -134,7 +145,8 @@
         snapshot.upstreamsByPool.forEach((list, pool) =>
             largestPoolSize.set(pool, Math.max(largestPoolSize.get(pool) ?? 0, list.length))
         );
-        [...states.keys()].filter(id => !snapshot.upstreams.has(id)).forEach(id => {
+        [...states].filter(([id]) => !snapshot.upstreams.has(id)).forEach(([id, state]) => {
+            unavailableStates.delete(state);
             states.delete(id);
             byHash.delete(core.hash32(id));
         });
@@ -145,9 +157,12 @@
             }
             if (known && isSameRun(known.upstream, upstream)) {
                 known.upstream = upstream;
-                known.coldUntilMs = coldUntilMsOf(upstream);
+                setColdUntil(known, Math.max(coldUntilMsOf(upstream), known.statements.coldUntilMs() ?? 0));
                 return;
             }
+            if (known) {
+                unavailableStates.delete(known);
+            }
             // An upstream that restarts under the same id has lost its cache and its requests.
             const state = createState(upstream);
             states.set(upstream.id, state);
@@ -155,26 +170,42 @@
         });
     });
 
+    const removeGauges = (["leaving", "paused"] as const).map(reason =>
+        metrics.registerGauge(
+            `upstreams_${reason}`,
+            `Upstreams left out since they stated that they are ${reason}.`,
+            () =>
+                [...unavailableStates].filter(({ statements }) =>
+                    statements.unavailability(clock.nowMs())?.reason === reason
+                ).length,
+        )
+    );
+
     // The catalog's clock includes steps of the wall clock, which this clock does not.
     function coldUntilMsOf({ coldUntilMs, learnedMs }: catalog.KnownUpstream): number {
-        const untilMs = clock.nowMs() + coldUntilMs - learnedMs;
+        return clock.nowMs() + coldUntilMs - learnedMs;
+    }
+
+    function setColdUntil(state: MutableState, untilMs: number): void {
+        state.coldUntilMs = untilMs;
         lastColdUntilMs = Math.max(lastColdUntilMs, untilMs);
-        return untilMs;
     }
 
     function createState(upstream: catalog.KnownUpstream): MutableState {
         // The VMs share the cache of an engine; this VM assumes an equal share for the prompts that it sends.
         const localCacheTokens = (): number => cacheTokens(upstream.pool) / Math.max(1, fleet.vmCount());
         const slowness = createSlowness();
+        const statements = createUpstreamStatements(() => 1 / Math.max(1, fleet.vmCount()));
         const state: MutableState = {
             upstream,
             idHash: core.hash32(upstream.id),
             learnedMs: clock.nowMs(),
-            coldUntilMs: coldUntilMsOf(upstream),
+            coldUntilMs: Number.NEGATIVE_INFINITY,
             localRunning: 0,
             localQueuedTokens: 0,
             coldLimiter: undefined,
-            limit: createLimitState(() => 1 / Math.max(1, fleet.vmCount())),
+            statements,
+            limit: statements.limit,
             hasResponded: false,
             postponedUntilMs: Number.NEGATIVE_INFINITY,
             postpone: untilMs => void (state.postponedUntilMs = untilMs),
@@ -192,9 +223,58 @@
             recordFirstByte: slowness.record,
             openLease: (job, newTokens, expectedMs, ticket) => createLease(state, job, newTokens, expectedMs, ticket),
         };
+        setColdUntil(state, coldUntilMsOf(upstream));
         return state;
     }
 
+    function adoptLimit(state: MutableState, job: Job, limitPerS: number | undefined, nowMs: number): void {
+        const previousPerS = state.limit.current(nowMs)?.limitPerS;
+        const statedLimit = { limitPerS, atMs: nowMs };
+        if (state.limit.adopt(statedLimit, nowMs)) {
+            fleet.reportLimit({ upstreamHash: state.idHash, statedLimit });
+            log.state("upstream-limit", {
+                requestId: job.requestId,
+                upstream: state.upstream.id,
+                limitPerS,
+                previousPerS,
+            });
+        }
+    }
+
+    function adoptStatements(state: MutableState, job: Job, stated: ResponseStatements): void {
+        const nowMs = clock.nowMs();
+        adoptLimit(state, job, stated.limitPerS, nowMs);
+        stated.invalid.forEach(header =>
+            log.failure("statement-invalid", { requestId: job.requestId, upstream: state.upstream.id, header })
+        );
+        state.statements.adopt(stated, nowMs).forEach(({ statement, untilMs }) => {
+            metrics.count("statements", { statement });
+            log.state("upstream-statement", {
+                requestId: job.requestId,
+                upstream: state.upstream.id,
+                upstreamStartedWallMs: state.upstream.startedWallMs,
+                statement,
+                forMs: Number.isFinite(untilMs) ? Math.round(untilMs - nowMs) : undefined,
+            });
+        });
+        if (state.statements.unavailability(nowMs)) {
+            unavailableStates.add(state);
+        }
+        const coldUntilMs = state.statements.coldUntilMs();
+        if (coldUntilMs !== undefined && coldUntilMs > state.coldUntilMs) {
+            setColdUntil(state, coldUntilMs);
+        }
+    }
+
+    /** Without the upstreams that have stated that they want no requests now. */
+    function withoutUnavailable(list: readonly MutableState[]): readonly MutableState[] {
+        const nowMs = clock.nowMs();
+        unavailableStates.forEach(state =>
+            state.statements.unavailability(nowMs) === undefined && unavailableStates.delete(state)
+        );
+        return unavailableStates.size === 0 ? list : list.filter(state => !unavailableStates.has(state));
+    }
+
     function createLease(
         state: MutableState,
         job: Job,
@@ -207,6 +287,7 @@
         let pendingTokens = newTokens;
         let open = true;
         let hasResponse = false;
+        let hasPaused = false;
         state.localRunning++;
         state.localQueuedTokens += pendingTokens;
         state.backlog.add(newTokens, openedMs);
@@ -234,7 +315,8 @@
             upstream: leasedUpstream,
             expectedMs,
             mayWrite: () =>
-                states.get(leasedUpstream.id) === state && isRoutable(state.upstream, options.catalog.read()),
+                states.get(leasedUpstream.id) === state && isRoutable(state.upstream, options.catalog.read())
+                && state.statements.unavailability(clock.nowMs()) === undefined,
             recordFirstByte() {
                 markPrefilled();
                 if (job.route.kind === "stream") {
@@ -248,24 +330,16 @@
                     }
                 }
             },
-            recordStatedLimit(limitPerS) {
-                const nowMs = clock.nowMs();
-                const previousPerS = state.limit.current(nowMs)?.limitPerS;
+            recordStatements(stated) {
                 state.hasResponded = true;
-                const statedLimit = { limitPerS, atMs: nowMs };
-                if (state.limit.adopt(statedLimit, nowMs)) {
-                    fleet.reportLimit({ upstreamHash: state.idHash, statedLimit });
-                    log.state("upstream-limit", {
-                        requestId: job.requestId,
-                        upstream: leasedUpstream.id,
-                        limitPerS,
-                        previousPerS,
-                    });
-                }
+                hasPaused = stated.pauseMs !== undefined;
+                adoptStatements(state, job, stated);
             },
-            end(outcome: AttemptOutcome) {
+            end(reported: AttemptOutcome) {
                 core.invariant(open, "a lease ends once");
                 open = false;
+                // An upstream that asks for a pause is not faulty.
+                const outcome = hasPaused && reported === "failed" ? "shed" : reported;
                 markPrefilled();
                 if (outcome === "ok") {
                     recordRunTime(job, clock.nowMs() - openedMs);
@@ -331,7 +405,7 @@
         stateOf: id => states.get(id),
         stateOfHash: idHash => byHash.get(idHash),
         usableUpstreams(pool, snapshot, avoided) {
-            const all = routableUpstreams(pool, snapshot);
+            const all = withoutUnavailable(routableUpstreams(pool, snapshot));
             const routable = avoided.size === 0 ? all : all.filter(({ upstream }) => !avoided.has(upstream.id));
             const nowMs = clock.nowMs();
             if (nowMs >= lastColdUntilMs) {
@@ -341,6 +415,15 @@
             // Cold upstreams have little capacity, so they are used only if there is no warm one.
             return warm.length > 0 ? warm : routable.filter(isWithinColdLimit);
         },
+        pauses(pool, snapshot) {
+            const nowMs = clock.nowMs();
+            return routableUpstreams(pool, snapshot).flatMap(({ upstream, statements }) => {
+                const unavailability = statements.unavailability(nowMs);
+                return unavailability?.reason === "paused"
+                    ? [{ id: upstream.id, untilMs: unavailability.untilMs }]
+                    : [];
+            }).sort((left, right) => left.untilMs - right.untilMs);
+        },
         withoutEjected(list) {
             const nowMs = clock.nowMs();
             ejectedStates.forEach(state => !state.health.isEjected(nowMs) && ejectedStates.delete(state));
@@ -351,12 +434,16 @@
         expectedRunMs: ({ pool, prompt }) =>
             (prompt?.maxOutputTokens ?? 0) * (msPerToken.get(pool) ?? initialMsPerToken),
         cacheTokens,
-        dispose: () => subscription.unsubscribe(),
+        dispose() {
+            subscription.unsubscribe();
+            removeGauges.forEach(remove => remove());
+        },
     };
 }
 
 interface MutableState extends UpstreamState {
     upstream: catalog.KnownUpstream;
+    readonly statements: UpstreamStatements;
     coldUntilMs: number;
     localRunning: number;
     localQueuedTokens: number;
--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -177,7 +177,7 @@
         if (responseHead.misdirected) {
             return fail("not-run", "misdirected", "another-upstream-at-address");
         }
-        lease.recordStatedLimit(responseHead.limitPerS);
+        lease.recordStatements(responseHead.statements);
         if (responseHead.notRun) {
             return fail("not-run", "shed", `shed-${message.statusCode}`);
         }
--- a/packages/gateway/src/Refusal.ts
+++ b/packages/gateway/src/Refusal.ts
@@ -32,6 +32,7 @@
     "retry-budget": 503,
     "quarantined": 503,
     "suspected": 503,
+    "paused": 503,
     "cancelled": 503,
     "processor-overloaded": 503,
     "starting": 503,
--- a/packages/gateway/src/WireCodec.ts
+++ b/packages/gateway/src/WireCodec.ts
@@ -37,8 +37,8 @@
     readonly notRun: boolean;
     /** Whether the address belongs to an upstream other than the expected one. */
     readonly misdirected: boolean;
-    /** Requests per second that the upstream accepts from all VMs together; undefined if it states no limit. */
-    readonly limitPerS: number | undefined;
+    /** What the upstream states about itself. */
+    readonly statements: dispatch.ResponseStatements;
 }
 
 /** Translates the headers of callers and upstreams. */
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -21,6 +21,9 @@
     attempts: ["upstream_attempts_total", "Requests sent to upstreams, by outcome.", ["outcome"]],
     ejections: ["upstream_ejections_total", "Upstreams ejected because of their responses.", []],
     quarantines: ["quarantines_total", "Requests and parts of prompts found to crash upstreams.", []],
+    statements: ["upstream_statements_total", "Changes of what upstreams state about themselves, by statement.", [
+        "statement",
+    ]],
     storeCalls: ["store_calls_total", "Calls to the platform's store, by outcome.", ["outcome"]],
     storeRestores: ["store_restores_total", "Restores of the platform's store from a copy, as seen by this VM.", []],
     catalogChanges: ["catalog_changes_total", "Changes of the catalog that the platform publishes, by kind.", ["kind"]],
