catalog: the change history and the pace of watches in modules of their own

ChangeHistory holds the changes for other VMs, WatchPacer the token bucket of watches.

One change of behaviour: when the history drops its oldest changes, its start moves with them, so a VM that lacks them gets all items. By reading, it got only the later ones before; the new test of ChangeHistory shows the rule on the module.

--- a/packages/catalog/src/CatalogFollower.ts
+++ b/packages/catalog/src/CatalogFollower.ts
@@ -11,6 +11,8 @@
     RelayedBatch,
     SourceError,
 } from "./CatalogSource.js";
+import { createChangeHistory } from "./ChangeHistory.js";
+import { createWatchPacer } from "./WatchPacer.js";
 
 export interface CatalogFollowerOptions {
     readonly source: CatalogSource;
@@ -132,9 +134,8 @@
     const waiters = new Set<() => void>();
     const deferredRemovals = new Set<readonly PositionedChange[]>();
     const relayRetryAtMs = new Map<string, number>();
-    /** Applied changes in order, without gaps after the position `historyStart`. */
-    let history: readonly PositionedChange[] = [];
-    let historyStart = initialPosition;
+    const history = createChangeHistory(timing.historyLength);
+    const watchPacer = createWatchPacer(timing.watchIntervalMs, timing.watchBurst, clock.nowMs());
     let position: Position | undefined;
     /** The latest known era of the store; undefined before the first listing. */
     let era: number | undefined;
@@ -149,8 +150,6 @@
     let failures = 0;
     let pendingConfirm: Promise<boolean> | undefined;
     let lastFailedConfirmMs = Number.NEGATIVE_INFINITY;
-    let watchTokens = timing.watchBurst;
-    let watchTokensUpdatedMs = clock.nowMs();
     let disposed = false;
 
     const isSettled = (): boolean => clock.nowMs() >= settledAtMs;
@@ -162,7 +161,7 @@
         }
         snapshot.update(current => applyChanges(current, newChanges, clock.nowMs()));
         newChanges.forEach(logChange);
-        history = [...history, ...newChanges].slice(-timing.historyLength);
+        history.append(newChanges);
         waiters.forEach(wake => wake());
     }
 
@@ -229,9 +228,7 @@
         applyRemovals(isSettled() ? missing : missing.filter(({ change }) => change.kind === "upstream-removed"));
         advanceTo(listing.position);
         waiters.forEach(wake => wake());
-        // The individual changes between the previous position and this listing are unknown.
-        history = [];
-        historyStart = listing.position;
+        history.restart(listing.position);
     }
 
     function applyBatch(batch: ChangeBatch): void {
@@ -420,7 +417,10 @@
                 await backOff();
             }
             else if (!isSamePosition(position, before)) {
-                await limitWatchRate();
+                const waitMs = watchPacer.recordWatch(clock.nowMs());
+                if (waitMs > 0) {
+                    await delay(waitMs);
+                }
             }
         }
     }
@@ -433,16 +433,6 @@
         return { era: known.era, revision: Math.min(known.revision, ...deferredRevisions) };
     }
 
-    async function limitWatchRate(): Promise<void> {
-        const nowMs = clock.nowMs();
-        const refilled = watchTokens + (nowMs - watchTokensUpdatedMs) / timing.watchIntervalMs;
-        watchTokens = Math.min(timing.watchBurst, refilled) - 1;
-        watchTokensUpdatedMs = nowMs;
-        if (watchTokens < 0) {
-            await delay(-watchTokens * timing.watchIntervalMs);
-        }
-    }
-
     function backOff(): Promise<void> {
         const limitMs = Math.min(timing.maxBackoffMs, timing.minBackoffMs * 2 ** Math.min(failures, 10));
         return delay(limitMs * (0.5 + random() / 2));
@@ -489,12 +479,12 @@
             if (position === undefined) {
                 return undefined;
             }
-            const complete = after.era !== historyStart.era || after.revision < historyStart.revision;
+            const changes = history.changesAfter(after);
             return {
                 position: relayedPosition(position),
                 ageMs: clock.nowMs() - confirmedMs,
-                complete,
-                changes: complete ? items.all() : history.filter(({ position: at }) => isAfter(at, after)),
+                complete: changes === undefined,
+                changes: changes ?? items.all(),
             };
         },
         start: (delayMs = 0) => void delay(delayMs).then(follow),
