catalog: limit the time in which a VM reads another one's configuration to 400 ms

The store is not read meanwhile, and a VM that has ended does not reply: with the timeout of a relay, three such reads would age the catalog by 3.6 s, close to the time from which keys are refused.

--- a/packages/catalog/src/CatalogFollower.ts
+++ b/packages/catalog/src/CatalogFollower.ts
@@ -69,6 +69,8 @@
      * The entry of an upstream that has ended expires in this time.
      */
     readonly restoreSettleMs: number;
+    /** Timeout of reading the configuration of another VM; the store is not read meanwhile. */
+    readonly catchUpTimeoutMs: number;
     readonly minBackoffMs: number;
     readonly maxBackoffMs: number;
     /** Timeout of `confirm`. */
@@ -96,8 +98,9 @@
     reregistrationGraceMs: 1_400,
     // An entry expires after three missed heartbeats of 1.2 s.
     minExpiryOutageMs: 2_000,
-    // An entry expires after three missed heartbeats of 1.2 s.
+    // An entry expires within about 3.6 s, and removals take some time to reach this VM.
     restoreSettleMs: 4_000,
+    catchUpTimeoutMs: 400,
     minBackoffMs: 60,
     maxBackoffMs: 500,
     confirmTimeoutMs: 400,
@@ -333,7 +336,7 @@
     /** Reads the configuration of another VM, which may be newer than that of a store that was restored from a copy. */
     async function catchUp(peer: CatalogRelaySource): Promise<void> {
         catchUpReads--;
-        const result = await peer.watch(initialPosition, 0, timing.relayWaitMs + timing.timeoutSlackMs);
+        const result = await peer.watch(initialPosition, 0, timing.catchUpTimeoutMs);
         if (disposed) {
             return;
         }
