dispatch: scale the bound on slots with the load of the slots alone

The queues are long (load 1), 26 of 64 slots of an engine are in use, and the customer with the largest usage is refused there, since the load of the queues reduced its bound on slots to 0.15 x 64 as well. Class of fault: a bound on one resource that follows the load of another one.

Change: waits are bounded by the load of the queues, as before, and slots by the load of the slots. TrackedLoad "does not count long queues as load of the slots": the two loads were one value, the larger one.

LargeFleet and EngineAdmission pass as before.

--- a/packages/dispatch/__tests__/unit/EngineAdmission.test.ts
+++ b/packages/dispatch/__tests__/unit/EngineAdmission.test.ts
@@ -10,7 +10,7 @@
     maxSpillWaitMs,
     maxWaitMs,
 } from "../../src/EngineAdmission.js";
-import { loadOf } from "../../src/Placement.js";
+import { loadFromSlotShare } from "../../src/Placement.js";
 
 const isAdmitted = (offered: EngineAdmissionInput): boolean => offered.waitMs <= maxWaitMs(offered);
 const input = { waitMs: 0, elapsedMs: 0, objectiveMs: 500, relativeUsage: 0, meanLoad: 1 };
@@ -52,9 +52,9 @@
 
     describe("slots", () => {
         it("hardly hold a customer with half of the largest usage back, and the heaviest customer much", () => {
-            assert.ok(maxSlotShare({ relativeUsage: 0.5, meanLoad: 1 }) >= 0.85);
-            assert.ok(maxSlotShare({ relativeUsage: 1, meanLoad: 1 }) <= 0.3);
-            assert.equal(maxSlotShare({ relativeUsage: 1, meanLoad: 0 }), 1);
+            assert.ok(maxSlotShare({ relativeUsage: 0.5, slotLoad: 1 }) >= 0.85);
+            assert.ok(maxSlotShare({ relativeUsage: 1, slotLoad: 1 }) <= 0.3);
+            assert.equal(maxSlotShare({ relativeUsage: 1, slotLoad: 0 }), 1);
         });
 
         /** Prompts that customers get admitted to engines whose slots are used in a random order of arrival. */
@@ -76,7 +76,8 @@
                 core.shuffle(arrivals, random).forEach(customer => {
                     const relativeUsage = usage.relative(customer, nowMs);
                     if (
-                        ends.length < slots * maxSlotShare({ relativeUsage, meanLoad: loadOf(0, ends.length / slots) })
+                        ends.length
+                            < slots * maxSlotShare({ relativeUsage, slotLoad: loadFromSlotShare(ends.length / slots) })
                     ) {
                         ends.push(tick + runTicks);
                         admitted[customer]!++;
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -146,7 +146,7 @@
             objectiveMs: input.objectiveMs,
             relativeUsage: input.relativeUsage,
             load: input.meanLoad,
-            maxSlotShare: maxSlotShare(input),
+            slotLoad: trackedLoad.slotLoad(),
             unreadTokens: Math.round(load.unreadTokens),
             running: load.running,
             slowness: load.slowness,
@@ -312,15 +312,16 @@
                 elapsedMs: clock.nowMs() - job.arrivedMs,
                 objectiveMs: job.route.objectiveMs,
                 relativeUsage: relativeUsage(job.customer),
-                meanLoad: trackedLoad.value(),
+                meanLoad: trackedLoad.waitLoad(),
             };
+            const slotLoad = trackedLoad.slotLoad();
             // A retry has already waited; refusing it would waste the work done for it so far.
             const waitLimitMs = isRetry
                 ? job.deadlineMs - clock.nowMs()
                 : candidateRank === 0
                 ? maxWaitMs(input)
                 : maxSpillWaitMs(input);
-            const slotShare = isRetry ? 1 : maxSlotShare(input);
+            const slotShare = isRetry ? 1 : maxSlotShare({ relativeUsage: input.relativeUsage, slotLoad });
             const answer = await askTracker(state, {
                 sharedParts,
                 ownTokens: Math.max(0, prompt.inputTokens - sharedTokens),
--- a/packages/dispatch/src/EngineAdmission.ts
+++ b/packages/dispatch/src/EngineAdmission.ts
@@ -8,10 +8,17 @@
     readonly objectiveMs: number;
     /** Usage of the customer relative to that of the heaviest customer, 0 to 1. */
     readonly relativeUsage: number;
-    /** Mean load of all engines, 0 to 1. */
+    /** Mean load of the prefill queues of all engines, 0 to 1. */
     readonly meanLoad: number;
 }
 
+/** Input of the bound on slots. */
+export interface SlotBoundInput {
+    readonly relativeUsage: number;
+    /** Mean load of the slots of all engines, 0 to 1. Queues for prefill do not count: they have a bound of their own. */
+    readonly slotLoad: number;
+}
+
 /** Share of the objective that may be spent waiting. The rest is for the prefill and for estimation errors. */
 const maxWaitShare = 0.6;
 /**
@@ -27,11 +34,9 @@
 /** Wait in ms up to which every prompt is admitted: it corresponds to one or two prompts in prefill. */
 const alwaysAdmittedWaitMs = 60;
 
-/** Share by which the bounds of a customer are reduced. */
-function reductionOf(
-    { relativeUsage, meanLoad }: Pick<EngineAdmissionInput, "relativeUsage" | "meanLoad">,
-): number {
-    return heaviestCustomerReduction * relativeUsage ** usageExponent * meanLoad;
+/** Share by which a bound of a customer is reduced, given the load of the resource that it bounds, 0 to 1. */
+function reductionOf(relativeUsage: number, load: number): number {
+    return heaviestCustomerReduction * relativeUsage ** usageExponent * load;
 }
 
 /**
@@ -47,7 +52,7 @@
     { elapsedMs, objectiveMs, relativeUsage, meanLoad }: Omit<EngineAdmissionInput, "waitMs">,
 ): number {
     const allowedMs = Math.max(0, objectiveMs * maxWaitShare - elapsedMs - alwaysAdmittedWaitMs);
-    return alwaysAdmittedWaitMs + allowedMs * (1 - reductionOf({ relativeUsage, meanLoad }));
+    return alwaysAdmittedWaitMs + allowedMs * (1 - reductionOf(relativeUsage, meanLoad));
 }
 
 /**
@@ -55,10 +60,8 @@
  * run out of them before prompts wait for their prefill. Without this bound, the slots that become free go to whoever asks
  * first, so customers are served in proportion to what they ask for.
  */
-export function maxSlotShare(
-    { relativeUsage, meanLoad }: Pick<EngineAdmissionInput, "relativeUsage" | "meanLoad">,
-): number {
-    return 1 - reductionOf({ relativeUsage, meanLoad });
+export function maxSlotShare({ relativeUsage, slotLoad }: SlotBoundInput): number {
+    return 1 - reductionOf(relativeUsage, slotLoad);
 }
 
 /** Relative usage, weighted by load, up to which a prompt may spill over when its primary engine has no capacity. */
--- a/packages/dispatch/src/Placement.ts
+++ b/packages/dispatch/src/Placement.ts
@@ -6,7 +6,7 @@
 const delayPerRunningMs = 0.1;
 /** Mean queue wait in ms at which engines count as fully loaded. */
 const fullLoadWaitMs = 150;
-/** Mean share of the slots in use up to which engines count as idle, and from which they count as fully loaded. */
+/** Mean share of the slots in use up to which slots do not count as loaded, and from which they count as fully loaded. */
 const idleSlotShare = 0.5;
 const fullLoadSlotShare = 0.9;
 
@@ -34,15 +34,14 @@
         * slowness;
 }
 
-/**
- * Load, 0 to 1, of engines.
- *
- * @param waitMs mean queue wait in ms.
- * @param slotShare mean share of the slots in use, 0 to 1.
- */
-export function loadOf(waitMs: number, slotShare: number): number {
-    const slotLoad = (slotShare - idleSlotShare) / (fullLoadSlotShare - idleSlotShare);
-    return Math.min(1, Math.max(0, waitMs / fullLoadWaitMs, slotLoad));
+/** Load, 0 to 1, of engines whose mean queue wait is `waitMs`. */
+export function loadFromWaitMs(waitMs: number): number {
+    return Math.min(1, waitMs / fullLoadWaitMs);
+}
+
+/** Load, 0 to 1, of the slots of engines of which a mean share, 0 to 1, is in use. */
+export function loadFromSlotShare(slotShare: number): number {
+    return Math.min(1, Math.max(0, (slotShare - idleSlotShare) / (fullLoadSlotShare - idleSlotShare)));
 }
 
 /** Load and health of one upstream of a plain service. */
--- a/packages/dispatch/src/TrackedLoad.ts
+++ b/packages/dispatch/src/TrackedLoad.ts
@@ -1,6 +1,6 @@
 import type * as core from "@peridotloft/core";
-import { createDecayingSum } from "./LoadModel.js";
-import { loadOf } from "./Placement.js";
+import { createDecayingSum, type DecayingSum } from "./LoadModel.js";
+import { loadFromSlotShare, loadFromWaitMs } from "./Placement.js";
 
 /** Load of all engines, estimated from the trackers' answers to this VM. */
 export interface TrackedLoad {
@@ -11,8 +11,10 @@
      * @param slotShare share of the slots in use, 0 to 1.
      */
     record(waitMs: number, slotShare: number): void;
-    /** 0 to 1. */
-    value(): number;
+    /** Load of the prefill queues, 0 to 1. */
+    waitLoad(): number;
+    /** Load of the slots, 0 to 1. */
+    slotLoad(): number;
 }
 
 /** Time constant in ms of the decay of an answer; at 20 requests/s per VM the estimate covers about 20 answers. */
@@ -24,6 +26,10 @@
     const waits = createDecayingSum(timeConstantMs);
     const slotShares = createDecayingSum(timeConstantMs);
     const answers = createDecayingSum(timeConstantMs);
+    const meanOf = (sum: DecayingSum): number => {
+        const nowMs = clock.nowMs();
+        return sum.value(nowMs) / (answers.value(nowMs) + assumedIdleAnswers);
+    };
     return {
         record(waitMs, slotShare) {
             const nowMs = clock.nowMs();
@@ -31,10 +37,7 @@
             slotShares.add(slotShare, nowMs);
             answers.add(1, nowMs);
         },
-        value() {
-            const nowMs = clock.nowMs();
-            const count = answers.value(nowMs) + assumedIdleAnswers;
-            return loadOf(waits.value(nowMs) / count, slotShares.value(nowMs) / count);
-        },
+        waitLoad: () => loadFromWaitMs(meanOf(waits)),
+        slotLoad: () => loadFromSlotShare(meanOf(slotShares)),
     };
 }
