dispatch: bound waits by the larger load, slots by their own

Engines without free slots did not count as loaded for the bound on waits any more, so the heaviest customer got more of the short queues.

On small sites less than half of the slots are in use, so there it equals.

TrackedLoad: engines without free slots are loaded.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -312,7 +312,7 @@
                 elapsedMs: clock.nowMs() - job.arrivedMs,
                 objectiveMs: job.route.objectiveMs,
                 relativeUsage: relativeUsage(job.customer),
-                meanLoad: trackedLoad.waitLoad(),
+                meanLoad: trackedLoad.value(),
             };
             const slotLoad = trackedLoad.slotLoad();
             // A retry has already waited; refusing it would waste the work done for it so far.
--- a/packages/dispatch/src/EngineAdmission.ts
+++ b/packages/dispatch/src/EngineAdmission.ts
@@ -8,7 +8,7 @@
     readonly objectiveMs: number;
     /** Usage of the customer relative to that of the heaviest customer, 0 to 1. */
     readonly relativeUsage: number;
-    /** Mean load of the prefill queues of all engines, 0 to 1. */
+    /** Mean load of all engines, 0 to 1. */
     readonly meanLoad: number;
 }
 
--- a/packages/dispatch/src/Placement.ts
+++ b/packages/dispatch/src/Placement.ts
@@ -8,7 +8,7 @@
 const fullLoadWaitMs = 150;
 /** Mean share of the slots in use up to which slots do not count as loaded, and from which they count as fully loaded. */
 const idleSlotShare = 0.5;
-const fullLoadSlotShare = 0.9;
+const fullLoadSlotShare = 0.75;
 
 /** Load of an engine at the time when a prompt is dispatched to it. The names are those of `TrackerAnswer`. */
 export interface EngineLoad {
--- a/packages/dispatch/src/TrackedLoad.ts
+++ b/packages/dispatch/src/TrackedLoad.ts
@@ -11,8 +11,8 @@
      * @param slotShare share of the slots in use, 0 to 1.
      */
     record(waitMs: number, slotShare: number): void;
-    /** Load of the prefill queues, 0 to 1. */
-    waitLoad(): number;
+    /** Load of the engines, 0 to 1: that of their queues for prefill or of their slots, whichever is larger. */
+    value(): number;
     /** Load of the slots, 0 to 1. */
     slotLoad(): number;
 }
@@ -30,6 +30,7 @@
         const nowMs = clock.nowMs();
         return sum.value(nowMs) / (answers.value(nowMs) + assumedIdleAnswers);
     };
+    const slotLoad = (): number => loadFromSlotShare(meanOf(slotShares));
     return {
         record(waitMs, slotShare) {
             const nowMs = clock.nowMs();
@@ -37,7 +38,7 @@
             slotShares.add(slotShare, nowMs);
             answers.add(1, nowMs);
         },
-        waitLoad: () => loadFromWaitMs(meanOf(waits)),
-        slotLoad: () => loadFromSlotShare(meanOf(slotShares)),
+        value: () => Math.max(loadFromWaitMs(meanOf(waits)), slotLoad()),
+        slotLoad,
     };
 }
