gateway: log responses that end early, and why a stream broke

Change: response-aborted names the stage of the request, whether its body had been read and the response had begun, and the versions of the configuration at arrival and now. stream-broken names its cause, so a stall can be told from a connection that closed. No decision changes.

--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -59,6 +59,7 @@
     let attemptSequence: AttemptSequence | undefined;
     let callerDisconnected = false;
     let deadlineExceeded = false;
+    let stage: "admission" | "body" | "upstream" = "admission";
     let cancelDeadlineTimer: () => void = () => undefined;
 
     response.once("close", () => {
@@ -66,12 +67,29 @@
         if (!response.writableFinished) {
             callerDisconnected = true;
             attemptSequence?.cancel("caller-left");
+            logAbortedResponse();
         }
         const outcome = response.writableFinished ? String(response.statusCode) : "cut";
         metrics.count("requests", { kind, outcome });
         metrics.observeMs("requestMs", clock.nowMs() - arrivedMs, { kind });
     });
 
+    const configVersion = (): number | undefined => context.follower.snapshot.read().activeConfig?.config.version;
+    const arrivedConfigVersion = configVersion();
+
+    function logAbortedResponse(): void {
+        log.failure("response-aborted", {
+            requestId: requestHead.requestId,
+            customer,
+            stage,
+            begun: callerResponse.hasBegun(),
+            bodyComplete: request.complete,
+            heldMs: Math.round(clock.nowMs() - arrivedMs),
+            arrivedConfigVersion,
+            configVersion: configVersion(),
+        });
+    }
+
     function refuse(refusal: Refusal): void {
         if (callerResponse.hasEnded()) {
             return;
@@ -85,7 +103,7 @@
             begun: callerResponse.hasBegun(),
             retryAfterMs: refusal.retryAfterMs,
             heldMs: Math.round(clock.nowMs() - arrivedMs),
-            configVersion: context.follower.snapshot.read().activeConfig?.config.version,
+            configVersion: configVersion(),
             configAgeMs: Math.round(context.follower.ageMs()),
         });
         callerResponse.sendRefusal(refusal, requestHead.requestId);
@@ -107,6 +125,7 @@
         if (context.overload.refusesRequest(context.dispatcher.relativeUsage(customer))) {
             return refuse(createRefusal("processor-overloaded"));
         }
+        stage = "body";
         const maxBodyBytes = context.follower.snapshot.read().activeConfig?.config.limits.maxBodyBytes ?? 0;
         const body = await readBody(request, maxBodyBytes);
         if (body.isErr()) {
@@ -151,6 +170,7 @@
             deadlineMs: arrivedMs + timeoutOf(route),
             fingerprint: () => core.hash32(`${path} ${customer ?? ""} ${body.toString("latin1")}`),
         };
+        stage = "upstream";
         const sequence = createAttemptSequence(context, {
             job,
             isRetryable: route.kind === "stream" ? route.resumable : route.kind === "idempotent",
@@ -241,6 +261,7 @@
             log.failure("stream-broken", {
                 requestId: job.requestId,
                 upstream: lease.upstream.id,
+                cause: outcome,
                 lastEventId: splitter.lastEventId(),
                 begun: callerResponse.hasBegun(),
             });
@@ -258,7 +279,7 @@
         lease: dispatch.Lease,
         upstreamResponse: http.IncomingMessage,
         splitter: EventSplitter,
-    ): Promise<RelayOutcome> {
+    ): Promise<RelayOutcome | "stalled"> {
         const statusCode = upstreamResponse.statusCode ?? 502;
         if (statusCode >= 300 && !callerResponse.hasBegun()) {
             lease.recordFirstByte();
@@ -295,7 +316,7 @@
                 : undefined,
         });
         lease.end(outcome === "complete" ? "ok" : isCancelled() ? "abandoned" : stalled ? "silent" : "broken");
-        return outcome;
+        return stalled ? "stalled" : outcome;
     }
 
     function recordFirstEvent(job: dispatch.Job, lease: dispatch.Lease): void {
