gateway: keep an unresponsive attempt until another upstream has responded

If not, it closed the caller's connection (or sent a 502) although the engine would have gone on. A silence of a whole engine stalls all its streams at once, which is more than the retry budget of a VM. A pause of the caller counted as one of the engine.

Change: a silence makes the gateway look for a replacement, and the attempt goes on meanwhile. The first one that makes progress wins and the other one is cancelled (Replacement.ts). Without a replacement the attempt ends by itself, at the deadline, or with its caller. The silence still counts against the upstream's health, once. The watch stops while the caller does not read.

The other tests of Exchange and of packages/gateway pass (78).

--- a/packages/dispatch/src/Job.ts
+++ b/packages/dispatch/src/Job.ts
@@ -69,7 +69,7 @@
     | "connect-failed"
     /** The connection closed before the response was complete. */
     | "broken"
-    /** No response before the timeout, or a response that stalled. */
+    /** Replaced by an attempt at another upstream for lack of a response, or since the response stalled. */
     | "silent"
     /** The caller disconnected, or the attempt was cancelled for a reason unrelated to the upstream. */
     | "abandoned";
@@ -83,6 +83,8 @@
     mayWrite(): boolean;
     /** Records that the first event of a stream, or the response headers, arrived. */
     recordFirstByte(): void;
+    /** Records that the upstream has sent nothing for longer than expected. The lease stays open: it may still respond. */
+    recordUnresponsive(): void;
     /** Records what the upstream states about itself in the response. */
     recordStatements(statements: ResponseStatements): void;
     end(outcome: AttemptOutcome): void;
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -288,6 +288,7 @@
         let open = true;
         let hasResponse = false;
         let hasPaused = false;
+        let isUnresponsive = false;
         state.localRunning++;
         state.localQueuedTokens += pendingTokens;
         state.backlog.add(newTokens, openedMs);
@@ -301,6 +302,12 @@
         const report = (observed: Omit<AttemptReport, "upstreamHash" | "ticket">): void => {
             fleet.reportAttempt({ upstreamHash: state.idHash, ticket, ...observed });
         };
+        const recordOutcome = (outcome: AttemptOutcome): void => {
+            state.health.record(outcome, clock.nowMs());
+            if (job.prompt && isFailure(outcome)) {
+                report({ failed: true, unreachable: outcome === "connect-failed", tookMs: 0, expectedMs: 0 });
+            }
+        };
         const recordResponse = (): void => {
             if (!hasResponse) {
                 hasResponse = true;
@@ -330,6 +337,12 @@
                     }
                 }
             },
+            recordUnresponsive() {
+                if (!isUnresponsive) {
+                    isUnresponsive = true;
+                    recordOutcome("silent");
+                }
+            },
             recordStatements(stated) {
                 state.hasResponded = true;
                 hasPaused = stated.pauseMs !== undefined;
@@ -344,9 +357,6 @@
                 if (outcome === "ok") {
                     recordRunTime(job, clock.nowMs() - openedMs);
                 }
-                if (job.prompt && isFailure(outcome)) {
-                    report({ failed: true, unreachable: outcome === "connect-failed", tookMs: 0, expectedMs: 0 });
-                }
                 if (outcome === "ok" || outcome === "failed") {
                     recordResponse();
                 }
@@ -354,7 +364,9 @@
                     options.onBroken({ job, upstream: leasedUpstream, hasResponse });
                 }
                 state.localRunning--;
-                state.health.record(outcome, clock.nowMs());
+                if (outcome !== "silent" || !isUnresponsive) {
+                    recordOutcome(outcome);
+                }
                 metrics.count("attempts", { outcome });
             },
         };
--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -4,6 +4,7 @@
 import type * as http from "node:http";
 import type { GatewayContext } from "./GatewayContext.js";
 import { createRefusal, createUpstreamFailure, type Refusal, type RefusalReason } from "./Refusal.js";
+import { createReplacement, type Replacement } from "./Replacement.js";
 import { discardResponse } from "./ResponseRelay.js";
 import { type Attempt, type AttemptFailure, startAttempt } from "./UpstreamAttempt.js";
 
@@ -26,21 +27,35 @@
 export interface StartedResponse {
     readonly lease: dispatch.Lease;
     readonly response: http.IncomingMessage;
+    /** Closes the connection to the upstream. */
+    cancel(cause: string): void;
 }
 
 /** Sends a request to one upstream after another, within the route's maximum number of attempts and the retry budget. */
 export interface AttemptSequence {
     /** Tries upstreams until one responds; fails when no further attempt is allowed. */
     nextResponse(lastEventId: string | undefined): Promise<Result<StartedResponse, Refusal>>;
+    /**
+     * @param current lease of the attempt that may be replaced.
+     * @param onResponse called with the successful response of another upstream; returns whether the response is used.
+     */
+    createReplacement(current: dispatch.Lease, onResponse: (started: StartedResponse) => boolean): Replacement;
     /** Excludes an upstream whose response could not be used from further attempts. */
     excludeUpstream(lease: dispatch.Lease): void;
     mayRetry(): boolean;
     /** Whether an upstream may have run the request in the current attempt or an earlier one. */
     mayHaveRun(): boolean;
-    /** Closes the connection of the current attempt. */
+    /** Closes the connections of all attempts. */
     cancel(cause: string): void;
 }
 
+/** An attempt in progress, with the lease under which it was sent. */
+export interface LeasedAttempt {
+    readonly attempt: Attempt;
+    readonly lease: dispatch.Lease;
+    readonly result: Promise<Result<StartedResponse, AttemptFailure>>;
+}
+
 /** The response timeout on a reused connection is the expected time multiplied by the factor, plus the slack in ms. */
 const responseTimeoutFactor = 3;
 const responseTimeoutSlackMs = 400;
@@ -52,7 +67,7 @@
     const sentTo = new Set<core.UpstreamId>();
     /** The same, together with upstreams to which no connection could be opened. */
     const excluded = new Set<core.UpstreamId>();
-    let currentAttempt: Attempt | undefined;
+    const attempts = new Set<Attempt>();
     let mayHaveRun = false;
 
     async function nextResponse(lastEventId: string | undefined): Promise<Result<StartedResponse, Refusal>> {
@@ -65,37 +80,44 @@
                 lease.value.end("abandoned");
                 return err(createSequenceRefusal(mayHaveRun, "cancelled", undefined));
             }
-            const result = await runAttempt(lease.value, lastEventId);
+            const result = await awaitFirstResponse(startLeasedAttempt(lease.value, lastEventId), lastEventId);
             if (result.isOk()) {
-                return ok({ lease: lease.value, response: result.value });
-            }
-            const failure = result.error;
-            log.failure("attempt-failed", {
-                requestId: job.requestId,
-                upstream: lease.value.upstream.id,
-                cause: failure.cause,
-                verdict: failure.verdict,
-                attempts: sentTo.size,
-            });
-            excluded.add(lease.value.upstream.id);
-            if (failure.sent) {
-                sentTo.add(lease.value.upstream.id);
+                return ok(result.value);
             }
             if (request.isCancelled()) {
                 return err(createSequenceRefusal(mayHaveRun, "cancelled", undefined));
             }
-            if (sentTo.size >= job.route.maxAttempts || !core.mayRetry(failure.verdict, isRetryable)) {
+            if (sentTo.size >= job.route.maxAttempts || !core.mayRetry(result.error.verdict, isRetryable)) {
                 return err(createSequenceRefusal(mayHaveRun, "overloaded", retryAfterShedMs));
             }
         }
     }
 
-    async function runAttempt(
-        lease: dispatch.Lease,
+    /** Waits for the response to an attempt, or to the attempt that replaces it if it is unresponsive. */
+    async function awaitFirstResponse(
+        current: LeasedAttempt,
         lastEventId: string | undefined,
-    ): Promise<Result<http.IncomingMessage, AttemptFailure>> {
+    ): Promise<Result<StartedResponse, AttemptFailure>> {
+        let replacedBy: StartedResponse | undefined;
+        const replacement = createReplacementFor(current.lease, started => {
+            const isUsed = current.attempt.timeOut();
+            replacedBy = isUsed ? started : undefined;
+            return isUsed;
+        });
+        const cancelTimer = startResponseTimer(current, () => replacement.start(lastEventId));
+        const result = await current.result;
+        cancelTimer();
+        if (result.isOk()) {
+            replacement.cancel();
+            return result;
+        }
+        const started = replacedBy ?? await replacement.settled();
+        return started ? ok(started) : result;
+    }
+
+    function startLeasedAttempt(lease: dispatch.Lease, lastEventId: string | undefined): LeasedAttempt {
         const { upstream } = lease;
-        currentAttempt = startAttempt({
+        const attempt = startAttempt({
             upstream,
             agent: context.connections.agentOf(upstream, !isRetryable),
             method: request.method,
@@ -111,28 +133,72 @@
                 }),
             mayWrite: () => lease.mayWrite() && request.isStillAllowed(),
         }, clock);
-        const cancelResponseTimeout = startResponseTimeout(currentAttempt, lease);
-        const response = await currentAttempt.response;
-        cancelResponseTimeout();
-        const result = response.andThen(message => checkResponse(message, lease));
+        attempts.add(attempt);
+        return { attempt, lease, result: receiveHead(attempt, lease) };
+    }
+
+    async function receiveHead(
+        attempt: Attempt,
+        lease: dispatch.Lease,
+    ): Promise<Result<StartedResponse, AttemptFailure>> {
+        const response = await attempt.response;
+        const result = response.andThen(message => checkResponse(message, attempt, lease));
         mayHaveRun ||= result.isOk() || result.error.verdict !== "not-run";
         if (result.isErr()) {
-            lease.end(result.error.outcome);
-            if (
-                result.error.outcome === "silent" || result.error.outcome === "broken"
-                || result.error.outcome === "connect-failed"
-            ) {
-                context.connections.closeIdle(upstream);
-            }
+            recordFailure(lease, result.error);
+            attempts.delete(attempt);
+            return err(result.error);
+        }
+        return ok({ lease, response: result.value, cancel: attempt.cancel });
+    }
+
+    function recordFailure(lease: dispatch.Lease, { cause, outcome, sent, verdict }: AttemptFailure): void {
+        lease.end(outcome);
+        if (outcome === "silent" || outcome === "broken" || outcome === "connect-failed") {
+            context.connections.closeIdle(lease.upstream);
+        }
+        excluded.add(lease.upstream.id);
+        if (sent) {
+            sentTo.add(lease.upstream.id);
         }
-        return result;
+        log.failure("attempt-failed", {
+            requestId: job.requestId,
+            upstream: lease.upstream.id,
+            cause,
+            verdict,
+            attempts: sentTo.size,
+        });
+    }
+
+    function excludeUpstream(lease: dispatch.Lease): void {
+        excluded.add(lease.upstream.id);
+        sentTo.add(lease.upstream.id);
+    }
+
+    const mayRetry = (): boolean => isRetryable && sentTo.size < job.route.maxAttempts;
+
+    function createReplacementFor(
+        current: dispatch.Lease,
+        onResponse: (started: StartedResponse) => boolean,
+    ): Replacement {
+        return createReplacement({
+            job,
+            current,
+            log,
+            isRequestCancelled: request.isCancelled,
+            mayRetry,
+            excludeUpstream,
+            acquire: () => context.dispatcher.acquire(job, excluded, true),
+            startAttempt: startLeasedAttempt,
+            onResponse,
+        });
     }
 
     /**
      * A reused connection may be dead without any error. If the response is far later than expected, closes all idle
-     * connections, since they may be dead as well, and times out the attempt if the request can be retried in time.
+     * connections, since they may be dead as well, and has another upstream tried if the request can be run there in time.
      */
-    function startResponseTimeout(attempt: Attempt, lease: dispatch.Lease): () => void {
+    function startResponseTimer({ attempt, lease }: LeasedAttempt, onUnresponsive: () => void): () => void {
         const waitMs = lease.expectedMs * responseTimeoutFactor + responseTimeoutSlackMs;
         return clock.setTimer(waitMs, () => {
             if (!attempt.usesReusedConnection()) {
@@ -140,21 +206,22 @@
             }
             context.connections.closeAllIdle();
             const remainingMs = job.deadlineMs - clock.nowMs();
-            const givesUp = isRetryable && remainingMs > lease.expectedMs;
+            const seeksReplacement = isRetryable && remainingMs > lease.expectedMs;
             log.failure("no-answer", {
                 requestId: job.requestId,
                 upstream: lease.upstream.id,
                 waitMs: Math.round(waitMs),
-                givesUp,
+                seeksReplacement,
             });
-            if (givesUp) {
-                attempt.timeOut();
+            if (seeksReplacement) {
+                onUnresponsive();
             }
         });
     }
 
     function checkResponse(
         message: http.IncomingMessage,
+        attempt: Attempt,
         lease: dispatch.Lease,
     ): Result<http.IncomingMessage, AttemptFailure> {
         const responseHead = codec.readResponseHead(message.statusCode ?? 0, message.rawHeaders);
@@ -167,7 +234,7 @@
                 discardResponse(message);
             }
             else {
-                currentAttempt?.cancel(cause);
+                attempt.cancel(cause);
             }
             return err({ verdict, outcome, cause, sent: true });
         };
@@ -186,13 +253,11 @@
 
     return {
         nextResponse,
-        excludeUpstream(lease) {
-            excluded.add(lease.upstream.id);
-            sentTo.add(lease.upstream.id);
-        },
-        mayRetry: () => isRetryable && sentTo.size < job.route.maxAttempts,
-        mayHaveRun: () => mayHaveRun || currentAttempt?.isSent() === true,
-        cancel: cause => currentAttempt?.cancel(cause),
+        createReplacement: createReplacementFor,
+        excludeUpstream,
+        mayRetry,
+        mayHaveRun: () => mayHaveRun || [...attempts].some(attempt => attempt.isSent()),
+        cancel: cause => attempts.forEach(attempt => attempt.cancel(cause)),
     };
 }
 
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -2,7 +2,7 @@
 import type * as dispatch from "@peridotloft/dispatch";
 import type * as http from "node:http";
 import { type AllowedRequest, allowRequest, choosePool } from "./Admission.js";
-import { type AttemptSequence, createAttemptSequence } from "./AttemptSequence.js";
+import { type AttemptSequence, createAttemptSequence, type StartedResponse } from "./AttemptSequence.js";
 import { createCallerResponse } from "./CallerResponse.js";
 import { createEventSplitter, type EventSplitter } from "./EventSplitter.js";
 import type { Freshness } from "./Freshness.js";
@@ -21,7 +21,7 @@
 const acceptAllWhileDrainingMs = 2_800;
 /** Minimum time in ms between the deadline of a request that is accepted after that and the end of the drain. */
 const drainEndMarginMs = 200;
-/** A resumable stream counts as stalled after the route's objective for event gaps multiplied by this factor. */
+/** Another upstream is tried for a resumable stream after the route's objective for event gaps multiplied by this factor. */
 const stallTimeoutFactor = 2.5;
 /** Objective in ms for the gap between events if the route states none. */
 const defaultEventGapMs = 1_000;
@@ -247,39 +247,44 @@
 
     async function serveStream(job: dispatch.Job, sequence: AttemptSequence): Promise<void> {
         const splitter = createEventSplitter();
+        let started: StartedResponse | undefined;
         for (;;) {
-            const result = await sequence.nextResponse(splitter.lastEventId() ?? requestHead.lastEventId);
-            if (result.isErr()) {
-                return refuse(result.error);
+            if (!started) {
+                const result = await sequence.nextResponse(splitter.lastEventId() ?? requestHead.lastEventId);
+                if (result.isErr()) {
+                    return refuse(result.error);
+                }
+                started = result.value;
             }
-            const { lease, response: upstreamResponse } = result.value;
-            const outcome = await relayUpstreamResponse(job, sequence, lease, upstreamResponse, splitter);
+            const { outcome, replacedBy } = await relayUpstreamResponse(job, sequence, started, splitter);
             if (outcome === "complete" || isCancelled()) {
+                replacedBy?.lease.end("abandoned");
                 return;
             }
-            sequence.excludeUpstream(lease);
+            const { upstream } = started.lease;
+            sequence.excludeUpstream(started.lease);
             log.failure("stream-broken", {
                 requestId: job.requestId,
-                upstream: lease.upstream.id,
+                upstream: upstream.id,
                 cause: outcome,
                 lastEventId: splitter.lastEventId(),
                 begun: callerResponse.hasBegun(),
             });
-            context.connections.closeIdle(lease.upstream);
+            context.connections.closeIdle(upstream);
             splitter.discardPartialEvent();
-            if (!sequence.mayRetry()) {
+            if (!replacedBy && !sequence.mayRetry()) {
                 return refuse(createUpstreamFailure("upstream-broken"));
             }
+            started = replacedBy;
         }
     }
 
     async function relayUpstreamResponse(
         job: dispatch.Job,
         sequence: AttemptSequence,
-        lease: dispatch.Lease,
-        upstreamResponse: http.IncomingMessage,
+        { lease, response: upstreamResponse, cancel }: StartedResponse,
         splitter: EventSplitter,
-    ): Promise<RelayOutcome | "stalled"> {
+    ): Promise<{ outcome: RelayOutcome | "stalled"; replacedBy?: StartedResponse | undefined; }> {
         const statusCode = upstreamResponse.statusCode ?? 502;
         if (statusCode >= 300 && !callerResponse.hasBegun()) {
             lease.recordFirstByte();
@@ -287,36 +292,55 @@
             lease.end(body.isErr() ? "broken" : "failed");
             if (body.isOk() && !isCancelled()) {
                 callerResponse.send(statusCode, codec.callerHeaders(upstreamResponse.rawHeaders), body.value);
-                return "complete";
+                return { outcome: "complete" };
             }
-            return "broken";
+            return { outcome: "broken" };
         }
         if (statusCode >= 300) {
             discardResponse(upstreamResponse);
             lease.end("failed");
-            return "broken";
+            return { outcome: "broken" };
         }
-        let stalled = false;
-        const outcome = await relayStream(upstreamResponse, splitter, {
+        let resolveReplaced: (outcome: "stalled") => void = () => undefined;
+        const replaced = new Promise<"stalled">(resolve => resolveReplaced = resolve);
+        let replacedBy: StartedResponse | undefined;
+        const replacement = sequence.createReplacement(lease, started => {
+            if (upstreamResponse.readableEnded) {
+                return false;
+            }
+            replacedBy = started;
+            cancel("stalled");
+            resolveReplaced("stalled");
+            return true;
+        });
+        const relayed = relayStream(upstreamResponse, splitter, {
             callerResponse,
             begin: () => callerResponse.begin(statusCode, codec.callerHeaders(upstreamResponse.rawHeaders)),
             onFirstEvent: () => {
                 lease.recordFirstByte();
                 recordFirstEvent(job, lease);
             },
-            stall: job.route.resumable
+            stallWatch: job.route.resumable
                 ? {
                     clock,
                     timeoutMs: (job.route.maxEventGapMs ?? defaultEventGapMs) * stallTimeoutFactor,
-                    onStalled: () => {
-                        stalled = true;
-                        sequence.cancel("stalled");
+                    onStalled() {
+                        if (!replacedBy) {
+                            replacement.start(splitter.lastEventId() ?? requestHead.lastEventId);
+                        }
                     },
+                    onProgress: replacement.cancel,
                 }
                 : undefined,
         });
-        lease.end(outcome === "complete" ? "ok" : isCancelled() ? "abandoned" : stalled ? "silent" : "broken");
-        return stalled ? "stalled" : outcome;
+        const outcome = await Promise.race([relayed, replaced]);
+        if (outcome === "complete") {
+            lease.end("ok");
+            replacement.cancel();
+            return { outcome };
+        }
+        lease.end(isCancelled() ? "abandoned" : outcome === "stalled" ? "silent" : "broken");
+        return { outcome, replacedBy: replacedBy ?? await replacement.settled() };
     }
 
     function recordFirstEvent(job: dispatch.Job, lease: dispatch.Lease): void {
--- a/packages/gateway/src/ResponseRelay.ts
+++ b/packages/gateway/src/ResponseRelay.ts
@@ -79,14 +79,17 @@
     /** Sends the head of the response; called once, before the first event. */
     begin(): void;
     onFirstEvent(): void;
-    /** Limit on the gap between events; the relay ends as broken when it is exceeded. Undefined for no limit. */
-    readonly stall: StallTimeout | undefined;
+    /** Watches the gaps between chunks. Undefined for no watch. */
+    readonly stallWatch: StallWatch | undefined;
 }
 
-export interface StallTimeout {
+export interface StallWatch {
     readonly clock: core.Clock;
     readonly timeoutMs: number;
+    /** Called each time that nothing has arrived for `timeoutMs` more, although the caller was ready to receive. */
     onStalled(): void;
+    /** Called for each chunk. */
+    onProgress(): void;
 }
 
 /**
@@ -102,13 +105,14 @@
     const checkComplete = trackCompleteness(message);
     let awaitingFirstEvent = true;
     return new Promise(done => {
-        const stallTimer = startStallTimer(target.stall, () => resolve("broken"));
+        const stallTimer = startStallTimer(target.stallWatch);
         const resolve = (outcome: RelayOutcome): void => {
             stallTimer.stop();
             done(outcome);
         };
         message.on("data", (chunk: Buffer) => {
             stallTimer.restart();
+            target.stallWatch?.onProgress();
             const events = splitter.push(chunk);
             if (splitter.partialEvent().length > maxResponseBytes) {
                 resolve("broken");
@@ -125,7 +129,12 @@
             if (!callerResponse.hasBegun()) {
                 target.begin();
             }
-            if (!callerResponse.write(events, () => message.resume())) {
+            const resume = (): void => {
+                stallTimer.restart();
+                message.resume();
+            };
+            if (!callerResponse.write(events, resume)) {
+                stallTimer.stop();
                 message.pause();
             }
         });
@@ -148,14 +157,14 @@
     });
 }
 
-function startStallTimer(stall: StallTimeout | undefined, onStalled: () => void) {
+function startStallTimer(watch: StallWatch | undefined) {
     let stop: () => void = () => undefined;
     const restart = (): void => {
         stop();
-        stop = stall
-            ? stall.clock.setTimer(stall.timeoutMs, () => {
-                stall.onStalled();
-                onStalled();
+        stop = watch
+            ? watch.clock.setTimer(watch.timeoutMs, () => {
+                restart();
+                watch.onStalled();
             })
             : stop;
     };
