gateway: replace an unresponsive attempt only by one that delivers

- the head of a replacement's response ended the original attempt; if the replacement then broke, both were lost;
- a replacement that responded after the original had broken was discarded;
- if the replacement was refused or silent as well, no further upstream was tried.

Two attempts were also not enough of a model: the original and one replacement, with separate rules for each order of their ends.

Change: all attempts go on until one delivers the first bytes of a body; then the others are cancelled. Each attempt that is overdue has one more upstream tried, within the route's attempts and the retry budget. The relay of a stream can be stopped, so that it passes nothing more on and its watch ends; a failure that follows a silence on one lease counts once.

--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -302,12 +302,6 @@
         const report = (observed: Omit<AttemptReport, "upstreamHash" | "ticket">): void => {
             fleet.reportAttempt({ upstreamHash: state.idHash, ticket, ...observed });
         };
-        const recordOutcome = (outcome: AttemptOutcome): void => {
-            state.health.record(outcome, clock.nowMs());
-            if (job.prompt && isFailure(outcome)) {
-                report({ failed: true, unreachable: outcome === "connect-failed", tookMs: 0, expectedMs: 0 });
-            }
-        };
         const recordResponse = (): void => {
             if (!hasResponse) {
                 hasResponse = true;
@@ -338,9 +332,9 @@
                 }
             },
             recordUnresponsive() {
-                if (!isUnresponsive) {
+                if (open && !isUnresponsive) {
                     isUnresponsive = true;
-                    recordOutcome("silent");
+                    state.health.record("silent", clock.nowMs());
                 }
             },
             recordStatements(stated) {
@@ -357,6 +351,9 @@
                 if (outcome === "ok") {
                     recordRunTime(job, clock.nowMs() - openedMs);
                 }
+                if (job.prompt && isFailure(outcome)) {
+                    report({ failed: true, unreachable: outcome === "connect-failed", tookMs: 0, expectedMs: 0 });
+                }
                 if (outcome === "ok" || outcome === "failed") {
                     recordResponse();
                 }
@@ -364,8 +361,9 @@
                     options.onBroken({ job, upstream: leasedUpstream, hasResponse });
                 }
                 state.localRunning--;
-                if (outcome !== "silent" || !isUnresponsive) {
-                    recordOutcome(outcome);
+                // A failure that follows an unresponsive time is the same one.
+                if (!isUnresponsive || !isFailure(outcome)) {
+                    state.health.record(outcome, clock.nowMs());
                 }
                 metrics.count("attempts", { outcome });
             },
--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -37,9 +37,9 @@
     nextResponse(lastEventId: string | undefined): Promise<Result<StartedResponse, Refusal>>;
     /**
      * @param current lease of the attempt that may be replaced.
-     * @param onResponse called with the successful response of another upstream; returns whether the response is used.
+     * @param onResponse called with the successful response of another upstream; resolves with whether it is used.
      */
-    createReplacement(current: dispatch.Lease, onResponse: (started: StartedResponse) => boolean): Replacement;
+    createReplacement(current: dispatch.Lease, onResponse: (started: StartedResponse) => Promise<boolean>): Replacement;
     /** Excludes an upstream whose response could not be used from further attempts. */
     excludeUpstream(lease: dispatch.Lease): void;
     mayRetry(): boolean;
@@ -80,7 +80,7 @@
                 lease.value.end("abandoned");
                 return err(createSequenceRefusal(mayHaveRun, "cancelled", undefined));
             }
-            const result = await awaitFirstResponse(startLeasedAttempt(lease.value, lastEventId), lastEventId);
+            const result = await awaitFirstResponse(lease.value, lastEventId);
             if (result.isOk()) {
                 return ok(result.value);
             }
@@ -95,27 +95,28 @@
 
     /** Waits for the response to an attempt, or to the attempt that replaces it if it is unresponsive. */
     async function awaitFirstResponse(
-        current: LeasedAttempt,
+        lease: dispatch.Lease,
         lastEventId: string | undefined,
     ): Promise<Result<StartedResponse, AttemptFailure>> {
-        let replacedBy: StartedResponse | undefined;
-        const replacement = createReplacementFor(current.lease, started => {
-            const isUsed = current.attempt.timeOut();
-            replacedBy = isUsed ? started : undefined;
-            return isUsed;
+        const current = startLeasedAttempt(lease, lastEventId, () => replacement.start(lastEventId));
+        const replacement = createReplacementFor(lease, async () => {
+            current.attempt.timeOut();
+            return (await current.result).isErr();
         });
-        const cancelTimer = startResponseTimer(current, () => replacement.start(lastEventId));
         const result = await current.result;
-        cancelTimer();
         if (result.isOk()) {
             replacement.cancel();
             return result;
         }
-        const started = replacedBy ?? await replacement.settled();
+        const started = await replacement.settled();
         return started ? ok(started) : result;
     }
 
-    function startLeasedAttempt(lease: dispatch.Lease, lastEventId: string | undefined): LeasedAttempt {
+    function startLeasedAttempt(
+        lease: dispatch.Lease,
+        lastEventId: string | undefined,
+        onUnresponsive: () => void,
+    ): LeasedAttempt {
         const { upstream } = lease;
         const attempt = startAttempt({
             upstream,
@@ -134,7 +135,8 @@
             mayWrite: () => lease.mayWrite() && request.isStillAllowed(),
         }, clock);
         attempts.add(attempt);
-        return { attempt, lease, result: receiveHead(attempt, lease) };
+        const cancelTimer = startResponseTimer(attempt, lease, onUnresponsive);
+        return { attempt, lease, result: receiveHead(attempt, lease).finally(cancelTimer) };
     }
 
     async function receiveHead(
@@ -175,20 +177,23 @@
         sentTo.add(lease.upstream.id);
     }
 
+    const idOf = ({ upstream }: dispatch.Lease): core.UpstreamId => upstream.id;
+
     const mayRetry = (): boolean => isRetryable && sentTo.size < job.route.maxAttempts;
 
     function createReplacementFor(
         current: dispatch.Lease,
-        onResponse: (started: StartedResponse) => boolean,
+        onResponse: (started: StartedResponse) => Promise<boolean>,
     ): Replacement {
         return createReplacement({
             job,
             current,
             log,
             isRequestCancelled: request.isCancelled,
-            mayRetry,
+            mayRetry: inProgress => isRetryable && sentTo.size + inProgress < job.route.maxAttempts,
             excludeUpstream,
-            acquire: () => context.dispatcher.acquire(job, excluded, true),
+            acquire: inProgress =>
+                context.dispatcher.acquire(job, new Set([...excluded, ...inProgress.map(idOf)]), true),
             startAttempt: startLeasedAttempt,
             onResponse,
         });
@@ -197,10 +202,11 @@
     /**
      * A reused connection may be dead without any error. If the response is far later than expected, closes all idle
      * connections, since they may be dead as well, and has another upstream tried if the request can be run there in time.
+     * Repeats this until it is cancelled.
      */
-    function startResponseTimer({ attempt, lease }: LeasedAttempt, onUnresponsive: () => void): () => void {
+    function startResponseTimer(attempt: Attempt, lease: dispatch.Lease, onUnresponsive: () => void): () => void {
         const waitMs = lease.expectedMs * responseTimeoutFactor + responseTimeoutSlackMs;
-        return clock.setTimer(waitMs, () => {
+        return core.setRepeatingTimer(clock, waitMs, () => {
             if (!attempt.usesReusedConnection()) {
                 return;
             }
--- a/packages/gateway/src/Replacement.ts
+++ b/packages/gateway/src/Replacement.ts
@@ -1,18 +1,20 @@
 import type * as dispatch from "@peridotloft/dispatch";
 import type * as telemetry from "@peridotloft/telemetry";
 import type { Result } from "neverthrow";
+import type * as http from "node:http";
 import type { LeasedAttempt, StartedResponse } from "./AttemptSequence.js";
+import { awaitFirstBytes } from "./ResponseRelay.js";
 
 /**
- * Attempts at other upstreams, one at a time, while the upstream of the current attempt is unresponsive. The current attempt
- * goes on meanwhile: an upstream may be silent for a while and then complete its response.
+ * Attempts at other upstreams while the upstream of the current attempt is unresponsive. All attempts go on until one of them
+ * makes progress: an upstream may be silent for a while and then complete its response.
  */
 export interface Replacement {
-    /** Tries another upstream, unless an attempt is in progress already or no further one is allowed. */
+    /** Tries one more upstream, unless one is being chosen already or no further attempt is allowed. */
     start(lastEventId: string | undefined): void;
-    /** Cancels the attempt in progress, if any, since the current attempt has made progress. */
+    /** Cancels the attempts in progress, since the current attempt has made progress. */
     cancel(): void;
-    /** Resolves once no attempt is in progress; with a response if one was received and `cancel` was not called. */
+    /** Resolves with the response that replaces the current attempt; undefined once no attempt is in progress. */
     settled(): Promise<StartedResponse | undefined>;
 }
 
@@ -23,76 +25,119 @@
     readonly log: telemetry.EventLog;
     /** Whether the caller has disconnected or the deadline has passed. */
     isRequestCancelled(): boolean;
-    mayRetry(): boolean;
+    /** @param inProgress number of attempts in progress beside the current one. */
+    mayRetry(inProgress: number): boolean;
+    /** Excludes an upstream to which the request was sent from further attempts. */
     excludeUpstream(lease: dispatch.Lease): void;
-    acquire(): Promise<Result<dispatch.Lease, dispatch.DispatchRefusal>>;
-    startAttempt(lease: dispatch.Lease, lastEventId: string | undefined): LeasedAttempt;
-    /** Called with a successful response of another upstream; returns whether the response is used. */
-    onResponse(started: StartedResponse): boolean;
+    /** @param inProgress upstreams of the attempts in progress, which are not chosen. */
+    acquire(inProgress: readonly dispatch.Lease[]): Promise<Result<dispatch.Lease, dispatch.DispatchRefusal>>;
+    /** @param onUnresponsive called when no response has arrived for longer than expected, and again later. */
+    startAttempt(lease: dispatch.Lease, lastEventId: string | undefined, onUnresponsive: () => void): LeasedAttempt;
+    /** Called with a successful response of another upstream; resolves with whether it replaces the current attempt. */
+    onResponse(started: StartedResponse): Promise<boolean>;
 }
 
 export function createReplacement(options: ReplacementOptions): Replacement {
     const { current, excludeUpstream, job, log } = options;
-    let isCancelled = false;
-    let inProgress: LeasedAttempt | undefined;
-    let pending: Promise<StartedResponse | undefined> | undefined;
+    const pending = new Set<Promise<StartedResponse | undefined>>();
+    const inProgress = new Set<LeasedAttempt>();
+    let isChoosing = false;
+    /** Increases with each cancellation, so that attempts that began before it can be told from later ones. */
+    let round = 0;
 
     function logSkipped(reason: string): void {
         log.failure("replacement-skipped", { requestId: job.requestId, upstream: current.upstream.id, reason });
     }
 
+    async function chooseUpstream(): Promise<dispatch.Lease | undefined> {
+        isChoosing = true;
+        try {
+            const lease = await options.acquire([...inProgress].map(attempt => attempt.lease));
+            if (lease.isErr()) {
+                logSkipped(lease.error.reason);
+                return undefined;
+            }
+            return lease.value;
+        }
+        finally {
+            isChoosing = false;
+        }
+    }
+
     async function tryOtherUpstream(lastEventId: string | undefined): Promise<StartedResponse | undefined> {
-        const lease = await options.acquire();
-        if (lease.isErr()) {
-            logSkipped(lease.error.reason);
+        const startRound = round;
+        const isCancelled = (): boolean => round !== startRound || options.isRequestCancelled();
+        const lease = await chooseUpstream();
+        if (!lease || isCancelled()) {
+            lease?.end("abandoned");
             return undefined;
         }
-        if (isCancelled || options.isRequestCancelled()) {
-            lease.value.end("abandoned");
+        const leased = options.startAttempt(lease, lastEventId, () => start(lastEventId));
+        inProgress.add(leased);
+        const result = await leased.result;
+        if (result.isErr()) {
+            inProgress.delete(leased);
             return undefined;
         }
-        inProgress = options.startAttempt(lease.value, lastEventId);
-        const { attempt, result } = inProgress;
-        const started = await result;
-        inProgress = undefined;
-        if (started.isErr()) {
+        const { response } = result.value;
+        const failure = !isSuccessful(response) ? "failed" : !await awaitFirstBytes(response) ? "broken" : undefined;
+        const isUsed = !failure && !isCancelled() && await options.onResponse(result.value) && !isCancelled();
+        inProgress.delete(leased);
+        if (!isUsed) {
+            excludeUpstream(lease);
+            lease.end(isCancelled() ? "abandoned" : failure ?? "abandoned");
+            leased.attempt.cancel("not-needed");
             return undefined;
         }
-        const statusCode = started.value.response.statusCode ?? 0;
-        const isSuccess = statusCode >= 200 && statusCode < 300;
-        if (isSuccess && !isCancelled && !options.isRequestCancelled() && options.onResponse(started.value)) {
-            log.failure("attempt-replaced", {
-                requestId: job.requestId,
-                upstream: current.upstream.id,
-                by: lease.value.upstream.id,
-                lastEventId,
-            });
-            return started.value;
+        log.failure("attempt-replaced", {
+            requestId: job.requestId,
+            upstream: current.upstream.id,
+            by: lease.upstream.id,
+            lastEventId,
+        });
+        cancel("replaced");
+        return result.value;
+    }
+
+    function cancel(cause: string): void {
+        round++;
+        inProgress.forEach(({ attempt }) => attempt.cancel(cause));
+    }
+
+    function start(lastEventId: string | undefined): void {
+        if (isChoosing) {
+            return;
+        }
+        current.recordUnresponsive();
+        excludeUpstream(current);
+        if (!options.mayRetry(inProgress.size)) {
+            logSkipped("attempts-exhausted");
+            return;
         }
-        excludeUpstream(lease.value);
-        lease.value.end(isSuccess ? "abandoned" : "failed");
-        attempt.cancel("not-needed");
-        return undefined;
+        const attempt = tryOtherUpstream(lastEventId)
+            .catch((error: unknown) => logSkipped(String(error)))
+            .then(started => {
+                pending.delete(attempt);
+                return started ?? undefined;
+            });
+        pending.add(attempt);
     }
 
     return {
-        start(lastEventId) {
-            if (pending) {
-                return;
-            }
-            current.recordUnresponsive();
-            excludeUpstream(current);
-            if (!options.mayRetry()) {
-                logSkipped("attempts-exhausted");
-                return;
+        start,
+        cancel: () => cancel("original-responded"),
+        async settled() {
+            while (pending.size > 0) {
+                const started = await Promise.race(pending);
+                if (started) {
+                    return started;
+                }
             }
-            isCancelled = false;
-            pending = tryOtherUpstream(lastEventId).finally(() => pending = undefined);
-        },
-        cancel() {
-            isCancelled = true;
-            inProgress?.attempt.cancel("original-responded");
+            return undefined;
         },
-        settled: () => pending ?? Promise.resolve(undefined),
     };
 }
+
+function isSuccessful({ statusCode = 0 }: http.IncomingMessage): boolean {
+    return statusCode >= 200 && statusCode < 300;
+}
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -259,6 +259,7 @@
             const { outcome, replacedBy } = await relayUpstreamResponse(job, sequence, started, splitter);
             if (outcome === "complete" || isCancelled()) {
                 replacedBy?.lease.end("abandoned");
+                replacedBy?.cancel("not-needed");
                 return;
             }
             const { upstream } = started.lease;
@@ -284,7 +285,7 @@
         sequence: AttemptSequence,
         { lease, response: upstreamResponse, cancel }: StartedResponse,
         splitter: EventSplitter,
-    ): Promise<{ outcome: RelayOutcome | "stalled"; replacedBy?: StartedResponse | undefined; }> {
+    ): Promise<{ outcome: RelayOutcome; replacedBy?: StartedResponse | undefined; }> {
         const statusCode = upstreamResponse.statusCode ?? 502;
         if (statusCode >= 300 && !callerResponse.hasBegun()) {
             lease.recordFirstByte();
@@ -301,19 +302,14 @@
             lease.end("failed");
             return { outcome: "broken" };
         }
-        let resolveReplaced: (outcome: "stalled") => void = () => undefined;
-        const replaced = new Promise<"stalled">(resolve => resolveReplaced = resolve);
-        let replacedBy: StartedResponse | undefined;
-        const replacement = sequence.createReplacement(lease, started => {
-            if (upstreamResponse.readableEnded) {
-                return false;
+        const replacement = sequence.createReplacement(lease, async () => {
+            const isReplaced = await relay.stop() !== "complete";
+            if (isReplaced) {
+                cancel("replaced");
             }
-            replacedBy = started;
-            cancel("stalled");
-            resolveReplaced("stalled");
-            return true;
+            return isReplaced;
         });
-        const relayed = relayStream(upstreamResponse, splitter, {
+        const relay = relayStream(upstreamResponse, splitter, {
             callerResponse,
             begin: () => callerResponse.begin(statusCode, codec.callerHeaders(upstreamResponse.rawHeaders)),
             onFirstEvent: () => {
@@ -324,23 +320,19 @@
                 ? {
                     clock,
                     timeoutMs: (job.route.maxEventGapMs ?? defaultEventGapMs) * stallTimeoutFactor,
-                    onStalled() {
-                        if (!replacedBy) {
-                            replacement.start(splitter.lastEventId() ?? requestHead.lastEventId);
-                        }
-                    },
+                    onStalled: () => replacement.start(splitter.lastEventId() ?? requestHead.lastEventId),
                     onProgress: replacement.cancel,
                 }
                 : undefined,
         });
-        const outcome = await Promise.race([relayed, replaced]);
+        const outcome = await relay.outcome;
         if (outcome === "complete") {
             lease.end("ok");
             replacement.cancel();
             return { outcome };
         }
-        lease.end(isCancelled() ? "abandoned" : outcome === "stalled" ? "silent" : "broken");
-        return { outcome, replacedBy: replacedBy ?? await replacement.settled() };
+        lease.end(isCancelled() ? "abandoned" : outcome === "stopped" ? "silent" : "broken");
+        return { outcome, replacedBy: await replacement.settled() };
     }
 
     function recordFirstEvent(job: dispatch.Job, lease: dispatch.Lease): void {
--- a/packages/gateway/src/ResponseRelay.ts
+++ b/packages/gateway/src/ResponseRelay.ts
@@ -5,8 +5,15 @@
 import type { CallerResponse } from "./CallerResponse.js";
 import type { EventSplitter } from "./EventSplitter.js";
 
-/** Whether the upstream finished the stream. */
-export type RelayOutcome = "complete" | "broken";
+/** How the relay of a stream ended: the upstream finished it or not, or the relay was stopped. */
+export type RelayOutcome = "complete" | "broken" | "stopped";
+
+/** The relay of one stream. */
+export interface StreamRelay {
+    readonly outcome: Promise<RelayOutcome>;
+    /** Passes nothing more on, unless the stream has ended already. Resolves with the outcome. */
+    stop(): Promise<RelayOutcome>;
+}
 
 /** Maximum size in bytes of a response that is read whole, and of an event. */
 const maxResponseBytes = 1_000_000;
@@ -100,17 +107,28 @@
     message: http.IncomingMessage,
     splitter: EventSplitter,
     target: StreamTarget,
-): Promise<RelayOutcome> {
+): StreamRelay {
     const { callerResponse } = target;
     const checkComplete = trackCompleteness(message);
     let awaitingFirstEvent = true;
-    return new Promise(done => {
+    let hasSettled = false;
+    let stop: () => void = () => undefined;
+    const outcome = new Promise<RelayOutcome>(done => {
         const stallTimer = startStallTimer(target.stallWatch);
-        const resolve = (outcome: RelayOutcome): void => {
+        const resolve = (result: RelayOutcome): void => {
+            hasSettled = true;
             stallTimer.stop();
-            done(outcome);
+            done(result);
+        };
+        stop = () => {
+            if (!message.readableEnded) {
+                resolve("stopped");
+            }
         };
         message.on("data", (chunk: Buffer) => {
+            if (hasSettled) {
+                return;
+            }
             stallTimer.restart();
             target.stallWatch?.onProgress();
             const events = splitter.push(chunk);
@@ -130,7 +148,9 @@
                 target.begin();
             }
             const resume = (): void => {
-                stallTimer.restart();
+                if (!hasSettled) {
+                    stallTimer.restart();
+                }
                 message.resume();
             };
             if (!callerResponse.write(events, resume)) {
@@ -139,6 +159,9 @@
             }
         });
         const finish = (isComplete: boolean): void => {
+            if (hasSettled) {
+                return;
+            }
             // An upstream that crashes right after the head of an unframed response may end its connection without a reset.
             const isCutOff = !isFramed(message) && !callerResponse.hasBegun();
             if (!isComplete || isCutOff || splitter.partialEvent().length > 0 || callerResponse.hasEnded()) {
@@ -155,6 +178,26 @@
         message.once("error", () => resolve("broken"));
         message.once("close", () => message.readableEnded || resolve("broken"));
     });
+    return {
+        outcome,
+        stop() {
+            stop();
+            return outcome;
+        },
+    };
+}
+
+/** Resolves once the first bytes of a body can be read, or the whole body is empty; with false if neither happens. */
+export function awaitFirstBytes(message: http.IncomingMessage): Promise<boolean> {
+    return new Promise(resolve => {
+        const onReadable = (): void => settle(message.readableLength > 0 || message.complete);
+        const onClose = (): void => settle(false);
+        const settle = (hasBytes: boolean): void => {
+            message.off("readable", onReadable).off("close", onClose);
+            resolve(hasBytes);
+        };
+        message.on("readable", onReadable).on("close", onClose);
+    });
 }
 
 function startStallTimer(watch: StallWatch | undefined) {
--- a/packages/gateway/src/UpstreamAttempt.ts
+++ b/packages/gateway/src/UpstreamAttempt.ts
@@ -34,8 +34,8 @@
     isSent(): boolean;
     /** Whether the attempt reuses the connection of an earlier request. */
     usesReusedConnection(): boolean;
-    /** Fails the attempt for lack of a response and closes the connection; returns false if it has ended already. */
-    timeOut(): boolean;
+    /** Fails the attempt for lack of a response and closes the connection. Does nothing once a response has arrived. */
+    timeOut(): void;
     /** Closes the connection, which makes the upstream stop; settles the attempt as abandoned. */
     cancel(cause: string): void;
 }
@@ -106,12 +106,10 @@
         isSent: () => sent,
         usesReusedConnection: () => request.reusedSocket,
         timeOut() {
-            if (settled) {
-                return false;
+            if (!settled) {
+                fail("silent", "no-answer");
+                request.destroy();
             }
-            fail("silent", "no-answer");
-            request.destroy();
-            return true;
         },
         cancel(cause) {
             fail("abandoned", cause);
