gateway: notice disconnected callers of pipelined requests

Cause: Node.js emits "close" only on the response that owns the connection; one that waits behind it hears nothing.

Change: a response counts as closed with its connection (ResponseClose.ts), for the exchange and for the drain.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -8,6 +8,7 @@
 import type { Endpoint } from "./GatewaySettings.js";
 import type { Refusal } from "./Refusal.js";
 import { createRequestHandler } from "./RequestExchange.js";
+import { onceResponseClosed } from "./ResponseClose.js";
 import type { CallerRequest } from "./WireCodec.js";
 
 /** A running gateway. */
@@ -55,7 +56,7 @@
         noDelay: true,
     }, (request, response) => {
         inFlight.add(response);
-        response.once("close", () => inFlight.delete(response));
+        onceResponseClosed(response, () => inFlight.delete(response));
         handleRequest(request, response);
     });
     refuseConnectionsUnderOverload(callerServer);
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -9,6 +9,7 @@
 import type { GatewayContext } from "./GatewayContext.js";
 import { createRefusal, createUpstreamFailure, type Refusal } from "./Refusal.js";
 import { readBody } from "./RequestBody.js";
+import { onceResponseClosed } from "./ResponseClose.js";
 import { discardResponse, readCompleteResponse, type RelayOutcome, relayStream } from "./ResponseRelay.js";
 
 /** Serves one request of a caller. Never throws. */
@@ -62,7 +63,7 @@
     let stage: "admission" | "body" | "upstream" = "admission";
     let cancelDeadlineTimer: () => void = () => undefined;
 
-    response.once("close", () => {
+    onceResponseClosed(response, () => {
         cancelDeadlineTimer();
         if (!response.writableFinished) {
             callerDisconnected = true;
