catalog, dispatch, gateway: log software versions and streams that are taken up

Change: the version of an upstream's entry is decoded, and named in upstream-registered, placed and stream-broken. stream-taken-up names the last event and the attempt of the header Resumes. No choice depends on it yet.

--- a/packages/catalog/__tests__/unit/CatalogFixture.ts
+++ b/packages/catalog/__tests__/unit/CatalogFixture.ts
@@ -27,6 +27,7 @@
         slots: 1,
         leaving: false,
         coldLeftMs: 0,
+        softwareVersion: "v1",
         startedWallMs: undefined,
         sequence: undefined,
         ...more,
--- a/packages/catalog/src/Catalog.ts
+++ b/packages/catalog/src/Catalog.ts
@@ -95,6 +95,8 @@
     /** Requests that it processes concurrently. */
     readonly slots: number;
     readonly leaving: boolean;
+    /** Version of the software that it runs; undefined if another VM, of an earlier build, relayed its entry. */
+    readonly softwareVersion: string | undefined;
     /** Time in ms for which it remained cold when it registered. */
     readonly coldLeftMs: number;
     /** Start of its current run, in ms since 1970; undefined if it did not state one. */
--- a/packages/catalog/src/CatalogFollower.ts
+++ b/packages/catalog/src/CatalogFollower.ts
@@ -174,8 +174,15 @@
             case "config":
                 return log.state("config-adopted", { ...at, version: change.config.version });
             case "upstream": {
-                const { id, leaving, coldLeftMs, zone } = change.upstream;
-                return log.state("upstream-registered", { ...at, upstream: id, zone, leaving, coldLeftMs });
+                const { id, leaving, softwareVersion, coldLeftMs, zone } = change.upstream;
+                return log.state("upstream-registered", {
+                    ...at,
+                    upstream: id,
+                    zone,
+                    leaving,
+                    softwareVersion,
+                    coldLeftMs,
+                });
             }
             case "unreadable":
                 return log.state("item-unreadable", { ...at, item, reason: change.reason });
--- a/packages/dispatch/__tests__/unit/EngineFixtures.ts
+++ b/packages/dispatch/__tests__/unit/EngineFixtures.ts
@@ -49,6 +49,7 @@
     zone: core.zoneId("z1"),
     slots: 128,
     leaving: false,
+    softwareVersion: "v1",
     coldLeftMs: 0,
     startedWallMs: 1,
     sequence: undefined,
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -166,6 +166,7 @@
             requestId: job.requestId,
             customer: job.customer,
             upstream: id,
+            softwareVersion: state.upstream.softwareVersion,
             homeRank: chosen.candidateRank,
             newTokens: chosen.load.newTokens,
             unreadTokens: Math.round(chosen.load.unreadTokens),
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -172,6 +172,14 @@
             fingerprint: () => core.hash32(`${path} ${customer ?? ""} ${body.toString("latin1")}`),
         };
         stage = "upstream";
+        if (requestHead.lastEventId !== undefined) {
+            log.decision("stream-taken-up", {
+                requestId,
+                resumes: requestHead.resumes,
+                lastEventId: requestHead.lastEventId,
+                pool,
+            });
+        }
         const sequence = createAttemptSequence(context, {
             job,
             isRetryable: route.kind === "stream" ? route.resumable : route.kind === "idempotent",
@@ -268,6 +276,7 @@
             log.failure("stream-broken", {
                 requestId: job.requestId,
                 upstream: upstream.id,
+                softwareVersion: upstream.softwareVersion,
                 cause: outcome,
                 lastEventId: splitter.lastEventId(),
                 begun: callerResponse.hasBegun(),
