dispatch, fleet, gateway: go on with a stream only at the version that began it

Cause: the software version of an upstream was no input of any decision, and a VM knew nothing of streams that other VMs, or its own run before a restart, had begun. A stream was resumed at whichever upstream of the pool was free.

Change: a stream has an origin, the pool and version of the upstream that sent its first event. It is one condition on the candidates of the dispatcher, for retries within an answer, for replacements, and for streams that callers take up. - While more than one version is possible, the VM records the origin at two VMs that rendezvous hashing finds from the caller's first attempt, customer and path (12 bytes each; nothing is sent while a pool has had one version for a stream's lifetime). When a second version appears, the streams that began before are recorded. - A VM that gets a stream to take up asks the three VMs that may hold it, and goes by its own and their sight of the versions within the stream's possible age if nobody has recorded it. - If the origin cannot be known, or none of its upstreams is left, the request is refused as not run (503), so its caller can begin anew. A stream that goes on is admitted like a retry: work was done for it.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -15,6 +15,7 @@
 } from "./EngineAdmission.js";
 import type { FleetView } from "./FleetView.js";
 import { type DispatchRefusal, type Job, type Lease, type Prompt, sharedPartsOf } from "./Job.js";
+import type { StreamOrigin } from "./OriginHistory.js";
 import {
     chooseService,
     type EngineLoad,
@@ -45,11 +46,13 @@
      *
      * @param avoided upstreams that are not chosen: the request was sent there before, or the connection failed.
      * @param isRetry whether the request was sent to an upstream before. Retries are limited by a budget.
+     * @param origin of the stream that goes on; undefined for a new request. Only upstreams with this origin are chosen.
      */
     acquire(
         job: Job,
         avoided: ReadonlySet<core.UpstreamId>,
         isRetry: boolean,
+        origin?: StreamOrigin,
     ): Promise<Result<Lease, DispatchRefusal>>;
     /** Usage of a customer relative to that of the heaviest customer, 0 to 1. */
     relativeUsage(customer: core.CustomerId | undefined): number;
@@ -239,7 +242,15 @@
     }
 
     /** Refuses a request for which no upstream is left. Callers return from the end of the first pause on, spread out. */
-    function refuseWithoutUpstream(job: Job): DispatchRefusal {
+    function refuseWithoutUpstream(job: Job, origin: StreamOrigin | undefined): DispatchRefusal {
+        if (origin && !table.hasRoutable(job.pool, options.catalog.read(), origin)) {
+            log.failure("stream-origin-gone", {
+                requestId: job.requestId,
+                pool: job.pool,
+                softwareVersion: origin.softwareVersion,
+            });
+            return { reason: "origin-gone", retryAfterMs: undefined };
+        }
         const pauses = table.pauses(job.pool, options.catalog.read());
         const [first] = pauses;
         if (!first) {
@@ -295,7 +306,7 @@
         job: Job,
         prompt: Prompt,
         usable: readonly UpstreamState[],
-        isRetry: boolean,
+        isContinued: boolean,
     ): Promise<Result<Lease, DispatchRefusal>> {
         const candidates = selectByRendezvous(
             sessionKey(job),
@@ -316,22 +327,22 @@
                 meanLoad: trackedLoad.value(),
             };
             const slotLoad = trackedLoad.slotLoad();
-            // A retry has already waited; refusing it would waste the work done for it so far.
-            const waitLimitMs = isRetry
+            // A retry has already waited; refusing it, or a stream that has begun, would waste the work done for it so far.
+            const waitLimitMs = isContinued
                 ? job.deadlineMs - clock.nowMs()
                 : candidateRank === 0
                 ? maxWaitMs(input)
                 : maxSpillWaitMs(input);
-            const slotShare = isRetry ? 1 : maxSlotShare({ relativeUsage: input.relativeUsage, slotLoad });
+            const slotShare = isContinued ? 1 : maxSlotShare({ relativeUsage: input.relativeUsage, slotLoad });
             const answer = await askTracker(state, {
                 sharedParts,
                 ownTokens: Math.max(0, prompt.inputTokens - sharedTokens),
                 longestWaitMs: Math.max(0, waitLimitMs),
                 maxSlotShare: slotShare,
                 runMs: table.expectedRunMs(job),
-                // Adds the repeated prefill to the wait, except for retries, and for heavy customers, whose prompts spill
-                // over only to idle engines.
-                isSpillover: candidateRank > 0 && !isRetry && maySpill(input),
+                // Adds the repeated prefill to the wait, except for what has begun already, and for heavy customers, whose
+                // prompts spill over only to idle engines.
+                isSpillover: candidateRank > 0 && !isContinued && maySpill(input),
             });
             if (answer?.limited) {
                 postpone(job, state);
@@ -357,7 +368,7 @@
                 });
             }
             refused = { upstream: state.upstream.id, load, input: { ...input, waitMs } };
-            const isLast = candidateRank > 0 && !isRetry && !isSpillWorthwhile(input);
+            const isLast = candidateRank > 0 && !isContinued && !isSpillWorthwhile(input);
             candidateRank++;
             if (isLast || candidateRank >= maxCandidates) {
                 break;
@@ -380,7 +391,7 @@
     }
 
     return {
-        async acquire(job, avoided, isRetry) {
+        async acquire(job, avoided, isRetry, origin) {
             const refusal = poisonGuard.check(job);
             if (refusal) {
                 return err(refusal);
@@ -389,15 +400,17 @@
             if (!isRetry) {
                 budget.addRequest();
             }
-            const usable = table.usableUpstreams(job.pool, options.catalog.read(), avoided);
+            const usable = table.usableUpstreams(job.pool, options.catalog.read(), avoided, origin);
             if (usable.length === 0) {
-                return err(refuseWithoutUpstream(job));
+                return err(refuseWithoutUpstream(job, origin));
             }
             if (isRetry && !budget.tryTakeRetry()) {
                 return err({ reason: "retry-budget", retryAfterMs: overloadRetryAfterMs });
             }
             const candidates = table.withoutEjected(usable);
-            return job.prompt ? acquireEngine(job, job.prompt, candidates, isRetry) : acquireService(job, candidates);
+            return job.prompt
+                ? acquireEngine(job, job.prompt, candidates, isRetry || origin !== undefined)
+                : acquireService(job, candidates);
         },
         relativeUsage,
         dispose() {
--- a/packages/dispatch/src/FleetView.ts
+++ b/packages/dispatch/src/FleetView.ts
@@ -14,6 +14,9 @@
     | "reportAttempt"
     | "reportLimit"
     | "registerTracker"
+    | "announceStreamOrigins"
+    | "askStreamOrigin"
+    | "registerStreamOriginHolder"
 >;
 
 /** The view of a VM without peers. */
@@ -29,4 +32,7 @@
     reportAttempt: () => undefined,
     reportLimit: () => undefined,
     registerTracker: () => () => undefined,
+    announceStreamOrigins: () => undefined,
+    askStreamOrigin: () => Promise.resolve([]),
+    registerStreamOriginHolder: () => () => undefined,
 };
--- a/packages/dispatch/src/Job.ts
+++ b/packages/dispatch/src/Job.ts
@@ -50,6 +50,8 @@
         | "quarantined"
         | "suspected"
         | "paused"
+        | "origin-unknown"
+        | "origin-gone"
         | "cancelled";
     /** Time in ms after which the caller may retry; undefined if a retry does not help. */
     readonly retryAfterMs: number | undefined;
--- /dev/null
+++ b/packages/dispatch/src/StreamOrigins.ts
@@ -0,0 +1,176 @@
+import type * as catalog from "@peridotloft/catalog";
+import * as core from "@peridotloft/core";
+import type * as fleets from "@peridotloft/fleet";
+import type * as telemetry from "@peridotloft/telemetry";
+import { err, ok, type Result } from "neverthrow";
+import type { FleetView } from "./FleetView.js";
+import type { DispatchRefusal } from "./Job.js";
+import { createOriginHistory, originHashOf, poolHashOf, type SeenOrigins, type StreamOrigin } from "./OriginHistory.js";
+
+export interface StreamOriginsOptions {
+    readonly clock: core.Clock;
+    readonly catalog: core.SnapshotCell<catalog.CatalogSnapshot>;
+    readonly fleet: FleetView;
+    readonly log: telemetry.EventLog;
+    readonly metrics: telemetry.Metrics;
+}
+
+/** A stream that a caller takes up again. */
+export interface TakenUpStream {
+    readonly requestId: core.RequestId;
+    /** Undefined if the caller does not state which attempt began it. */
+    readonly streamKey: bigint | undefined;
+    readonly route: catalog.Route;
+    /** The caller's attempt that received the first event; undefined if it is not stated. */
+    readonly resumes: core.RequestId | undefined;
+    readonly lastEventId: string;
+}
+
+/**
+ * By which software version streams were begun. What two versions write does not fit together, so a stream that breaks off goes
+ * on only at an upstream of the version that began it, at whichever VM its caller takes it up.
+ */
+export interface StreamOrigins {
+    /** Records that an upstream has sent the first event of a stream, or goes on with it. */
+    recordBegun(streamKey: bigint, upstream: catalog.Upstream, route: catalog.Route): void;
+    /** Finds the origin of a stream; refuses if it cannot be known. The request has not run then. */
+    find(stream: TakenUpStream): Promise<Result<StreamOrigin, DispatchRefusal>>;
+    dispose(): void;
+}
+
+/** Time in ms for which the origin of a stream is kept; longer than the timeouts of streams. */
+const retentionMs = 60_000;
+const maxRecords = 20_000;
+/** Time in ms by which the upstreams that other VMs know may differ from those of this VM. */
+const catalogLagMs = 2_000;
+/** Maximum number of versions that an answer or a log line names. */
+const maxNamedOrigins = 4;
+const streamKeySeed = 0x2f0e1a5b;
+
+interface OriginRecord {
+    readonly originHash: number;
+    readonly atMs: number;
+    isAnnounced: boolean;
+}
+
+/** Identifies a stream by its caller's first attempt, the customer and the path, the same at each VM. */
+export function streamKeyOf(
+    firstAttempt: core.RequestId,
+    customer: core.CustomerId | undefined,
+    path: string,
+): bigint {
+    const text = `${firstAttempt} ${customer ?? ""} ${path}`;
+    return (BigInt(core.hash32(text)) << 32n) | BigInt(core.hash32(text, streamKeySeed));
+}
+
+export function createStreamOrigins(options: StreamOriginsOptions): StreamOrigins {
+    const { clock, fleet, log, metrics } = options;
+    const records = new Map<bigint, OriginRecord>();
+    const history = createOriginHistory(options.catalog, clock, announceUnannounced);
+    const removeHolder = fleet.registerStreamOriginHolder({
+        record: received =>
+            received.forEach(({ streamKey, originHash }) => keep(streamKey, { originHash, isAnnounced: true })),
+        answer({ streamKey, poolHashes, ageMs }) {
+            const { origins, isComplete } = history.within(poolHashes, ageMs);
+            return { recorded: recordOf(streamKey), seen: [...origins.keys()].slice(0, maxNamedOrigins), isComplete };
+        },
+    });
+
+    function keep(streamKey: bigint, record: Omit<OriginRecord, "atMs">): void {
+        records.delete(streamKey);
+        records.set(streamKey, { ...record, atMs: clock.nowMs() });
+        core.evictOldest(records, maxRecords);
+        // Records are in the order of their age.
+        for (const [oldestKey, { atMs }] of records) {
+            if (clock.nowMs() - atMs <= retentionMs) {
+                break;
+            }
+            records.delete(oldestKey);
+        }
+    }
+
+    function recordOf(streamKey: bigint): number | undefined {
+        const record = records.get(streamKey);
+        return record && clock.nowMs() - record.atMs <= retentionMs ? record.originHash : undefined;
+    }
+
+    /** Announces the streams that began while their version was the only one. */
+    function announceUnannounced(): void {
+        const unannounced = [...records].filter(([, { isAnnounced }]) => !isAnnounced);
+        unannounced.forEach(([, record]) => record.isAnnounced = true);
+        fleet.announceStreamOrigins(unannounced.map(([streamKey, { originHash }]) => ({ streamKey, originHash })));
+    }
+
+    const seenOrigins = (route: catalog.Route): SeenOrigins => history.within(poolHashesOf(route), maxAgeMs(route));
+
+    /** The origin that follows from what this VM and others have seen: the only one that was possible. */
+    function onlyPossible(seen: SeenOrigins, answers: readonly fleets.StreamOriginAnswer[]): number | undefined {
+        const hashes = new Set([...seen.origins.keys(), ...answers.flatMap(answer => answer.seen)]);
+        const isComplete = seen.isComplete || answers.some(answer => answer.isComplete);
+        const [only] = hashes;
+        return isComplete && hashes.size === 1 ? only : undefined;
+    }
+
+    return {
+        recordBegun(streamKey, { pool, softwareVersion }, route) {
+            const { origins, isComplete } = seenOrigins(route);
+            const isOnlyPossible = isComplete && origins.size === 1;
+            const record = { streamKey, originHash: originHashOf({ pool, softwareVersion }) };
+            keep(streamKey, { originHash: record.originHash, isAnnounced: !isOnlyPossible });
+            if (!isOnlyPossible) {
+                fleet.announceStreamOrigins([record]);
+            }
+        },
+        async find({ requestId, streamKey, route, resumes, lastEventId }) {
+            const local = streamKey === undefined ? undefined : recordOf(streamKey);
+            const answers = streamKey !== undefined && local === undefined
+                ? await fleet.askStreamOrigin({ streamKey, poolHashes: poolHashesOf(route), ageMs: maxAgeMs(route) })
+                : [];
+            const recorded = local ?? answers.find(answer => answer.recorded !== undefined)?.recorded;
+            const seen = seenOrigins(route);
+            const originHash = recorded ?? onlyPossible(seen, answers);
+            const origin = originHash === undefined ? undefined : seen.origins.get(originHash);
+            const source = local !== undefined
+                ? "own"
+                : recorded !== undefined
+                ? "peer"
+                : originHash === undefined
+                ? "unknown"
+                : "only-version";
+            metrics.count("streamsTakenUp", { source });
+            const fields = {
+                requestId,
+                resumes,
+                lastEventId,
+                source,
+                softwareVersion: origin?.softwareVersion,
+                seen: [...seen.origins.values()].slice(0, maxNamedOrigins)
+                    .map(({ softwareVersion }) => softwareVersion ?? "").join(),
+                isComplete: seen.isComplete,
+                answers: answers.length,
+            };
+            if (origin?.softwareVersion === undefined) {
+                log.failure("stream-origin-unknown", fields);
+                return err({
+                    reason: recorded === undefined ? "origin-unknown" : "origin-gone",
+                    retryAfterMs: undefined,
+                });
+            }
+            log.decision("stream-taken-up", fields);
+            return ok(origin);
+        },
+        dispose() {
+            removeHolder();
+            history.dispose();
+        },
+    };
+}
+
+function poolHashesOf({ targets }: catalog.Route): readonly number[] {
+    return targets.map(({ pool }) => poolHashOf(pool));
+}
+
+/** Longest time in ms since the first event of a stream that a caller still takes up. */
+function maxAgeMs({ timeoutMs }: catalog.Route): number {
+    return timeoutMs + catalogLagMs;
+}
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -6,6 +6,7 @@
 import type { AttemptOutcome, Job, Lease } from "./Job.js";
 import type { LimitState } from "./LimitState.js";
 import { type Backlog, createBacklog } from "./LoadModel.js";
+import type { StreamOrigin } from "./OriginHistory.js";
 import { createPrefixCache, type PrefixCache } from "./PrefixCache.js";
 import { createSlowness } from "./Slowness.js";
 import { createTokenBucket, type TokenBucket } from "./TokenBucket.js";
@@ -69,12 +70,19 @@
     /** Undefined if the upstream is not registered. */
     stateOf(id: core.UpstreamId): UpstreamState | undefined;
     stateOfHash(idHash: number): UpstreamState | undefined;
-    /** Upstreams of a pool that accept requests now: not leaving, paused, evacuated or avoided, and within the cold rate limit. */
+    /**
+     * Upstreams of a pool that accept requests now: not leaving, paused, evacuated or avoided, and within the cold rate limit.
+     *
+     * @param origin of the stream with which they go on; undefined for a new request.
+     */
     usableUpstreams(
         pool: core.PoolId,
         snapshot: catalog.CatalogSnapshot,
         avoided: ReadonlySet<core.UpstreamId>,
+        origin?: StreamOrigin,
     ): readonly UpstreamState[];
+    /** Whether an upstream of a pool that is neither leaving nor evacuated can go on with a stream. */
+    hasRoutable(pool: core.PoolId, snapshot: catalog.CatalogSnapshot, origin: StreamOrigin): boolean;
     /** The upstreams of a pool that are paused, and the times in ms at which their pauses end; the first to end comes first. */
     pauses(pool: core.PoolId, snapshot: catalog.CatalogSnapshot): readonly UpstreamPause[];
     /**
@@ -414,8 +422,9 @@
     return {
         stateOf: id => states.get(id),
         stateOfHash: idHash => byHash.get(idHash),
-        usableUpstreams(pool, snapshot, avoided) {
-            const all = withoutUnavailable(routableUpstreams(pool, snapshot));
+        usableUpstreams(pool, snapshot, avoided, origin) {
+            const available = withoutUnavailable(routableUpstreams(pool, snapshot));
+            const all = origin ? available.filter(({ upstream }) => hasOrigin(upstream, origin)) : available;
             const routable = avoided.size === 0 ? all : all.filter(({ upstream }) => !avoided.has(upstream.id));
             const nowMs = clock.nowMs();
             if (nowMs >= lastColdUntilMs) {
@@ -425,6 +434,8 @@
             // Cold upstreams have little capacity, so they are used only if there is no warm one.
             return warm.length > 0 ? warm : routable.filter(isWithinColdLimit);
         },
+        hasRoutable: (pool, snapshot, origin) =>
+            routableUpstreams(pool, snapshot).some(({ upstream }) => hasOrigin(upstream, origin)),
         pauses(pool, snapshot) {
             const nowMs = clock.nowMs();
             return routableUpstreams(pool, snapshot).flatMap(({ upstream, statements }) => {
@@ -465,7 +476,13 @@
 }
 
 function isSameRun(left: catalog.KnownUpstream, right: catalog.KnownUpstream): boolean {
-    return left.startedWallMs === right.startedWallMs && left.host === right.host && left.port === right.port;
+    return left.startedWallMs === right.startedWallMs && left.softwareVersion === right.softwareVersion
+        && left.host === right.host && left.port === right.port;
+}
+
+/** Whether an upstream can go on with a stream. */
+function hasOrigin({ softwareVersion }: catalog.Upstream, origin: StreamOrigin): boolean {
+    return softwareVersion !== undefined && softwareVersion === origin.softwareVersion;
 }
 
 function isRoutable(upstream: catalog.Upstream, snapshot: catalog.CatalogSnapshot): boolean {
--- a/packages/fleet/src/Datagram.ts
+++ b/packages/fleet/src/Datagram.ts
@@ -5,6 +5,7 @@
     DatagramSchema,
     type StatedLimit as StatedLimitMessage,
 } from "./gen/announcement_pb.js";
+import type { StreamOriginAnswer, StreamOriginQuestion, StreamOriginRecord } from "./StreamOriginMessages.js";
 import type { AttemptReport, LimitReport, StatedLimit, TrackerAnswer, TrackerQuestion } from "./TrackerMessages.js";
 
 /** A datagram between VMs. An answer repeats the number of its question. */
@@ -13,7 +14,10 @@
     | { readonly kind: "question"; readonly number: number; readonly question: TrackerQuestion; }
     | { readonly kind: "answer"; readonly number: number; readonly answer: TrackerAnswer; }
     | { readonly kind: "report"; readonly report: AttemptReport; }
-    | { readonly kind: "limit-report"; readonly report: LimitReport; };
+    | { readonly kind: "limit-report"; readonly report: LimitReport; }
+    | { readonly kind: "stream-origins"; readonly records: readonly StreamOriginRecord[]; }
+    | { readonly kind: "stream-origin-question"; readonly number: number; readonly question: StreamOriginQuestion; }
+    | { readonly kind: "stream-origin-answer"; readonly number: number; readonly answer: StreamOriginAnswer; };
 
 /** @param nowMs time in ms, relative to which ages are stated. */
 export function encodeDatagram(datagram: Datagram, nowMs: number): Uint8Array {
@@ -83,6 +87,33 @@
                 value: { upstream: upstreamHash, statedLimit: toStatedLimitMessage(statedLimit, nowMs) },
             };
         }
+        case "stream-origins":
+            return {
+                case: "streamOrigins",
+                value: {
+                    streams: datagram.records.map(({ streamKey }) => streamKey),
+                    origins: datagram.records.map(({ originHash }) => originHash),
+                },
+            };
+        case "stream-origin-question": {
+            const { streamKey, poolHashes, ageMs } = datagram.question;
+            return {
+                case: "streamOriginQuestion",
+                value: { number: datagram.number, stream: streamKey, pools: [...poolHashes], ageMs: toUint32(ageMs) },
+            };
+        }
+        case "stream-origin-answer": {
+            const { recorded, seen, isComplete } = datagram.answer;
+            return {
+                case: "streamOriginAnswer",
+                value: {
+                    number: datagram.number,
+                    ...(recorded === undefined ? {} : { recorded }),
+                    seen: [...seen],
+                    complete: isComplete,
+                },
+            };
+        }
     }
 }
 
@@ -167,6 +198,27 @@
                 report: { upstreamHash: body.value.upstream, statedLimit },
             };
         }
+        case "streamOrigins": {
+            const { streams, origins } = body.value;
+            return streams.length === origins.length
+                ? {
+                    kind: "stream-origins",
+                    records: streams.map((streamKey, index) => ({ streamKey, originHash: origins[index] ?? 0 })),
+                }
+                : undefined;
+        }
+        case "streamOriginQuestion": {
+            const { number, stream, pools, ageMs } = body.value;
+            return {
+                kind: "stream-origin-question",
+                number,
+                question: { streamKey: stream, poolHashes: pools, ageMs },
+            };
+        }
+        case "streamOriginAnswer": {
+            const { number, recorded, seen, complete } = body.value;
+            return { kind: "stream-origin-answer", number, answer: { recorded, seen, isComplete: complete } };
+        }
         default:
             return undefined;
     }
--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -10,6 +10,13 @@
 } from "./CrashEvidence.js";
 import { type Datagram, decodeDatagram, encodeDatagram } from "./Datagram.js";
 import type { DatagramSocket } from "./DatagramSocket.js";
+import { createStreamOriginLink } from "./StreamOriginLink.js";
+import type {
+    StreamOriginAnswer,
+    StreamOriginHolder,
+    StreamOriginQuestion,
+    StreamOriginRecord,
+} from "./StreamOriginMessages.js";
 import { createTrackerLink } from "./TrackerLink.js";
 import type { AttemptReport, LimitReport, Tracker, TrackerQuestion, TrackerReply } from "./TrackerMessages.js";
 
@@ -55,6 +62,12 @@
     reportLimit(report: LimitReport): void;
     /** Sets the handler for the upstreams that this VM tracks; returns a function that removes it. */
     registerTracker(tracker: Tracker): () => void;
+    /** Records the origins of streams at the VMs that hold them. */
+    announceStreamOrigins(records: readonly StreamOriginRecord[]): void;
+    /** Asks the VMs that may hold the origin of a stream; resolves within 60 ms with the answers that arrived. */
+    askStreamOrigin(question: StreamOriginQuestion): Promise<readonly StreamOriginAnswer[]>;
+    /** Sets the holder of the origins that other VMs record here; returns a function that removes it. */
+    registerStreamOriginHolder(holder: StreamOriginHolder): () => void;
     /** Calls `listener` for the usage that other VMs announce; returns a function that removes it. */
     registerUsageListener(listener: UsageListener): () => void;
     /** Announces to all other VMs that a request or part was in flight at an upstream when the upstream crashed. */
@@ -188,6 +201,13 @@
         send: sendToPeer,
     });
 
+    const streamOriginLink = createStreamOriginLink({
+        address: options.address,
+        clock,
+        alivePeers,
+        send: sendToPeer,
+    });
+
     function sendToPeer(datagram: Datagram, address: string): void {
         const bytes = encodeDatagram(datagram, clock.nowMs());
         trackerTrafficBytes += bytes.length + datagramOverheadBytes;
@@ -220,6 +240,12 @@
                 return trackerLink.handleReport(datagram.report);
             case "limit-report":
                 return trackerLink.handleLimitReport(datagram.report);
+            case "stream-origins":
+                return streamOriginLink.handleRecords(datagram.records);
+            case "stream-origin-question":
+                return streamOriginLink.handleQuestion(datagram.number, datagram.question, from);
+            case "stream-origin-answer":
+                return streamOriginLink.handleAnswer(datagram.number, datagram.answer);
         }
     }
 
@@ -396,6 +422,9 @@
         reportAttempt: trackerLink.report,
         reportLimit: trackerLink.reportLimit,
         registerTracker: trackerLink.registerTracker,
+        announceStreamOrigins: streamOriginLink.announce,
+        askStreamOrigin: streamOriginLink.ask,
+        registerStreamOriginHolder: streamOriginLink.registerHolder,
         registerUsageListener(listener) {
             usageListeners.add(listener);
             return () => void usageListeners.delete(listener);
@@ -411,6 +440,7 @@
         dispose() {
             stopTicking?.();
             trackerLink.dispose();
+            streamOriginLink.dispose();
             socket.close();
         },
     };
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -3,6 +3,12 @@
 export * from "./DatagramSocket.js";
 export * from "./FleetNode.js";
 export * from "./RelaySelector.js";
+export type {
+    StreamOriginAnswer,
+    StreamOriginHolder,
+    StreamOriginQuestion,
+    StreamOriginRecord,
+} from "./StreamOriginMessages.js";
 export type {
     AttemptReport,
     LimitReport,
--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -23,6 +23,14 @@
     isStillAllowed(): boolean;
 }
 
+/** Where a stream goes on that has begun. */
+export interface StreamPosition {
+    /** The last event that the caller has received. */
+    readonly lastEventId: string;
+    /** The origin of the stream; undefined if its route is not resumable. */
+    readonly origin: dispatch.StreamOrigin | undefined;
+}
+
 /** An upstream's response whose head has been received. */
 export interface StartedResponse {
     readonly lease: dispatch.Lease;
@@ -34,7 +42,7 @@
 /** Sends a request to one upstream after another, within the route's maximum number of attempts and the retry budget. */
 export interface AttemptSequence {
     /** Tries upstreams until one responds; fails when no further attempt is allowed. */
-    nextResponse(lastEventId: string | undefined): Promise<Result<StartedResponse, Refusal>>;
+    nextResponse(position: StreamPosition | undefined): Promise<Result<StartedResponse, Refusal>>;
     /**
      * @param current lease of the attempt that may be replaced.
      * @param onResponse called with the successful response of another upstream; resolves with whether it is used.
@@ -70,9 +78,9 @@
     const attempts = new Set<Attempt>();
     let mayHaveRun = false;
 
-    async function nextResponse(lastEventId: string | undefined): Promise<Result<StartedResponse, Refusal>> {
+    async function nextResponse(position: StreamPosition | undefined): Promise<Result<StartedResponse, Refusal>> {
         for (;;) {
-            const lease = await context.dispatcher.acquire(job, excluded, sentTo.size > 0);
+            const lease = await context.dispatcher.acquire(job, excluded, sentTo.size > 0, position?.origin);
             if (lease.isErr()) {
                 return err(createSequenceRefusal(mayHaveRun, lease.error.reason, lease.error.retryAfterMs));
             }
@@ -80,7 +88,7 @@
                 lease.value.end("abandoned");
                 return err(createSequenceRefusal(mayHaveRun, "cancelled", undefined));
             }
-            const result = await awaitFirstResponse(lease.value, lastEventId);
+            const result = await awaitFirstResponse(lease.value, position);
             if (result.isOk()) {
                 return ok(result.value);
             }
@@ -96,9 +104,9 @@
     /** Waits for the response to an attempt, or to the attempt that replaces it if it is unresponsive. */
     async function awaitFirstResponse(
         lease: dispatch.Lease,
-        lastEventId: string | undefined,
+        position: StreamPosition | undefined,
     ): Promise<Result<StartedResponse, AttemptFailure>> {
-        const current = startLeasedAttempt(lease, lastEventId, () => replacement.start(lastEventId));
+        const current = startLeasedAttempt(lease, position, () => replacement.start(position));
         const replacement = createReplacementFor(lease, async () => {
             current.attempt.timeOut();
             return (await current.result).isErr();
@@ -114,7 +122,7 @@
 
     function startLeasedAttempt(
         lease: dispatch.Lease,
-        lastEventId: string | undefined,
+        position: StreamPosition | undefined,
         onUnresponsive: () => void,
     ): LeasedAttempt {
         const { upstream } = lease;
@@ -130,7 +138,7 @@
                     customer: job.customer,
                     remainingMs: Math.max(1, Math.floor(job.deadlineMs - clock.nowMs())),
                     bodyBytes: request.body.length,
-                    lastEventId,
+                    lastEventId: position?.lastEventId,
                 }),
             mayWrite: () => lease.mayWrite() && request.isStillAllowed(),
         }, clock);
@@ -192,8 +200,13 @@
             isRequestCancelled: request.isCancelled,
             mayRetry: inProgress => isRetryable && sentTo.size + inProgress < job.route.maxAttempts,
             excludeUpstream,
-            acquire: inProgress =>
-                context.dispatcher.acquire(job, new Set([...excluded, ...inProgress.map(idOf)]), true),
+            acquire: (inProgress, position) =>
+                context.dispatcher.acquire(
+                    job,
+                    new Set([...excluded, ...inProgress.map(idOf)]),
+                    true,
+                    position?.origin,
+                ),
             startAttempt: startLeasedAttempt,
             onResponse,
         });
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -16,6 +16,7 @@
     readonly codec: WireCodec;
     readonly follower: catalog.CatalogFollower;
     readonly dispatcher: dispatch.Dispatcher;
+    readonly streamOrigins: dispatch.StreamOrigins;
     readonly connections: UpstreamConnections;
     readonly acceptQueue: AcceptQueueMonitor;
     readonly overload: OverloadGuard;
--- a/packages/gateway/src/Refusal.ts
+++ b/packages/gateway/src/Refusal.ts
@@ -33,6 +33,8 @@
     "quarantined": 503,
     "suspected": 503,
     "paused": 503,
+    "origin-unknown": 503,
+    "origin-gone": 503,
     "cancelled": 503,
     "processor-overloaded": 503,
     "starting": 503,
--- a/packages/gateway/src/Replacement.ts
+++ b/packages/gateway/src/Replacement.ts
@@ -2,7 +2,7 @@
 import type * as telemetry from "@peridotloft/telemetry";
 import type { Result } from "neverthrow";
 import type * as http from "node:http";
-import type { LeasedAttempt, StartedResponse } from "./AttemptSequence.js";
+import type { LeasedAttempt, StartedResponse, StreamPosition } from "./AttemptSequence.js";
 import { awaitFirstBytes } from "./ResponseRelay.js";
 
 /**
@@ -11,7 +11,7 @@
  */
 export interface Replacement {
     /** Tries one more upstream, unless one is being chosen already or no further attempt is allowed. */
-    start(lastEventId: string | undefined): void;
+    start(position: StreamPosition | undefined): void;
     /** Cancels the attempts in progress, since the current attempt has made progress. */
     cancel(): void;
     /** Resolves with the response that replaces the current attempt; undefined once no attempt is in progress. */
@@ -30,9 +30,16 @@
     /** Excludes an upstream to which the request was sent from further attempts. */
     excludeUpstream(lease: dispatch.Lease): void;
     /** @param inProgress upstreams of the attempts in progress, which are not chosen. */
-    acquire(inProgress: readonly dispatch.Lease[]): Promise<Result<dispatch.Lease, dispatch.DispatchRefusal>>;
+    acquire(
+        inProgress: readonly dispatch.Lease[],
+        position: StreamPosition | undefined,
+    ): Promise<Result<dispatch.Lease, dispatch.DispatchRefusal>>;
     /** @param onUnresponsive called when no response has arrived for longer than expected, and again later. */
-    startAttempt(lease: dispatch.Lease, lastEventId: string | undefined, onUnresponsive: () => void): LeasedAttempt;
+    startAttempt(
+        lease: dispatch.Lease,
+        position: StreamPosition | undefined,
+        onUnresponsive: () => void,
+    ): LeasedAttempt;
     /** Called with a successful response of another upstream; resolves with whether it replaces the current attempt. */
     onResponse(started: StartedResponse): Promise<boolean>;
 }
@@ -49,10 +56,10 @@
         log.failure("replacement-skipped", { requestId: job.requestId, upstream: current.upstream.id, reason });
     }
 
-    async function chooseUpstream(): Promise<dispatch.Lease | undefined> {
+    async function chooseUpstream(position: StreamPosition | undefined): Promise<dispatch.Lease | undefined> {
         isChoosing = true;
         try {
-            const lease = await options.acquire([...inProgress].map(attempt => attempt.lease));
+            const lease = await options.acquire([...inProgress].map(attempt => attempt.lease), position);
             if (lease.isErr()) {
                 logSkipped(lease.error.reason);
                 return undefined;
@@ -64,15 +71,15 @@
         }
     }
 
-    async function tryOtherUpstream(lastEventId: string | undefined): Promise<StartedResponse | undefined> {
+    async function tryOtherUpstream(position: StreamPosition | undefined): Promise<StartedResponse | undefined> {
         const startRound = round;
         const isCancelled = (): boolean => round !== startRound || options.isRequestCancelled();
-        const lease = await chooseUpstream();
+        const lease = await chooseUpstream(position);
         if (!lease || isCancelled()) {
             lease?.end("abandoned");
             return undefined;
         }
-        const leased = options.startAttempt(lease, lastEventId, () => start(lastEventId));
+        const leased = options.startAttempt(lease, position, () => start(position));
         inProgress.add(leased);
         const result = await leased.result;
         if (result.isErr()) {
@@ -93,7 +100,7 @@
             requestId: job.requestId,
             upstream: current.upstream.id,
             by: lease.upstream.id,
-            lastEventId,
+            lastEventId: position?.lastEventId,
         });
         cancel("replaced");
         return result.value;
@@ -104,7 +111,7 @@
         inProgress.forEach(({ attempt }) => attempt.cancel(cause));
     }
 
-    function start(lastEventId: string | undefined): void {
+    function start(position: StreamPosition | undefined): void {
         if (isChoosing) {
             return;
         }
@@ -114,7 +121,7 @@
             logSkipped("attempts-exhausted");
             return;
         }
-        const attempt = tryOtherUpstream(lastEventId)
+        const attempt = tryOtherUpstream(position)
             .catch((error: unknown) => logSkipped(String(error)))
             .then(started => {
                 pending.delete(attempt);
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -1,16 +1,22 @@
 import * as core from "@peridotloft/core";
-import type * as dispatch from "@peridotloft/dispatch";
+import * as dispatch from "@peridotloft/dispatch";
+import { ok, type Result } from "neverthrow";
 import type * as http from "node:http";
 import { type AllowedRequest, allowRequest, choosePool } from "./Admission.js";
-import { type AttemptSequence, createAttemptSequence, type StartedResponse } from "./AttemptSequence.js";
+import {
+    type AttemptSequence,
+    createAttemptSequence,
+    type StartedResponse,
+    type StreamPosition,
+} from "./AttemptSequence.js";
 import { createCallerResponse } from "./CallerResponse.js";
-import { createEventSplitter, type EventSplitter } from "./EventSplitter.js";
 import type { Freshness } from "./Freshness.js";
 import type { GatewayContext } from "./GatewayContext.js";
 import { createRefusal, createUpstreamFailure, type Refusal } from "./Refusal.js";
 import { readBody } from "./RequestBody.js";
 import { onceResponseClosed } from "./ResponseClose.js";
 import { discardResponse, readCompleteResponse, type RelayOutcome, relayStream } from "./ResponseRelay.js";
+import { createStreamState, type StreamState } from "./StreamState.js";
 
 /** Serves one request of a caller. Never throws. */
 export type RequestHandler = (request: http.IncomingMessage, response: http.ServerResponse) => void;
@@ -154,9 +160,17 @@
             || timeoutMs + drainEndMarginMs <= drainRemainingMs;
     }
 
-    function serve(requestId: core.RequestId, allowed: AllowedRequest, body: Buffer): Promise<void> | void {
+    async function serve(requestId: core.RequestId, allowed: AllowedRequest, body: Buffer): Promise<void> {
         const { route } = allowed;
-        const pool = choosePool(route, context.random);
+        const found = await findPosition(requestId, route);
+        if (found.isErr()) {
+            return refuse(createRefusal(found.error.reason, found.error.retryAfterMs));
+        }
+        const position = found.value;
+        if (callerDisconnected) {
+            return;
+        }
+        const pool = position?.origin?.pool ?? choosePool(route, context.random);
         if (pool === undefined) {
             return refuse(createRefusal("no-upstream"));
         }
@@ -172,14 +186,6 @@
             fingerprint: () => core.hash32(`${path} ${customer ?? ""} ${body.toString("latin1")}`),
         };
         stage = "upstream";
-        if (requestHead.lastEventId !== undefined) {
-            log.decision("stream-taken-up", {
-                requestId,
-                resumes: requestHead.resumes,
-                lastEventId: requestHead.lastEventId,
-                pool,
-            });
-        }
         const sequence = createAttemptSequence(context, {
             job,
             isRetryable: route.kind === "stream" ? route.resumable : route.kind === "idempotent",
@@ -192,7 +198,40 @@
         });
         attemptSequence = sequence;
         cancelDeadlineTimer = clock.setTimer(job.deadlineMs - clock.nowMs(), onDeadline);
-        return route.kind === "stream" ? serveStream(job, sequence) : serveBuffered(job, sequence);
+        return route.kind === "stream"
+            ? serveStream(job, sequence, position)
+            : serveBuffered(job, sequence);
+    }
+
+    /** Where a stream goes on that the caller takes up again; undefined for a new request. */
+    async function findPosition(
+        requestId: core.RequestId,
+        route: AllowedRequest["route"],
+    ): Promise<Result<StreamPosition | undefined, dispatch.DispatchRefusal>> {
+        const { lastEventId, resumes } = requestHead;
+        if (lastEventId === undefined || route.kind !== "stream") {
+            return ok(undefined);
+        }
+        if (!route.resumable) {
+            return ok({ lastEventId, origin: undefined });
+        }
+        const origin = await context.streamOrigins.find({
+            requestId,
+            streamKey: resumes && dispatch.streamKeyOf(resumes, customer, path),
+            route,
+            resumes,
+            lastEventId,
+        });
+        return origin.map(found => ({ lastEventId, origin: found }));
+    }
+
+    /** Records which upstream began the stream of this request, or goes on with the one that the caller takes up. */
+    function recordOrigin(upstream: dispatch.Lease["upstream"], route: AllowedRequest["route"]): void {
+        const { lastEventId, requestId, resumes } = requestHead;
+        const firstAttempt = lastEventId === undefined ? requestId : resumes;
+        if (route.resumable && firstAttempt !== undefined) {
+            context.streamOrigins.recordBegun(dispatch.streamKeyOf(firstAttempt, customer, path), upstream, route);
+        }
     }
 
     function onDeadline(): void {
@@ -254,18 +293,23 @@
         }
     }
 
-    async function serveStream(job: dispatch.Job, sequence: AttemptSequence): Promise<void> {
-        const splitter = createEventSplitter();
+    async function serveStream(
+        job: dispatch.Job,
+        sequence: AttemptSequence,
+        startPosition: StreamPosition | undefined,
+    ): Promise<void> {
+        const stream = createStreamState(startPosition);
+        const { splitter } = stream;
         let started: StartedResponse | undefined;
         for (;;) {
             if (!started) {
-                const result = await sequence.nextResponse(splitter.lastEventId() ?? requestHead.lastEventId);
+                const result = await sequence.nextResponse(stream.position());
                 if (result.isErr()) {
                     return refuse(result.error);
                 }
                 started = result.value;
             }
-            const { outcome, replacedBy } = await relayUpstreamResponse(job, sequence, started, splitter);
+            const { outcome, replacedBy } = await relayUpstreamResponse(job, sequence, started, stream);
             if (outcome === "complete" || isCancelled()) {
                 replacedBy?.lease.end("abandoned");
                 replacedBy?.cancel("not-needed");
@@ -294,7 +338,7 @@
         job: dispatch.Job,
         sequence: AttemptSequence,
         { lease, response: upstreamResponse, cancel }: StartedResponse,
-        splitter: EventSplitter,
+        stream: StreamState,
     ): Promise<{ outcome: RelayOutcome; replacedBy?: StartedResponse | undefined; }> {
         const statusCode = upstreamResponse.statusCode ?? 502;
         if (statusCode >= 300 && !callerResponse.hasBegun()) {
@@ -319,18 +363,20 @@
             }
             return isReplaced;
         });
-        const relay = relayStream(upstreamResponse, splitter, {
+        const relay = relayStream(upstreamResponse, stream.splitter, {
             callerResponse,
             begin: () => callerResponse.begin(statusCode, codec.callerHeaders(upstreamResponse.rawHeaders)),
             onFirstEvent: () => {
                 lease.recordFirstByte();
                 recordFirstEvent(job, lease);
+                stream.recordBegun(job.pool, lease.upstream);
+                recordOrigin(lease.upstream, job.route);
             },
             stallWatch: job.route.resumable
                 ? {
                     clock,
                     timeoutMs: (job.route.maxEventGapMs ?? defaultEventGapMs) * stallTimeoutFactor,
-                    onStalled: () => replacement.start(splitter.lastEventId() ?? requestHead.lastEventId),
+                    onStalled: () => replacement.start(stream.position()),
                     onProgress: replacement.cancel,
                 }
                 : undefined,
--- /dev/null
+++ b/packages/gateway/src/StreamState.ts
@@ -0,0 +1,29 @@
+import type * as catalog from "@peridotloft/catalog";
+import type * as core from "@peridotloft/core";
+import type { StreamPosition } from "./AttemptSequence.js";
+import { createEventSplitter, type EventSplitter } from "./EventSplitter.js";
+
+/** How far the stream to a caller has come. */
+export interface StreamState {
+    readonly splitter: EventSplitter;
+    /** Where another upstream would go on; undefined as long as the caller has received no event. */
+    position(): StreamPosition | undefined;
+    /** Records the upstream that has sent the first event. Later upstreams have the same origin. */
+    recordBegun(pool: core.PoolId, upstream: catalog.Upstream): void;
+}
+
+/** @param start position at which the caller takes the stream up; undefined for a new stream. */
+export function createStreamState(start: StreamPosition | undefined): StreamState {
+    const splitter = createEventSplitter();
+    let origin = start?.origin;
+    return {
+        splitter,
+        position() {
+            const lastEventId = splitter.lastEventId() ?? start?.lastEventId;
+            return lastEventId === undefined ? undefined : { lastEventId, origin };
+        },
+        recordBegun(pool, { softwareVersion }) {
+            origin ??= { pool, softwareVersion };
+        },
+    };
+}
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -24,6 +24,9 @@
     statements: ["upstream_statements_total", "Changes of what upstreams state about themselves, by statement.", [
         "statement",
     ]],
+    streamsTakenUp: ["streams_taken_up_total", "Streams that callers take up again, by how their version is known.", [
+        "source",
+    ]],
     storeCalls: ["store_calls_total", "Calls to the platform's store, by outcome.", ["outcome"]],
     storeRestores: ["store_restores_total", "Restores of the platform's store from a copy, as seen by this VM.", []],
     catalogChanges: ["catalog_changes_total", "Changes of the catalog that the platform publishes, by kind.", ["kind"]],
