dispatch, gateway: call a stream that its caller takes up a resumed stream

The usual term of the field, in code, log lines (stream-resumed), the metric (streams_resumed_total) and the refusal reason (origin-removed, as other names say removed). No behaviour changes.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -244,12 +244,12 @@
     /** Refuses a request for which no upstream is left. Callers return from the end of the first pause on, spread out. */
     function refuseWithoutUpstream(job: Job, origin: StreamOrigin | undefined): DispatchRefusal {
         if (origin && !table.hasRoutable(job.pool, options.catalog.read(), origin)) {
-            log.failure("stream-origin-gone", {
+            log.failure("stream-origin-removed", {
                 requestId: job.requestId,
                 pool: job.pool,
                 softwareVersion: origin.softwareVersion,
             });
-            return { reason: "origin-gone", retryAfterMs: undefined };
+            return { reason: "origin-removed", retryAfterMs: undefined };
         }
         const pauses = table.pauses(job.pool, options.catalog.read());
         const [first] = pauses;
--- a/packages/dispatch/src/Job.ts
+++ b/packages/dispatch/src/Job.ts
@@ -51,7 +51,7 @@
         | "suspected"
         | "paused"
         | "origin-unknown"
-        | "origin-gone"
+        | "origin-removed"
         | "cancelled";
     /** Time in ms after which the caller may retry; undefined if a retry does not help. */
     readonly retryAfterMs: number | undefined;
--- a/packages/dispatch/src/StreamOrigins.ts
+++ b/packages/dispatch/src/StreamOrigins.ts
@@ -15,8 +15,8 @@
     readonly metrics: telemetry.Metrics;
 }
 
-/** A stream that a caller takes up again. */
-export interface TakenUpStream {
+/** A stream that a caller resumes. */
+export interface ResumedStream {
     readonly requestId: core.RequestId;
     /** Undefined if the caller does not state which attempt began it. */
     readonly streamKey: bigint | undefined;
@@ -28,13 +28,13 @@
 
 /**
  * By which software version streams were begun. What two versions write does not fit together, so a stream that breaks off goes
- * on only at an upstream of the version that began it, at whichever VM its caller takes it up.
+ * on only at an upstream of the version that began it, at whichever VM its caller resumes it.
  */
 export interface StreamOrigins {
     /** Records that an upstream has sent the first event of a stream, or goes on with it. */
     recordBegun(streamKey: bigint, upstream: catalog.Upstream, route: catalog.Route): void;
     /** Finds the origin of a stream; refuses if it cannot be known. The request has not run then. */
-    find(stream: TakenUpStream): Promise<Result<StreamOrigin, DispatchRefusal>>;
+    find(stream: ResumedStream): Promise<Result<StreamOrigin, DispatchRefusal>>;
     dispose(): void;
 }
 
@@ -137,7 +137,7 @@
                 : originHash === undefined
                 ? "unknown"
                 : "only-version";
-            metrics.count("streamsTakenUp", { source });
+            metrics.count("streamsResumed", { source });
             const fields = {
                 requestId,
                 resumes,
@@ -152,11 +152,11 @@
             if (origin?.softwareVersion === undefined) {
                 log.failure("stream-origin-unknown", fields);
                 return err({
-                    reason: recorded === undefined ? "origin-unknown" : "origin-gone",
+                    reason: recorded === undefined ? "origin-unknown" : "origin-removed",
                     retryAfterMs: undefined,
                 });
             }
-            log.decision("stream-taken-up", fields);
+            log.decision("stream-resumed", fields);
             return ok(origin);
         },
         dispose() {
@@ -170,7 +170,7 @@
     return targets.map(({ pool }) => poolHashOf(pool));
 }
 
-/** Longest time in ms since the first event of a stream that a caller still takes up. */
+/** Longest time in ms since the first event of a stream that a caller still resumes. */
 function maxAgeMs({ timeoutMs }: catalog.Route): number {
     return timeoutMs + catalogLagMs;
 }
--- a/packages/fleet/src/StreamOriginLink.ts
+++ b/packages/fleet/src/StreamOriginLink.ts
@@ -17,7 +17,7 @@
 
 /**
  * Records the origins of streams at other VMs, and asks them. The holders of a stream are found by rendezvous hashing, so any VM
- * finds them when a caller takes the stream up there.
+ * finds them when a caller resumes the stream there.
  */
 export interface StreamOriginLink {
     announce(records: readonly StreamOriginRecord[]): void;
--- a/packages/gateway/src/Refusal.ts
+++ b/packages/gateway/src/Refusal.ts
@@ -34,7 +34,7 @@
     "suspected": 503,
     "paused": 503,
     "origin-unknown": 503,
-    "origin-gone": 503,
+    "origin-removed": 503,
     "cancelled": 503,
     "processor-overloaded": 503,
     "starting": 503,
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -203,7 +203,7 @@
             : serveBuffered(job, sequence);
     }
 
-    /** Where a stream goes on that the caller takes up again; undefined for a new request. */
+    /** Where a stream goes on that the caller resumes; undefined for a new request. */
     async function findPosition(
         requestId: core.RequestId,
         route: AllowedRequest["route"],
@@ -225,7 +225,7 @@
         return origin.map(found => ({ lastEventId, origin: found }));
     }
 
-    /** Records which upstream began the stream of this request, or goes on with the one that the caller takes up. */
+    /** Records which upstream began the stream of this request, or goes on with the one that the caller resumes. */
     function recordOrigin(upstream: dispatch.Lease["upstream"], route: AllowedRequest["route"]): void {
         const { lastEventId, requestId, resumes } = requestHead;
         const firstAttempt = lastEventId === undefined ? requestId : resumes;
--- a/packages/gateway/src/StreamState.ts
+++ b/packages/gateway/src/StreamState.ts
@@ -12,7 +12,7 @@
     recordBegun(pool: core.PoolId, upstream: catalog.Upstream): void;
 }
 
-/** @param start position at which the caller takes the stream up; undefined for a new stream. */
+/** @param start position at which the caller resumes the stream; undefined for a new stream. */
 export function createStreamState(start: StreamPosition | undefined): StreamState {
     const splitter = createEventSplitter();
     let origin = start?.origin;
--- a/packages/gateway/src/WireCodec.ts
+++ b/packages/gateway/src/WireCodec.ts
@@ -14,7 +14,7 @@
     readonly callerTimeoutMs: number | undefined;
     readonly key: string | undefined;
     readonly prompt: dispatch.Prompt | undefined;
-    /** Last event that the caller of a stream that it takes up again has received; undefined for a new stream. */
+    /** Last event that the caller of a resumed stream has received; undefined for a new stream. */
     readonly lastEventId: string | undefined;
     /** The caller's attempt that received the first event of that stream; undefined if it is missing or invalid. */
     readonly resumes: core.RequestId | undefined;
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -24,7 +24,7 @@
     statements: ["upstream_statements_total", "Changes of what upstreams state about themselves, by statement.", [
         "statement",
     ]],
-    streamsTakenUp: ["streams_taken_up_total", "Streams that callers take up again, by how their version is known.", [
+    streamsResumed: ["streams_resumed_total", "Streams that callers resume, by how their version is known.", [
         "source",
     ]],
     storeCalls: ["store_calls_total", "Calls to the platform's store, by outcome.", ["outcome"]],
