dispatch, fleet, gateway: infer the version of a stream only from what a VM can know

Cause: the inference took the time since the first listing for knowledge. What a VM knows also ends when its catalog ages or nobody answers, and what was possible also depends on the pools to which the route led.

Change: the history of versions is complete only as long as the catalog is followed, and starts anew after a gap; with other VMs known, at least one must answer. The pools to which a route led within the stream's possible age count (RoutePools.ts), a change of them announces the streams that had one possible origin, and the origin must belong to the route now. All streams with a last event need an origin. The first record of a stream counts. Only recorded streams are admitted like retries. An upstream that was unreachable within 3 s does not go on with streams, since it may have started again with another version. Holders are found in one pass over cached hashes, and the first record ends the wait.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -409,7 +409,7 @@
             }
             const candidates = table.withoutEjected(usable);
             return job.prompt
-                ? acquireEngine(job, job.prompt, candidates, isRetry || origin !== undefined)
+                ? acquireEngine(job, job.prompt, candidates, isRetry || origin?.isRecorded === true)
                 : acquireService(job, candidates);
         },
         relativeUsage,
--- a/packages/dispatch/src/OriginHistory.ts
+++ b/packages/dispatch/src/OriginHistory.ts
@@ -6,6 +6,8 @@
     readonly pool: core.PoolId;
     /** Undefined if the upstream stated none; no upstream can go on then. */
     readonly softwareVersion: string | undefined;
+    /** Whether a VM has recorded that it began the stream; false if it was inferred. */
+    readonly isRecorded: boolean;
 }
 
 export interface SeenOrigins {
@@ -22,6 +24,10 @@
     dispose(): void;
 }
 
+/** Time in ms by which the upstreams that VMs know of may differ as long as their catalogs are followed. */
+export const catalogLagMs = 2_500;
+/** Interval in ms at which the age of the catalog is checked. */
+const ageCheckIntervalMs = 250;
 /** Time in ms after which an origin without upstreams is forgotten. */
 const retentionMs = 600_000;
 
@@ -39,16 +45,21 @@
     return core.hash32(pool);
 }
 
-export function originHashOf({ pool, softwareVersion }: StreamOrigin): number {
+export function originHashOf({ pool, softwareVersion }: Pick<StreamOrigin, "pool" | "softwareVersion">): number {
     return core.hash32(`${pool} ${softwareVersion ?? ""}`);
 }
 
-/** @param onAdded called when an origin has appeared beside others of its pool. */
-export function createOriginHistory(
-    catalogCell: core.SnapshotCell<catalog.CatalogSnapshot>,
-    clock: core.Clock,
-    onAdded: () => void,
-): OriginHistory {
+export interface OriginHistoryOptions {
+    readonly clock: core.Clock;
+    readonly catalog: core.SnapshotCell<catalog.CatalogSnapshot>;
+    /** Age of the catalog in ms: it may lack changes that were made within this time. */
+    catalogAgeMs(): number;
+    /** Called when an origin has appeared beside others of its pool. */
+    onAdded(): void;
+}
+
+export function createOriginHistory(options: OriginHistoryOptions): OriginHistory {
+    const { clock, catalog: catalogCell, onAdded } = options;
     const originsByPool = new Map<number, Map<number, KnownOrigin>>();
     let completeSinceMs = Number.POSITIVE_INFINITY;
 
@@ -57,7 +68,7 @@
         originsByPool.set(poolHashOf(pool), known);
         const present = new Map(
             [...new Set(upstreams.map(({ softwareVersion }) => softwareVersion))]
-                .map(softwareVersion => ({ pool, softwareVersion }))
+                .map(softwareVersion => ({ pool, softwareVersion, isRecorded: false }))
                 .map(origin => [originHashOf(origin), origin]),
         );
         const hasAdded = known.size > 0 && [...present.keys()].some(hash => !isPresent(known.get(hash)));
@@ -92,11 +103,19 @@
         }
     }
 
-    record(catalogCell.read());
+    /** Versions that came and left while the catalog was not followed are unknown. */
+    function checkAge(): void {
+        if (options.catalogAgeMs() > catalogLagMs && Number.isFinite(completeSinceMs)) {
+            completeSinceMs = clock.nowMs();
+        }
+    }
+
     const subscription = catalogCell.changes.subscribe(record);
+    const stopChecking = core.setRepeatingTimer(clock, ageCheckIntervalMs, checkAge);
 
     return {
         within(poolHashes, ageMs) {
+            checkAge();
             const nowMs = clock.nowMs();
             const seen = poolHashes.flatMap(poolHash => [...originsByPool.get(poolHash) ?? []])
                 .filter(([, { lastSeenMs }]) => nowMs - lastSeenMs <= ageMs);
@@ -105,6 +124,9 @@
                 isComplete: nowMs - completeSinceMs >= ageMs,
             };
         },
-        dispose: () => subscription.unsubscribe(),
+        dispose() {
+            subscription.unsubscribe();
+            stopChecking();
+        },
     };
 }
--- a/packages/dispatch/src/StreamOrigins.ts
+++ b/packages/dispatch/src/StreamOrigins.ts
@@ -5,11 +5,21 @@
 import { err, ok, type Result } from "neverthrow";
 import type { FleetView } from "./FleetView.js";
 import type { DispatchRefusal } from "./Job.js";
-import { createOriginHistory, originHashOf, poolHashOf, type SeenOrigins, type StreamOrigin } from "./OriginHistory.js";
+import {
+    catalogLagMs,
+    createOriginHistory,
+    originHashOf,
+    poolHashOf,
+    type SeenOrigins,
+    type StreamOrigin,
+} from "./OriginHistory.js";
+import { createRoutePools } from "./RoutePools.js";
 
 export interface StreamOriginsOptions {
     readonly clock: core.Clock;
     readonly catalog: core.SnapshotCell<catalog.CatalogSnapshot>;
+    /** Age of the catalog in ms: it may lack changes that were made within this time. */
+    catalogAgeMs(): number;
     readonly fleet: FleetView;
     readonly log: telemetry.EventLog;
     readonly metrics: telemetry.Metrics;
@@ -31,7 +41,7 @@
  * on only at an upstream of the version that began it, at whichever VM its caller resumes it.
  */
 export interface StreamOrigins {
-    /** Records that an upstream has sent the first event of a stream, or goes on with it. */
+    /** Records that an upstream has sent the first event of a new stream. */
     recordBegun(streamKey: bigint, upstream: catalog.Upstream, route: catalog.Route): void;
     /** Finds the origin of a stream; refuses if it cannot be known. The request has not run then. */
     find(stream: ResumedStream): Promise<Result<StreamOrigin, DispatchRefusal>>;
@@ -41,8 +51,6 @@
 /** Time in ms for which the origin of a stream is kept; longer than the timeouts of streams. */
 const retentionMs = 60_000;
 const maxRecords = 20_000;
-/** Time in ms by which the upstreams that other VMs know may differ from those of this VM. */
-const catalogLagMs = 2_000;
 /** Maximum number of versions that an answer or a log line names. */
 const maxNamedOrigins = 4;
 const streamKeySeed = 0x2f0e1a5b;
@@ -50,7 +58,8 @@
 interface OriginRecord {
     readonly originHash: number;
     readonly atMs: number;
-    isAnnounced: boolean;
+    /** Time in ms until which it is announced when another origin becomes possible. */
+    announceUntilMs: number;
 }
 
 /** Identifies a stream by its caller's first attempt, the customer and the path, the same at each VM. */
@@ -66,17 +75,24 @@
 export function createStreamOrigins(options: StreamOriginsOptions): StreamOrigins {
     const { clock, fleet, log, metrics } = options;
     const records = new Map<bigint, OriginRecord>();
-    const history = createOriginHistory(options.catalog, clock, announceUnannounced);
+    const history = createOriginHistory({ ...options, onAdded: announceUnannounced });
+    const routePools = createRoutePools(options.catalog, clock, announceUnannounced);
     const removeHolder = fleet.registerStreamOriginHolder({
         record: received =>
-            received.forEach(({ streamKey, originHash }) => keep(streamKey, { originHash, isAnnounced: true })),
+            received.forEach(({ streamKey, originHash }) =>
+                keep(streamKey, { originHash, announceUntilMs: Number.NEGATIVE_INFINITY })
+            ),
         answer({ streamKey, poolHashes, ageMs }) {
             const { origins, isComplete } = history.within(poolHashes, ageMs);
             return { recorded: recordOf(streamKey), seen: [...origins.keys()].slice(0, maxNamedOrigins), isComplete };
         },
     });
 
+    // The first record of a stream counts: a stream begins once.
     function keep(streamKey: bigint, record: Omit<OriginRecord, "atMs">): void {
+        if (recordOf(streamKey) !== undefined) {
+            return;
+        }
         records.delete(streamKey);
         records.set(streamKey, { ...record, atMs: clock.nowMs() });
         core.evictOldest(records, maxRecords);
@@ -94,17 +110,25 @@
         return record && clock.nowMs() - record.atMs <= retentionMs ? record.originHash : undefined;
     }
 
-    /** Announces the streams that began while their version was the only one. */
+    /** Announces the streams that began while their version was the only possible one. */
     function announceUnannounced(): void {
-        const unannounced = [...records].filter(([, { isAnnounced }]) => !isAnnounced);
-        unannounced.forEach(([, record]) => record.isAnnounced = true);
+        const nowMs = clock.nowMs();
+        const unannounced = [...records].filter(([, { announceUntilMs }]) => announceUntilMs >= nowMs);
+        unannounced.forEach(([, record]) => record.announceUntilMs = Number.NEGATIVE_INFINITY);
         fleet.announceStreamOrigins(unannounced.map(([streamKey, { originHash }]) => ({ streamKey, originHash })));
     }
 
-    const seenOrigins = (route: catalog.Route): SeenOrigins => history.within(poolHashesOf(route), maxAgeMs(route));
+    const possiblePoolHashes = (route: catalog.Route): readonly number[] =>
+        routePools.within(route.id, maxAgeMs(route)).map(poolHashOf);
+
+    const seenOrigins = (route: catalog.Route): SeenOrigins =>
+        history.within(possiblePoolHashes(route), maxAgeMs(route));
 
     /** The origin that follows from what this VM and others have seen: the only one that was possible. */
     function onlyPossible(seen: SeenOrigins, answers: readonly fleets.StreamOriginAnswer[]): number | undefined {
+        if (answers.length === 0 && fleet.vmCount() > 1) {
+            return undefined;
+        }
         const hashes = new Set([...seen.origins.keys(), ...answers.flatMap(answer => answer.seen)]);
         const isComplete = seen.isComplete || answers.some(answer => answer.isComplete);
         const [only] = hashes;
@@ -116,7 +140,8 @@
             const { origins, isComplete } = seenOrigins(route);
             const isOnlyPossible = isComplete && origins.size === 1;
             const record = { streamKey, originHash: originHashOf({ pool, softwareVersion }) };
-            keep(streamKey, { originHash: record.originHash, isAnnounced: !isOnlyPossible });
+            const announceUntilMs = isOnlyPossible ? clock.nowMs() + maxAgeMs(route) : Number.NEGATIVE_INFINITY;
+            keep(streamKey, { originHash: record.originHash, announceUntilMs });
             if (!isOnlyPossible) {
                 fleet.announceStreamOrigins([record]);
             }
@@ -124,12 +149,18 @@
         async find({ requestId, streamKey, route, resumes, lastEventId }) {
             const local = streamKey === undefined ? undefined : recordOf(streamKey);
             const answers = streamKey !== undefined && local === undefined
-                ? await fleet.askStreamOrigin({ streamKey, poolHashes: poolHashesOf(route), ageMs: maxAgeMs(route) })
+                ? await fleet.askStreamOrigin({
+                    streamKey,
+                    poolHashes: possiblePoolHashes(route),
+                    ageMs: maxAgeMs(route),
+                })
                 : [];
             const recorded = local ?? answers.find(answer => answer.recorded !== undefined)?.recorded;
             const seen = seenOrigins(route);
             const originHash = recorded ?? onlyPossible(seen, answers);
-            const origin = originHash === undefined ? undefined : seen.origins.get(originHash);
+            const known = originHash === undefined ? undefined : seen.origins.get(originHash);
+            // The configuration may have moved the route to other pools since.
+            const origin = route.targets.some(({ pool }) => pool === known?.pool) ? known : undefined;
             const source = local !== undefined
                 ? "own"
                 : recorded !== undefined
@@ -152,24 +183,21 @@
             if (origin?.softwareVersion === undefined) {
                 log.failure("stream-origin-unknown", fields);
                 return err({
-                    reason: recorded === undefined ? "origin-unknown" : "origin-removed",
+                    reason: originHash === undefined ? "origin-unknown" : "origin-removed",
                     retryAfterMs: undefined,
                 });
             }
             log.decision("stream-resumed", fields);
-            return ok(origin);
+            return ok({ ...origin, isRecorded: recorded !== undefined });
         },
         dispose() {
             removeHolder();
             history.dispose();
+            routePools.dispose();
         },
     };
 }
 
-function poolHashesOf({ targets }: catalog.Route): readonly number[] {
-    return targets.map(({ pool }) => poolHashOf(pool));
-}
-
 /** Longest time in ms since the first event of a stream that a caller still resumes. */
 function maxAgeMs({ timeoutMs }: catalog.Route): number {
     return timeoutMs + catalogLagMs;
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -65,6 +65,9 @@
     readonly untilMs: number;
 }
 
+/** Time in ms in which the entry of an upstream that has started again reaches this VM. */
+const reregistrationMs = 3_000;
+
 /** The state of each registered upstream. */
 export interface UpstreamTable {
     /** Undefined if the upstream is not registered. */
@@ -215,6 +218,7 @@
             statements,
             limit: statements.limit,
             hasResponded: false,
+            unreachableMs: Number.NEGATIVE_INFINITY,
             postponedUntilMs: Number.NEGATIVE_INFINITY,
             postpone: untilMs => void (state.postponedUntilMs = untilMs),
             backlog: createBacklog(() => prefillTokensPerMs(upstream.pool)),
@@ -369,6 +373,9 @@
                     options.onBroken({ job, upstream: leasedUpstream, hasResponse });
                 }
                 state.localRunning--;
+                if (outcome === "connect-failed") {
+                    state.unreachableMs = clock.nowMs();
+                }
                 // A failure that follows an unresponsive time is the same one.
                 if (!isUnresponsive || !isFailure(outcome)) {
                     state.health.record(outcome, clock.nowMs());
@@ -378,6 +385,11 @@
         };
     }
 
+    /** Whether an upstream can go on with a stream. One that was unreachable may have started again with another version. */
+    function mayContinue({ upstream, unreachableMs }: MutableState, origin: StreamOrigin): boolean {
+        return hasOrigin(upstream, origin) && clock.nowMs() - unreachableMs > reregistrationMs;
+    }
+
     // Cached per snapshot, since a pool has thousands of upstreams at the target fleet size.
     function routableUpstreams(pool: core.PoolId, snapshot: catalog.CatalogSnapshot): readonly MutableState[] {
         if (snapshot !== routableSnapshot) {
@@ -424,7 +436,7 @@
         stateOfHash: idHash => byHash.get(idHash),
         usableUpstreams(pool, snapshot, avoided, origin) {
             const available = withoutUnavailable(routableUpstreams(pool, snapshot));
-            const all = origin ? available.filter(({ upstream }) => hasOrigin(upstream, origin)) : available;
+            const all = origin ? available.filter(state => mayContinue(state, origin)) : available;
             const routable = avoided.size === 0 ? all : all.filter(({ upstream }) => !avoided.has(upstream.id));
             const nowMs = clock.nowMs();
             if (nowMs >= lastColdUntilMs) {
@@ -469,6 +481,8 @@
     localRunning: number;
     localQueuedTokens: number;
     hasResponded: boolean;
+    /** Time in ms at which a connection to it last failed. */
+    unreachableMs: number;
     postponedUntilMs: number;
     coldLimiter: TokenBucket | undefined;
     readonly backlog: Backlog;
--- a/packages/fleet/src/StreamOriginLink.ts
+++ b/packages/fleet/src/StreamOriginLink.ts
@@ -21,12 +21,12 @@
  */
 export interface StreamOriginLink {
     announce(records: readonly StreamOriginRecord[]): void;
-    /** Resolves with the answers that arrive in time. */
+    /** Resolves with the first answer that has a record, or else with all answers that arrive in time. */
     ask(question: StreamOriginQuestion): Promise<readonly StreamOriginAnswer[]>;
     registerHolder(holder: StreamOriginHolder): () => void;
     handleRecords(records: readonly StreamOriginRecord[]): void;
     handleQuestion(number: number, question: StreamOriginQuestion, from: string): void;
-    handleAnswer(number: number, answer: StreamOriginAnswer): void;
+    handleAnswer(number: number, answer: StreamOriginAnswer, from: string): void;
     dispose(): void;
 }
 
@@ -38,21 +38,51 @@
 const answerTimeoutMs = 60;
 /** Maximum number of records in a datagram, which then has about 1,000 bytes. */
 const maxRecords = 80;
+/** Maximum number of pools in a question that are considered. */
+const maxPools = 16;
+/** Time in ms for which the VMs that are alive are cached. */
+const candidatesRefreshMs = 500;
+
+interface Candidate {
+    readonly address: string;
+    readonly hash: number;
+}
+
+interface PendingQuestion {
+    readonly peer: string;
+    settle(answer: StreamOriginAnswer | undefined): void;
+}
 
 export function createStreamOriginLink(options: StreamOriginLinkOptions): StreamOriginLink {
     const { address, clock } = options;
-    const pending = new Map<number, (answer: StreamOriginAnswer | undefined) => void>();
+    const pending = new Map<number, PendingQuestion>();
     let lastNumber = 0;
     let holder: StreamOriginHolder | undefined;
+    let candidates: readonly Candidate[] = [];
+    let candidatesUpdatedMs = Number.NEGATIVE_INFINITY;
 
+    function aliveCandidates(): readonly Candidate[] {
+        if (clock.nowMs() - candidatesUpdatedMs >= candidatesRefreshMs) {
+            candidatesUpdatedMs = clock.nowMs();
+            candidates = [address, ...options.alivePeers()]
+                .map(candidate => ({ address: candidate, hash: core.hash32(candidate) }));
+        }
+        return candidates;
+    }
+
+    /** The VMs with the highest rank for a stream, without this one. */
     function otherHolders(streamKey: bigint, count: number): readonly string[] {
         const streamHash = Number(BigInt.asUintN(32, streamKey));
-        return [address, ...options.alivePeers()]
-            .map(candidate => ({ candidate, score: core.mixHashes(core.hash32(candidate), streamHash) }))
-            .sort((left, right) => right.score - left.score)
-            .slice(0, count)
-            .map(({ candidate }) => candidate)
-            .filter(candidate => candidate !== address);
+        const best: { readonly address: string; readonly score: number; }[] = [];
+        for (const candidate of aliveCandidates()) {
+            const score = core.mixHashes(candidate.hash, streamHash);
+            if (best.length < count || score > (best.at(-1)?.score ?? 0)) {
+                const index = best.findIndex(entry => entry.score < score);
+                best.splice(index < 0 ? best.length : index, 0, { address: candidate.address, score });
+                best.splice(count);
+            }
+        }
+        return best.flatMap(entry => entry.address === address ? [] : [entry.address]);
     }
 
     function askOne(question: StreamOriginQuestion, peer: string): Promise<StreamOriginAnswer | undefined> {
@@ -65,7 +95,7 @@
                 pending.delete(number);
                 resolve(answer);
             };
-            pending.set(number, settle);
+            pending.set(number, { peer, settle });
             options.send({ kind: "stream-origin-question", number, question }, peer);
         });
     }
@@ -86,10 +116,14 @@
                 }
             });
         },
-        async ask(question) {
-            const peers = otherHolders(question.streamKey, holdersAsked);
-            const answers = await Promise.all(peers.map(peer => askOne(question, peer)));
-            return answers.flatMap(answer => answer ?? []);
+        ask(question) {
+            const questions = otherHolders(question.streamKey, holdersAsked).map(peer => askOne(question, peer));
+            return new Promise(resolve => {
+                questions.forEach(answered =>
+                    void answered.then(answer => answer?.recorded !== undefined && resolve([answer]))
+                );
+                void Promise.all(questions).then(answers => resolve(answers.flatMap(answer => answer ?? [])));
+            });
         },
         registerHolder(registered) {
             holder = registered;
@@ -98,10 +132,17 @@
         handleRecords: records => holder?.record(records),
         handleQuestion(number, question, from) {
             if (holder) {
-                options.send({ kind: "stream-origin-answer", number, answer: holder.answer(question) }, from);
+                const poolHashes = question.poolHashes.slice(0, maxPools);
+                const answer = holder.answer({ ...question, poolHashes });
+                options.send({ kind: "stream-origin-answer", number, answer }, from);
+            }
+        },
+        handleAnswer(number, answer, from) {
+            const question = pending.get(number);
+            if (question?.peer === from) {
+                question.settle(answer);
             }
         },
-        handleAnswer: (number, answer) => pending.get(number)?.(answer),
-        dispose: () => pending.forEach(settle => settle(undefined)),
+        dispose: () => pending.forEach(({ settle }) => settle(undefined)),
     };
 }
--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -27,8 +27,7 @@
 export interface StreamPosition {
     /** The last event that the caller has received. */
     readonly lastEventId: string;
-    /** The origin of the stream; undefined if its route is not resumable. */
-    readonly origin: dispatch.StreamOrigin | undefined;
+    readonly origin: dispatch.StreamOrigin;
 }
 
 /** An upstream's response whose head has been received. */
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -170,7 +170,7 @@
         if (callerDisconnected) {
             return;
         }
-        const pool = position?.origin?.pool ?? choosePool(route, context.random);
+        const pool = position?.origin.pool ?? choosePool(route, context.random);
         if (pool === undefined) {
             return refuse(createRefusal("no-upstream"));
         }
@@ -212,9 +212,6 @@
         if (lastEventId === undefined || route.kind !== "stream") {
             return ok(undefined);
         }
-        if (!route.resumable) {
-            return ok({ lastEventId, origin: undefined });
-        }
         const origin = await context.streamOrigins.find({
             requestId,
             streamKey: resumes && dispatch.streamKeyOf(resumes, customer, path),
@@ -225,12 +222,10 @@
         return origin.map(found => ({ lastEventId, origin: found }));
     }
 
-    /** Records which upstream began the stream of this request, or goes on with the one that the caller resumes. */
-    function recordOrigin(upstream: dispatch.Lease["upstream"], route: AllowedRequest["route"]): void {
-        const { lastEventId, requestId, resumes } = requestHead;
-        const firstAttempt = lastEventId === undefined ? requestId : resumes;
-        if (route.resumable && firstAttempt !== undefined) {
-            context.streamOrigins.recordBegun(dispatch.streamKeyOf(firstAttempt, customer, path), upstream, route);
+    /** Records which upstream has begun the stream of this request, unless the caller resumes an earlier one. */
+    function recordOrigin({ requestId, route }: dispatch.Job, { upstream }: dispatch.Lease): void {
+        if (route.resumable && requestHead.lastEventId === undefined) {
+            context.streamOrigins.recordBegun(dispatch.streamKeyOf(requestId, customer, path), upstream, route);
         }
     }
 
@@ -370,7 +365,7 @@
                 lease.recordFirstByte();
                 recordFirstEvent(job, lease);
                 stream.recordBegun(job.pool, lease.upstream);
-                recordOrigin(lease.upstream, job.route);
+                recordOrigin(job, lease);
             },
             stallWatch: job.route.resumable
                 ? {
--- a/packages/gateway/src/StreamState.ts
+++ b/packages/gateway/src/StreamState.ts
@@ -20,10 +20,10 @@
         splitter,
         position() {
             const lastEventId = splitter.lastEventId() ?? start?.lastEventId;
-            return lastEventId === undefined ? undefined : { lastEventId, origin };
+            return lastEventId === undefined || !origin ? undefined : { lastEventId, origin };
         },
         recordBegun(pool, { softwareVersion }) {
-            origin ??= { pool, softwareVersion };
+            origin ??= { pool, softwareVersion, isRecorded: true };
         },
     };
 }
