fleet: repeat questions for the origin of a stream that are not answered

Cause, by reading and not by a trace: a question waited 60 ms and was sent once. A lost datagram, or a turn of the event loop of more than 60 ms, ended it without an answer: after such a turn timers run before the sockets on which answers have arrived are read. The origin then counted as unknown.

Change: a question is sent up to three times, every 50 ms, and ends after one more poll of the sockets. Dispatcher: admission of streams that go on, two cases.

--- a/packages/dispatch/__tests__/unit/Dispatcher.test.ts
+++ b/packages/dispatch/__tests__/unit/Dispatcher.test.ts
@@ -10,6 +10,13 @@
 
 const route = { ...fixtures.route, maxAttempts: 2, resumable: true };
 
+interface AcquireOptions {
+    readonly customer?: string;
+    readonly ownTokens?: number;
+    readonly isRetry?: boolean;
+    readonly origin?: dispatch.StreamOrigin;
+}
+
 /** One dispatcher whose VM tracks all engines itself. */
 async function createFixture({ engines = 4, slots = 128 } = {}) {
     const clock = testing.createVirtualClock();
@@ -46,9 +53,9 @@
         clock,
         setTrackersUnresponsive: (value: boolean): void => void (areTrackersUnresponsive = value),
         /** @returns the lease, or undefined if the prompt is refused. */
-        async acquire(session: string, more: { customer?: string; ownTokens?: number; isRetry?: boolean; } = {}) {
+        async acquire(session: string, more: AcquireOptions = {}) {
             number++;
-            const { customer = "small", ownTokens = 500, isRetry = false } = more;
+            const { customer = "small", ownTokens = 500, isRetry = false, origin } = more;
             const result = await dispatcher.acquire(
                 {
                     requestId: core.requestId(`r${number}`),
@@ -68,6 +75,7 @@
                 },
                 new Set(),
                 isRetry,
+                origin,
             );
             return result.isOk() ? result.value : undefined;
         },
@@ -101,6 +109,21 @@
         assert.equal(await acquire("a"), undefined);
     });
 
+    it("admits a stream that goes on although its engines are busy only if its origin is recorded", async () => {
+        const { acquire } = await createFixture({ engines: 2 });
+        await acquire("a", { ownTokens: 60_000 });
+        await acquire("a", { ownTokens: 60_000 });
+        const origin = { pool: fixtures.pool, softwareVersion: "v1", isRecorded: false };
+        assert.equal(await acquire("a", { origin }), undefined);
+        assert.notEqual(await acquire("a", { origin: { ...origin, isRecorded: true } }), undefined);
+    });
+
+    it("chooses no upstream of another software version for a stream that goes on", async () => {
+        const { acquire } = await createFixture();
+        const origin = { pool: fixtures.pool, softwareVersion: "v2", isRecorded: true };
+        assert.equal(await acquire("a", { origin }), undefined);
+    });
+
     it("admits a retry even if its engines are busy", async () => {
         const { acquire } = await createFixture({ engines: 2 });
         await acquire("a", { ownTokens: 60_000 });
--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -64,7 +64,7 @@
     registerTracker(tracker: Tracker): () => void;
     /** Records the origins of streams at the VMs that hold them. */
     announceStreamOrigins(records: readonly StreamOriginRecord[]): void;
-    /** Asks the VMs that may hold the origin of a stream; resolves within 60 ms with the answers that arrived by then. */
+    /** Asks the VMs that may hold the origin of a stream; resolves within about 150 ms with the answers that arrived by then. */
     askStreamOrigin(question: StreamOriginQuestion): Promise<readonly StreamOriginAnswer[]>;
     /** Sets the holder of the origins that other VMs record here; returns a function that removes it. */
     registerStreamOriginHolder(holder: StreamOriginHolder): () => void;
--- a/packages/fleet/src/StreamOriginLink.ts
+++ b/packages/fleet/src/StreamOriginLink.ts
@@ -34,8 +34,10 @@
 const holdersPerStream = 2;
 /** Number of VMs that are asked; one more, since VMs may disagree on which ones are alive. */
 const holdersAsked = 3;
-/** Time in ms to wait for answers; the round trip takes about 2 ms, and a busy VM adds some tens of ms. */
-const answerTimeoutMs = 60;
+/** Interval in ms at which a question without an answer is repeated; the round trip takes about 2 ms. */
+const repeatIntervalMs = 50;
+/** Number of times that a question is sent. */
+const maxSends = 3;
 /** Maximum number of records in a datagram, which then has about 1,000 bytes. */
 const maxRecords = 80;
 /** Maximum number of pools in a question that are considered. */
@@ -89,14 +91,25 @@
         lastNumber = (lastNumber + 1) >>> 0;
         const number = lastNumber;
         return new Promise(resolve => {
-            const cancelTimer = clock.setTimer(answerTimeoutMs, () => settle(undefined));
+            let cancelTimer: () => void = () => undefined;
             const settle = (answer: StreamOriginAnswer | undefined): void => {
                 cancelTimer();
                 pending.delete(number);
                 resolve(answer);
             };
+            const send = (sends: number): void => {
+                options.send({ kind: "stream-origin-question", number, question }, peer);
+                cancelTimer = clock.setTimer(
+                    repeatIntervalMs,
+                    () => sends < maxSends ? send(sends + 1) : settleAfterPoll(),
+                );
+            };
+            // After a long turn of the event loop, timers run before the sockets on which answers have arrived are read.
+            const settleAfterPoll = (): void => {
+                cancelTimer = clock.setTimer(1, () => settle(undefined));
+            };
             pending.set(number, { peer, settle });
-            options.send({ kind: "stream-origin-question", number, question }, peer);
+            send(1);
         });
     }
 
