dispatch, gateway: do not go on with streams by entries that may be outdated

The expected upstream id is the same, so the upstream runs the request. A stream that begins there is recorded under the wrong version.

Cause: entries were believed at any age of the catalog; only keys and unknown routes depend on it.

Change: while the catalog is older than 3 s, this VM chooses no upstream for a stream that goes on, within an answer or for a caller that resumes it (503, not run), and records no origin. The age includes the second by which watches may lag, so that is 2 s without a response of the store or of a VM that reads it; in normal operation it is at most 2.4 s.

--- a/packages/dispatch/src/OriginHistory.ts
+++ b/packages/dispatch/src/OriginHistory.ts
@@ -24,8 +24,11 @@
     dispose(): void;
 }
 
-/** Time in ms by which the upstreams that VMs know of may differ as long as their catalogs are followed. */
-export const catalogLagMs = 2_500;
+/**
+ * Largest age in ms of a catalog that is followed. Beyond it, upstreams may have started again with another version under their
+ * ids.
+ */
+export const maxCatalogAgeMs = 3_000;
 /** Interval in ms at which the age of the catalog is checked. */
 const ageCheckIntervalMs = 250;
 /** Time in ms after which an origin without upstreams is forgotten. */
@@ -105,7 +108,7 @@
 
     /** Versions that came and left while the catalog was not followed are unknown. */
     function checkAge(): void {
-        if (options.catalogAgeMs() > catalogLagMs && Number.isFinite(completeSinceMs)) {
+        if (options.catalogAgeMs() > maxCatalogAgeMs && Number.isFinite(completeSinceMs)) {
             completeSinceMs = clock.nowMs();
         }
     }
--- a/packages/dispatch/src/StreamOrigins.ts
+++ b/packages/dispatch/src/StreamOrigins.ts
@@ -6,8 +6,8 @@
 import type { FleetView } from "./FleetView.js";
 import type { DispatchRefusal } from "./Job.js";
 import {
-    catalogLagMs,
     createOriginHistory,
+    maxCatalogAgeMs,
     originHashOf,
     poolHashOf,
     type SeenOrigins,
@@ -41,8 +41,12 @@
  * on only at an upstream of the version that began it, at whichever VM its caller resumes it.
  */
 export interface StreamOrigins {
-    /** Records that an upstream has sent the first event of a new stream. */
-    recordBegun(streamKey: bigint, upstream: catalog.Upstream, route: catalog.Route): void;
+    /** The origin of streams that an upstream begins now. Its version is undefined while this VM's catalog is too old. */
+    originOf(upstream: catalog.Upstream): StreamOrigin;
+    /** Records the origin of a new stream that has had its first event. */
+    recordBegun(streamKey: bigint, origin: StreamOrigin, route: catalog.Route): void;
+    /** Whether this VM knows the versions of the upstreams, so that it may choose one for a stream that goes on. */
+    mayContinue(): boolean;
     /** Finds the origin of a stream; refuses if it cannot be known. The request has not run then. */
     find(stream: ResumedStream): Promise<Result<StreamOrigin, DispatchRefusal>>;
     dispose(): void;
@@ -135,11 +139,22 @@
         return isComplete && hashes.size === 1 ? only : undefined;
     }
 
+    const isFollowed = (): boolean => options.catalogAgeMs() <= maxCatalogAgeMs;
+
     return {
-        recordBegun(streamKey, { pool, softwareVersion }, route) {
+        mayContinue: isFollowed,
+        originOf: ({ pool, softwareVersion }) => ({
+            pool,
+            softwareVersion: isFollowed() ? softwareVersion : undefined,
+            isRecorded: true,
+        }),
+        recordBegun(streamKey, origin, route) {
+            if (origin.softwareVersion === undefined) {
+                return;
+            }
             const { origins, isComplete } = seenOrigins(route);
             const isOnlyPossible = isComplete && origins.size === 1;
-            const record = { streamKey, originHash: originHashOf({ pool, softwareVersion }) };
+            const record = { streamKey, originHash: originHashOf(origin) };
             const announceUntilMs = isOnlyPossible ? clock.nowMs() + maxAgeMs(route) : Number.NEGATIVE_INFINITY;
             keep(streamKey, { originHash: record.originHash, announceUntilMs });
             if (!isOnlyPossible) {
@@ -200,5 +215,5 @@
 
 /** Longest time in ms since the first event of a stream that a caller still resumes. */
 function maxAgeMs({ timeoutMs }: catalog.Route): number {
-    return timeoutMs + catalogLagMs;
+    return timeoutMs + maxCatalogAgeMs;
 }
--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -79,7 +79,7 @@
 
     async function nextResponse(position: StreamPosition | undefined): Promise<Result<StartedResponse, Refusal>> {
         for (;;) {
-            const lease = await context.dispatcher.acquire(job, excluded, sentTo.size > 0, position?.origin);
+            const lease = await acquire(excluded, sentTo.size > 0, position);
             if (lease.isErr()) {
                 return err(createSequenceRefusal(mayHaveRun, lease.error.reason, lease.error.retryAfterMs));
             }
@@ -100,6 +100,16 @@
         }
     }
 
+    async function acquire(
+        avoided: ReadonlySet<core.UpstreamId>,
+        isRetry: boolean,
+        position: StreamPosition | undefined,
+    ): Promise<Result<dispatch.Lease, dispatch.DispatchRefusal>> {
+        return position && !context.streamOrigins.mayContinue()
+            ? err({ reason: "origin-unknown", retryAfterMs: undefined })
+            : context.dispatcher.acquire(job, avoided, isRetry, position?.origin);
+    }
+
     /** Waits for the response to an attempt, or to the attempt that replaces it if it is unresponsive. */
     async function awaitFirstResponse(
         lease: dispatch.Lease,
@@ -199,13 +209,7 @@
             isRequestCancelled: request.isCancelled,
             mayRetry: inProgress => isRetryable && sentTo.size + inProgress < job.route.maxAttempts,
             excludeUpstream,
-            acquire: (inProgress, position) =>
-                context.dispatcher.acquire(
-                    job,
-                    new Set([...excluded, ...inProgress.map(idOf)]),
-                    true,
-                    position?.origin,
-                ),
+            acquire: (inProgress, position) => acquire(new Set([...excluded, ...inProgress.map(idOf)]), true, position),
             startAttempt: startLeasedAttempt,
             onResponse,
         });
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -222,10 +222,10 @@
         return origin.map(found => ({ lastEventId, origin: found }));
     }
 
-    /** Records which upstream has begun the stream of this request, unless the caller resumes an earlier one. */
-    function recordOrigin({ requestId, route }: dispatch.Job, { upstream }: dispatch.Lease): void {
+    /** Records the origin of this request's stream, unless the caller resumes an earlier one. */
+    function recordOrigin({ requestId, route }: dispatch.Job, origin: dispatch.StreamOrigin): void {
         if (route.resumable && requestHead.lastEventId === undefined) {
-            context.streamOrigins.recordBegun(dispatch.streamKeyOf(requestId, customer, path), upstream, route);
+            context.streamOrigins.recordBegun(dispatch.streamKeyOf(requestId, customer, path), origin, route);
         }
     }
 
@@ -364,8 +364,9 @@
             onFirstEvent: () => {
                 lease.recordFirstByte();
                 recordFirstEvent(job, lease);
-                stream.recordBegun(job.pool, lease.upstream);
-                recordOrigin(job, lease);
+                const origin = context.streamOrigins.originOf(lease.upstream);
+                stream.recordBegun(origin);
+                recordOrigin(job, origin);
             },
             stallWatch: job.route.resumable
                 ? {
--- a/packages/gateway/src/StreamState.ts
+++ b/packages/gateway/src/StreamState.ts
@@ -1,5 +1,4 @@
-import type * as catalog from "@peridotloft/catalog";
-import type * as core from "@peridotloft/core";
+import type * as dispatch from "@peridotloft/dispatch";
 import type { StreamPosition } from "./AttemptSequence.js";
 import { createEventSplitter, type EventSplitter } from "./EventSplitter.js";
 
@@ -8,8 +7,8 @@
     readonly splitter: EventSplitter;
     /** Where another upstream would go on; undefined as long as the caller has received no event. */
     position(): StreamPosition | undefined;
-    /** Records the upstream that has sent the first event. Later upstreams have the same origin. */
-    recordBegun(pool: core.PoolId, upstream: catalog.Upstream): void;
+    /** Records the origin of the first event. Later upstreams have the same one. */
+    recordBegun(origin: dispatch.StreamOrigin): void;
 }
 
 /** @param start position at which the caller resumes the stream; undefined for a new stream. */
@@ -22,8 +21,8 @@
             const lastEventId = splitter.lastEventId() ?? start?.lastEventId;
             return lastEventId === undefined || !origin ? undefined : { lastEventId, origin };
         },
-        recordBegun(pool, { softwareVersion }) {
-            origin ??= { pool, softwareVersion, isRecorded: true };
+        recordBegun(begun) {
+            origin ??= begun;
         },
     };
 }
