dispatch: resume a stream of the only possible version although its first attempt is not stated

A caller that resumes a stream without naming the attempt that began it was refused by every fleet of more than one VM, also while all upstreams have one version (the new case of SoftwareVersions "although no VM has recorded them" failed: 503).

Cause: without the attempt no other VM was asked, and without an answer nothing is inferred since.

Change: the other VMs are asked for the versions that they have seen.

--- a/packages/dispatch/src/StreamOrigins.ts
+++ b/packages/dispatch/src/StreamOrigins.ts
@@ -58,6 +58,8 @@
 /** Maximum number of versions that an answer or a log line names. */
 const maxNamedOrigins = 4;
 const streamKeySeed = 0x2f0e1a5b;
+/** Stands for a stream whose caller does not state which attempt began it; nothing is recorded for it. */
+const unstatedStream = 0n;
 
 interface OriginRecord {
     readonly originHash: number;
@@ -163,9 +165,9 @@
         },
         async find({ requestId, streamKey, route, resumes, lastEventId }) {
             const local = streamKey === undefined ? undefined : recordOf(streamKey);
-            const answers = streamKey !== undefined && local === undefined
+            const answers = local === undefined
                 ? await fleet.askStreamOrigin({
-                    streamKey,
+                    streamKey: streamKey ?? unstatedStream,
                     poolHashes: possiblePoolHashes(route),
                     ageMs: maxAgeMs(route),
                 })
