cli: explain streams that could not go on

`peridotloft explain` named the refusal reason only; it says now which attempt began the stream, whether the version was unknown or serves no longer, and which versions the VM had seen. ExplainCommand passes with a new case.

--- a/packages/cli/__tests__/unit/ExplainCommand.test.ts
+++ b/packages/cli/__tests__/unit/ExplainCommand.test.ts
@@ -10,6 +10,8 @@
     + "\"upstream\":\"i-1\",\"waitMs\":400,\"objectiveMs\":500,\"relativeUsage\":0.5}",
     "{\"timeMs\":5350,\"level\":\"warn\",\"event\":\"upstreams-paused\",\"vm\":\"edge-2\",\"requestId\":\"r4\","
     + "\"pool\":\"llm\",\"pauseMs\":1200,\"paused\":2,\"upstreams\":\"i-1,i-2\"}",
+    "{\"timeMs\":5360,\"level\":\"warn\",\"event\":\"stream-origin-unknown\",\"vm\":\"edge-2\",\"requestId\":\"r5\","
+    + "\"resumes\":\"r2\",\"source\":\"unknown\",\"seen\":\"v1,v2\",\"answers\":2}",
     "not a log line",
     "{\"timeMs\":5400,\"level\":\"warn\",\"event\":\"answer-la",
 ].join("\n");
@@ -18,7 +20,7 @@
     const lines = readLines(text);
 
     it("ignores text before a log line, and truncated lines", () => {
-        assert.equal(lines.length, 4);
+        assert.equal(lines.length, 5);
     });
 
     it("states the age of the configuration that caused a refusal, and the preceding loss of the store", () => {
@@ -41,6 +43,13 @@
         );
     });
 
+    it("states why a stream that its caller resumes could not go on", () => {
+        assert.match(
+            explainLines(lines, "r5").text,
+            /began with r2 could not go on, since no VM knew which software version.*2 answers.*v1,v2/,
+        );
+    });
+
     it("fails for a request that has no log lines", () => {
         assert.equal(explainLines(lines, "r3").exitCode, 1);
     });
--- a/packages/cli/src/ExplainCommand.ts
+++ b/packages/cli/src/ExplainCommand.ts
@@ -89,6 +89,13 @@
         ?? findLastEvent("attempt-failed");
     const lateResponse = findLastEvent("answer-late");
     const pause = findLastEvent("upstreams-paused");
+    const unknownOrigin = findLastEvent("stream-origin-unknown");
+    if (unknownOrigin) {
+        return `refused without being run: the stream that began with ${
+            unknownOrigin["resumes"] ?? "an unstated attempt"
+        } `
+            + `could not go on, since ${describeOriginSource(unknownOrigin)}; versions seen: ${unknownOrigin["seen"]}.`;
+    }
     if (pause) {
         return `refused without being run: the upstreams that were left in pool ${
             pause["pool"]
@@ -123,6 +130,12 @@
     return "the log lines show no failure.";
 }
 
+function describeOriginSource({ source, answers }: LogLine): string {
+    return source === "unknown"
+        ? `no VM knew which software version began it (${answers} answers)`
+        : "the software version that began it serves its route no longer";
+}
+
 function describeRefusal(refusal: LogLine): string {
     const configuration = `configuration ${refusal["configVersion"]}, ${refusal["configAgeMs"]} ms old`;
     switch (refusal["reason"]) {
