--- a/packages/dispatch/src/OriginHistory.ts
+++ b/packages/dispatch/src/OriginHistory.ts
@@ -4,7 +4,7 @@
 /** The pool and the software version that began a stream. Only upstreams of both can go on with it. */
 export interface StreamOrigin {
     readonly pool: core.PoolId;
-    /** Undefined if the upstream stated none; no upstream can go on then. */
+    /** Undefined if it is not known; no upstream can go on then. */
     readonly softwareVersion: string | undefined;
     /** Whether a VM has recorded that it began the stream; false if it was inferred. */
     readonly isRecorded: boolean;
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -494,7 +494,6 @@
         && left.host === right.host && left.port === right.port;
 }
 
-/** Whether an upstream can go on with a stream. */
 function hasOrigin({ softwareVersion }: catalog.Upstream, origin: StreamOrigin): boolean {
     return softwareVersion !== undefined && softwareVersion === origin.softwareVersion;
 }
