--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -6,6 +6,7 @@
 import { createRefusal, createUpstreamFailure, type Refusal, type RefusalReason } from "./Refusal.js";
 import { createReplacement, type Replacement } from "./Replacement.js";
 import { discardResponse } from "./ResponseRelay.js";
+import { verifyRun } from "./RunVerification.js";
 import { type Attempt, type AttemptFailure, startAttempt } from "./UpstreamAttempt.js";
 
 /** A caller's request in the form in which it is sent to upstreams. */
@@ -75,6 +76,8 @@
     /** The same, together with upstreams to which no connection could be opened. */
     const excluded = new Set<core.UpstreamId>();
     const attempts = new Set<Attempt>();
+    /** Agents of the connections on which the upstreams of leases have stated their run. */
+    const verifiedAgents = new WeakMap<dispatch.Lease, http.Agent>();
     let mayHaveRun = false;
 
     async function nextResponse(position: StreamPosition | undefined): Promise<Result<StartedResponse, Refusal>> {
@@ -105,9 +108,43 @@
         isRetry: boolean,
         position: StreamPosition | undefined,
     ): Promise<Result<dispatch.Lease, dispatch.DispatchRefusal>> {
-        return position && !context.streamOrigins.mayContinue()
-            ? err({ reason: "origin-unknown", retryAfterMs: undefined })
-            : context.dispatcher.acquire(job, avoided, isRetry, position?.origin);
+        if (!position) {
+            return context.dispatcher.acquire(job, avoided, isRetry);
+        }
+        const unverified = new Set(avoided);
+        for (;;) {
+            if (!context.streamOrigins.mayContinue()) {
+                return err({ reason: "origin-unknown", retryAfterMs: undefined });
+            }
+            const lease = await context.dispatcher.acquire(job, unverified, isRetry, position.origin);
+            if (lease.isErr() || request.isCancelled() || await isRunVerified(lease.value)) {
+                return lease;
+            }
+            unverified.add(lease.value.upstream.id);
+        }
+    }
+
+    /** Whether a stream may go on under a lease: its upstream has not started again. Otherwise the lease is ended. */
+    async function isRunVerified(lease: dispatch.Lease): Promise<boolean> {
+        const { upstream } = lease;
+        const { check, startedWallMs, agent } = await verifyRun(upstream, codec, clock);
+        const fields = {
+            requestId: job.requestId,
+            upstream: upstream.id,
+            check,
+            entryStartedWallMs: upstream.startedWallMs,
+            startedWallMs,
+        };
+        if (check === "other" || check === "unreachable") {
+            log.failure("run-not-verified", fields);
+            lease.end(check === "other" ? "misdirected" : "connect-failed");
+            return false;
+        }
+        log.decision("run-verified", fields);
+        if (check === "same") {
+            verifiedAgents.set(lease, agent);
+        }
+        return true;
     }
 
     /** Waits for the response to an attempt, or to the attempt that replaces it if it is unresponsive. */
@@ -135,9 +172,11 @@
         onUnresponsive: () => void,
     ): LeasedAttempt {
         const { upstream } = lease;
+        const verifiedAgent = verifiedAgents.get(lease);
         const attempt = startAttempt({
             upstream,
-            agent: context.connections.agentOf(upstream, !isRetryable),
+            agent: verifiedAgent ?? context.connections.agentOf(upstream, !isRetryable),
+            requiresReusedConnection: verifiedAgent !== undefined,
             method: request.method,
             path: request.path,
             body: request.body,
--- /dev/null
+++ b/packages/gateway/src/RunVerification.ts
@@ -0,0 +1,73 @@
+import type * as catalog from "@peridotloft/catalog";
+import type * as core from "@peridotloft/core";
+import * as http from "node:http";
+import { readCompleteResponse } from "./ResponseRelay.js";
+import { connectTimeoutMs } from "./UpstreamAttempt.js";
+import { createSingleConnectionAgent } from "./UpstreamConnections.js";
+import type { WireCodec } from "./WireCodec.js";
+
+/**
+ * What an upstream states of its run.
+ *
+ * - `same`: the run that its entry describes.
+ * - `other`: it has started again since.
+ * - `unstated`: neither can be known from its statement or its entry.
+ * - `unreachable`: no statement.
+ */
+export type RunCheck = "same" | "other" | "unstated" | "unreachable";
+
+/** A connection on which an upstream has stated its run. A later run cannot respond on it. */
+export interface VerifiedConnection {
+    readonly check: RunCheck;
+    /** Start of the run in Unix ms; undefined if it is not stated. */
+    readonly startedWallMs: number | undefined;
+    /** Agent whose only connection is the verified one. */
+    readonly agent: http.Agent;
+}
+
+/**
+ * Asks an upstream which run it is. An entry of the catalog may be that of an earlier run for as long as its update takes, and a
+ * request can only name the id, which both runs share.
+ */
+export async function verifyRun(
+    upstream: catalog.Upstream,
+    codec: WireCodec,
+    clock: core.Clock,
+): Promise<VerifiedConnection> {
+    const agent = createSingleConnectionAgent();
+    const body = await requestStatement(upstream, codec.runStatementPath, agent, clock);
+    const startedWallMs = body && codec.readRunStart(body);
+    const check = body === undefined
+        ? "unreachable"
+        : startedWallMs === undefined || upstream.startedWallMs === undefined
+        ? "unstated"
+        : startedWallMs === upstream.startedWallMs
+        ? "same"
+        : "other";
+    return { check, startedWallMs, agent };
+}
+
+/** Resolves with the body of the statement, which is empty if the upstream has none; undefined if there is no response. */
+function requestStatement(
+    { host, port }: catalog.Upstream,
+    path: string,
+    agent: http.Agent,
+    clock: core.Clock,
+): Promise<Buffer | undefined> {
+    return new Promise(resolve => {
+        const request = http.get({ agent, host, port, path, setHost: false });
+        const cancelTimer = clock.setTimer(connectTimeoutMs, () => void request.destroy());
+        const settle = (body: Buffer | undefined): void => {
+            cancelTimer();
+            resolve(body);
+        };
+        request.on("error", () => settle(undefined));
+        request.on(
+            "response",
+            response =>
+                void readCompleteResponse(response).then(body =>
+                    settle(body.isErr() ? undefined : response.statusCode === 200 ? body.value : Buffer.alloc(0))
+                ),
+        );
+    });
+}
--- a/packages/gateway/src/UpstreamAttempt.ts
+++ b/packages/gateway/src/UpstreamAttempt.ts
@@ -15,6 +15,8 @@
     readonly body: Buffer;
     /** Called immediately before the request is written; if it returns false, the request is cancelled unsent. */
     mayWrite(): boolean;
+    /** Whether the request is sent only on a connection that the agent has used before. */
+    readonly requiresReusedConnection: boolean;
 }
 
 /** Why an attempt failed before the head of a response arrived. */
@@ -77,6 +79,11 @@
         if (settled) {
             return;
         }
+        if (options.requiresReusedConnection && !request.reusedSocket) {
+            fail("misdirected", "connection-of-verified-run-closed");
+            request.destroy();
+            return;
+        }
         if (!options.mayWrite()) {
             fail("abandoned", "upstream-left");
             request.destroy();
--- a/packages/gateway/src/UpstreamConnections.ts
+++ b/packages/gateway/src/UpstreamConnections.ts
@@ -71,12 +71,17 @@
     };
 }
 
+/** An agent whose requests use one connection, one after the other, for as long as the upstream keeps it open. */
+export function createSingleConnectionAgent(): http.Agent {
+    return new UpstreamAgent(maxRecentIdleMs, 1);
+}
+
 /** An agent that closes idle connections on unexpected data and before the idle timeout that the upstream announces. */
 class UpstreamAgent extends http.Agent {
     private readonly idleDataListeners = new WeakMap<net.Socket, () => void>();
 
-    constructor(private readonly idleMs: number) {
-        super({ keepAlive: true, scheduling: "lifo", timeout: idleMs, keepAliveMsecs: keepAliveDelayMs });
+    constructor(private readonly idleMs: number, maxSockets = Number.POSITIVE_INFINITY) {
+        super({ keepAlive: true, scheduling: "lifo", timeout: idleMs, keepAliveMsecs: keepAliveDelayMs, maxSockets });
     }
 
     override keepSocketAlive(socket: net.Socket): boolean {
--- a/packages/gateway/src/WireCodec.ts
+++ b/packages/gateway/src/WireCodec.ts
@@ -49,6 +49,10 @@
     /** Headers of the request to the upstream. Drops hop-by-hop headers and the caller's values of headers set here. */
     upstreamHeaders(headers: RawHeaders, fields: UpstreamFields): string[];
     readResponseHead(statusCode: number, headers: RawHeaders): ResponseHead;
+    /** Path at which an upstream states what it is, without running a request. */
+    readonly runStatementPath: string;
+    /** Start in Unix ms of the run that a statement describes; undefined if it is not stated. */
+    readRunStart(statement: Buffer): number | undefined;
     /** Headers of the response to the caller, without framing and hop-by-hop headers. */
     callerHeaders(headers: RawHeaders): string[];
     /** Headers of a response that this VM generates itself. */
