--- a/packages/dispatch/__tests__/unit/DispatchFleet.ts
+++ b/packages/dispatch/__tests__/unit/DispatchFleet.ts
@@ -187,7 +187,7 @@
             prompt: {
                 model: "m",
                 inputTokens: parts.reduce((sum, { tokens }) => sum + tokens, 0),
-                expectedOutputTokens: 50,
+                maxOutputTokens: 50,
                 parts,
             },
             arrivedMs: clock.nowMs(),
--- a/packages/dispatch/__tests__/unit/Dispatcher.test.ts
+++ b/packages/dispatch/__tests__/unit/Dispatcher.test.ts
@@ -66,7 +66,7 @@
                     prompt: {
                         model: "m",
                         inputTokens: 6_000 + ownTokens,
-                        expectedOutputTokens: 50,
+                        maxOutputTokens: 50,
                         parts: [{ id: session, tokens: 6_000 }, { id: `own-${number}`, tokens: ownTokens }],
                     },
                     arrivedMs: clock.nowMs(),
--- a/packages/dispatch/__tests__/unit/LargeFleet.test.ts
+++ b/packages/dispatch/__tests__/unit/LargeFleet.test.ts
@@ -35,7 +35,7 @@
     prompt: {
         model: "m",
         inputTokens: sharedTokens + ownTokens,
-        expectedOutputTokens: 50,
+        maxOutputTokens: 50,
         parts: [{ id: `session-${session}`, tokens: sharedTokens }, { id: `own-${number}`, tokens: ownTokens }],
     },
     arrivedMs,
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -98,7 +98,7 @@
     const { clock, random, fleet, log } = options;
     const poisonGuard = createPoisonGuard(options);
     const table = createUpstreamTable({ ...options, onBroken, onResponse: poisonGuard.recordResponse });
-    const usage = createCustomerUsage(() => options.catalog.read().activeConfig?.config.limits.tokensPerS);
+    const usage = createCustomerUsage();
     const budgets = new Map<core.PoolId, RetryBudget>();
     const removeUsageListener = fleet.registerUsageListener(({ customerHash, cost }, weight) =>
         usage.record(customerHash, cost * weight, clock.nowMs())
@@ -433,5 +433,5 @@
 
 /** Cost in tokens, weighted as in the platform's throughput: input tokens count once, generated tokens twice. */
 function tokenCost(prompt: Prompt | undefined): number {
-    return prompt ? prompt.inputTokens + 2 * prompt.expectedOutputTokens : 0;
+    return prompt ? prompt.inputTokens + 2 * prompt.maxOutputTokens : 0;
 }
--- a/packages/dispatch/src/EngineAdmission.ts
+++ b/packages/dispatch/src/EngineAdmission.ts
@@ -6,7 +6,7 @@
     readonly elapsedMs: number;
     /** Latency objective in ms for the first event. */
     readonly objectiveMs: number;
-    /** Usage of the customer relative to the fair share, which it exceeds above 1. */
+    /** Usage of the customer relative to that of the heaviest customer, 0 to 1. */
     readonly relativeUsage: number;
     /** Mean load of all engines, 0 to 1. */
     readonly meanLoad: number;
@@ -32,19 +32,11 @@
  */
 const usageExponent = 3;
 /** Wait in ms up to which every prompt is admitted: it corresponds to one or two prompts in prefill. */
-const baseWaitMs = 60;
+const alwaysAdmittedWaitMs = 60;
 
 /** Share by which a bound of a customer is reduced, given the load of the resource that it bounds, 0 to 1. */
 function reductionOf(relativeUsage: number, load: number): number {
-    return heaviestCustomerReduction * Math.min(1, relativeUsage) ** usageExponent * load;
-}
-
-/**
- * Factor, 0 to 1, by which the allowed wait of a customer that exceeds its fair share is multiplied. What is left lets it use
- * engines that would be idle otherwise.
- */
-function excessFactor(relativeUsage: number, load: number): number {
-    return 1 - load * (1 - Math.max(1, relativeUsage) ** -2);
+    return heaviestCustomerReduction * relativeUsage ** usageExponent * load;
 }
 
 /**
@@ -59,9 +51,8 @@
 export function maxWaitMs(
     { elapsedMs, objectiveMs, relativeUsage, meanLoad }: Omit<EngineAdmissionInput, "waitMs">,
 ): number {
-    const allowedMs = Math.max(0, objectiveMs * maxWaitShare - elapsedMs - baseWaitMs);
-    const waitMs = baseWaitMs + allowedMs * (1 - reductionOf(relativeUsage, meanLoad));
-    return waitMs * excessFactor(relativeUsage, meanLoad);
+    const allowedMs = Math.max(0, objectiveMs * maxWaitShare - elapsedMs - alwaysAdmittedWaitMs);
+    return alwaysAdmittedWaitMs + allowedMs * (1 - reductionOf(relativeUsage, meanLoad));
 }
 
 /**
@@ -74,7 +65,7 @@
 }
 
 /** Relative usage, weighted by load, up to which a prompt may spill over when its primary engine has no capacity. */
-const maxSpillUsage = 0.7;
+const maxSpillUsage = 0.3;
 
 /**
  * Whether a prompt may spill over to an engine that must prefill its prefix again, when the engine that has it cached has
--- a/packages/dispatch/src/Job.ts
+++ b/packages/dispatch/src/Job.ts
@@ -12,8 +12,7 @@
 export interface Prompt {
     readonly model: string;
     readonly inputTokens: number;
-    /** The caller's estimate of the generated tokens, or their maximum if the caller states none. */
-    readonly expectedOutputTokens: number;
+    readonly maxOutputTokens: number;
     /** In order; the last part is specific to the request. */
     readonly parts: readonly PromptPart[];
 }
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -409,7 +409,7 @@
 
     function recordRunTime({ prompt, pool }: Job, tookMs: number): void {
         if (prompt) {
-            const observed = tookMs / Math.max(1, prompt.expectedOutputTokens);
+            const observed = tookMs / Math.max(1, prompt.maxOutputTokens);
             const previous = msPerToken.get(pool) ?? initialMsPerToken;
             msPerToken.set(pool, previous + msPerTokenWeight * (observed - previous));
         }
@@ -465,7 +465,7 @@
         },
         prefillTokensPerMs,
         expectedRunMs: ({ pool, prompt }) =>
-            (prompt?.expectedOutputTokens ?? 0) * (msPerToken.get(pool) ?? initialMsPerToken),
+            (prompt?.maxOutputTokens ?? 0) * (msPerToken.get(pool) ?? initialMsPerToken),
         cacheTokens,
         dispose() {
             subscription.unsubscribe();
