--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -1,19 +1,33 @@
-// Bundles the gateway into target/gateway. Code that only the command line needs is split into separate files, so that
-// the gateway starts without loading it.
+// Bundles the gateway into target/gateway: the daemon as one script with a code cache, started by launch.cjs, and the program
+// with its command line, whose code is split into separate files.
 import * as esbuild from "esbuild";
-import { rmSync } from "node:fs";
+import { execFileSync } from "node:child_process";
+import { copyFileSync, readFileSync, rmSync } from "node:fs";
+
+/** The folder that deploy/system.toml names, or that of the first argument. */
+const folder = process.argv[2] ?? "target/gateway";
+const options = { bundle: true, platform: "node", target: "node20", minifySyntax: true };
+
+rmSync(folder, { recursive: true, force: true });
+await esbuild.build({
+    ...options,
+    entryPoints: { daemon: "platform/dist/src/StartDaemon.js" },
+    outdir: folder,
+    outExtension: { ".js": ".cjs" },
+    format: "cjs",
+});
+["launch.cjs", "loadBundle.cjs"].forEach(name => copyFileSync(`deploy/${name}`, `${folder}/${name}`));
+// V8 accepts a code cache only with the flags with which it was written.
+const flags = /^run = "node (.*?)(\S+\.cjs)"$/m.exec(readFileSync("deploy/system.toml", "utf8"))?.[1] ?? "";
+execFileSync(process.execPath, [...flags.split(" ").filter(flag => flag !== ""), "deploy/writeCodeCache.cjs", folder]);
 
-rmSync("target/gateway", { recursive: true, force: true });
 await esbuild.build({
+    ...options,
     entryPoints: { gateway: "platform/dist/src/main.js" },
-    outdir: "target/gateway",
+    outdir: folder,
     outExtension: { ".js": ".mjs" },
-    bundle: true,
     splitting: true,
-    platform: "node",
-    target: "node20",
     format: "esm",
-    minifySyntax: true,
     // Bundled CommonJS dependencies call require for built-in Node.js modules.
     banner: {
         js: "import{createRequire as __createRequire}from'node:module';const require=__createRequire(import.meta.url);",
