gateway: reading the deadline of a request takes no route lookup and creates no object shape

An accessor of an object literal gives each object a hidden class of its own in V8, which the garbage collector has to clear again, and each reading looked the route up anew (host to lower case, a regular expression, a search).

Change: the deadline of a job is a function, and an exchange looks its route up again only when the active configuration is another one.

--- a/packages/dispatch/__tests__/unit/DispatchFleet.ts
+++ b/packages/dispatch/__tests__/unit/DispatchFleet.ts
@@ -178,6 +178,7 @@
             id: `own-${fingerprint}`,
             tokens: 90,
         }];
+        const arrivedMs = clock.nowMs();
         return {
             requestId: core.requestId(`r${fingerprint}`),
             route,
@@ -190,8 +191,8 @@
                 maxOutputTokens: 50,
                 parts,
             },
-            arrivedMs: clock.nowMs(),
-            deadlineMs: clock.nowMs() + route.timeoutMs,
+            arrivedMs,
+            deadlineMs: () => arrivedMs + route.timeoutMs,
             fingerprint: () => fingerprint,
         };
     }
--- a/packages/dispatch/__tests__/unit/Dispatcher.test.ts
+++ b/packages/dispatch/__tests__/unit/Dispatcher.test.ts
@@ -56,6 +56,7 @@
         async acquire(session: string, more: AcquireOptions = {}) {
             number++;
             const { customer = "small", ownTokens = 500, isRetry = false, origin } = more;
+            const arrivedMs = clock.nowMs();
             const result = await dispatcher.acquire(
                 {
                     requestId: core.requestId(`r${number}`),
@@ -69,8 +70,8 @@
                         maxOutputTokens: 50,
                         parts: [{ id: session, tokens: 6_000 }, { id: `own-${number}`, tokens: ownTokens }],
                     },
-                    arrivedMs: clock.nowMs(),
-                    deadlineMs: clock.nowMs() + 5_000,
+                    arrivedMs,
+                    deadlineMs: () => arrivedMs + 5_000,
                     fingerprint: () => number,
                 },
                 new Set(),
--- a/packages/dispatch/__tests__/unit/LargeFleet.test.ts
+++ b/packages/dispatch/__tests__/unit/LargeFleet.test.ts
@@ -39,7 +39,7 @@
         parts: [{ id: `session-${session}`, tokens: sharedTokens }, { id: `own-${number}`, tokens: ownTokens }],
     },
     arrivedMs,
-    deadlineMs: arrivedMs + route.timeoutMs,
+    deadlineMs: () => arrivedMs + route.timeoutMs,
     fingerprint: () => number,
 });
 
--- a/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
+++ b/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
@@ -17,7 +17,7 @@
     priority: 1,
     prompt: undefined,
     arrivedMs: 0,
-    deadlineMs: 5_000,
+    deadlineMs: () => 5_000,
     fingerprint: () => 1,
 };
 
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -208,7 +208,7 @@
         const answer = await askTracker(state, {
             sharedParts: [],
             ownTokens: 0,
-            longestWaitMs: Math.max(0, job.deadlineMs - clock.nowMs()),
+            longestWaitMs: Math.max(0, job.deadlineMs() - clock.nowMs()),
             maxSlotShare: 1,
             runMs: 0,
             isSpillover: false,
@@ -329,7 +329,7 @@
             const slotLoad = trackedLoad.slotLoad();
             // A retry has already waited; refusing it, or a stream that has begun, would waste the work done for it so far.
             const waitLimitMs = isContinued
-                ? job.deadlineMs - clock.nowMs()
+                ? job.deadlineMs() - clock.nowMs()
                 : candidateRank === 0
                 ? maxWaitMs(input)
                 : maxSpillWaitMs(input);
--- a/packages/dispatch/src/Job.ts
+++ b/packages/dispatch/src/Job.ts
@@ -38,7 +38,7 @@
      * Time in ms on the steady clock after which the caller no longer waits for a response. Later than before once a newer
      * configuration gives the route more time.
      */
-    readonly deadlineMs: number;
+    readonly deadlineMs: () => number;
     /** Identifies the work, not the attempt: it is the same for each attempt of a caller. Computed on demand. */
     fingerprint(): number;
 }
--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -187,7 +187,7 @@
                 codec.upstreamHeaders(request.rawHeaders, {
                     upstream,
                     customer: job.customer,
-                    remainingMs: Math.max(1, Math.floor(job.deadlineMs - clock.nowMs())),
+                    remainingMs: Math.max(1, Math.floor(job.deadlineMs() - clock.nowMs())),
                     bodyBytes: request.body.length,
                     lastEventId: position?.lastEventId,
                 }),
@@ -270,7 +270,7 @@
                 return;
             }
             context.connections.closeAllIdle();
-            const remainingMs = job.deadlineMs - clock.nowMs();
+            const remainingMs = job.deadlineMs() - clock.nowMs();
             const seeksReplacement = isRetryable && remainingMs > lease.expectedMs;
             log.failure("no-answer", {
                 requestId: job.requestId,
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -1,3 +1,4 @@
+import type * as catalog from "@peridotloft/catalog";
 import * as core from "@peridotloft/core";
 import * as dispatch from "@peridotloft/dispatch";
 import { ok, type Result } from "neverthrow";
@@ -110,11 +111,12 @@
         metrics.observeMs("requestMs", clock.nowMs() - arrivedMs, { kind });
     });
 
-    const configVersion = (): number | undefined => context.follower.snapshot.read().activeConfig?.config.version;
-    const currentRoute = (): AllowedRequest["route"] | undefined =>
-        context.follower.snapshot.read().activeConfig?.routes.find(requestHead.host, path);
+    const activeConfig = (): catalog.ActiveConfig | undefined => context.follower.snapshot.read().activeConfig;
+    const configVersion = (): number | undefined => activeConfig()?.config.version;
+    // The deadline is read several times per request, and the active configuration rarely changes meanwhile.
+    const currentRoute = memoizeLatest(activeConfig, active => active?.routes.find(requestHead.host, path));
     const arrivedConfigVersion = configVersion();
-    keepConnectionOpen(response, context.follower.snapshot.read().activeConfig?.config.limits.idleTimeoutMs ?? 0);
+    keepConnectionOpen(response, activeConfig()?.config.limits.idleTimeoutMs ?? 0);
     const arrivedRoute = currentRoute();
     const deadline = createRequestDeadline({
         clock,
@@ -262,9 +264,7 @@
             priority: allowed.customer?.priority ?? route.priority,
             prompt: requestHead.prompt,
             arrivedMs,
-            get deadlineMs() {
-                return deadline.atMs();
-            },
+            deadlineMs: deadline.atMs,
             fingerprint: () => core.hash32(`${path} ${customer ?? ""} ${body.toString("latin1")}`),
         };
         stage = "upstream";
@@ -500,6 +500,20 @@
     return { run, refuse, endIfWaiting };
 }
 
+/** Returns a function of the latest input that computes its result only when the input is another object than before. */
+function memoizeLatest<Input, Output>(readInput: () => Input, compute: (input: Input) => Output): () => Output {
+    let input = readInput();
+    let output = compute(input);
+    return () => {
+        const latest = readInput();
+        if (latest !== input) {
+            input = latest;
+            output = compute(latest);
+        }
+        return output;
+    };
+}
+
 /**
  * Resolves after the event loop has polled the sockets once more, so that a disconnect right after the request is detected
  * and the request is not sent to an upstream.
