gateway: connections are refused by the measured wait in the accept queue, not by its upper bound

Cause: since connections are refused from a wait of 200 ms on, and the wait was taken to be the time since the queue was last empty. Under a load near the capacity a short queue is rarely empty, so this bound grows while each connection waits for a turn or two.

Change: while the queue is not empty, a VM opens a connection to its own listener every 50 ms and measures the time until it accepts it; the queue is first in, first out. While the probe waits, its age counts. If it fails, the bound counts as before. Drains still go by the bound.

--- a/packages/gateway/__tests__/unit/OverloadGuard.test.ts
+++ b/packages/gateway/__tests__/unit/OverloadGuard.test.ts
@@ -21,7 +21,7 @@
     createOverloadGuard({
         log: testing.createRecordingLog(),
         random: () => 0.5,
-        acceptQueue: { longestWaitMs: () => 0, acceptedWhileBusy: () => 0, abandonedShare: () => 0 },
+        acceptQueue: { waitMs: () => 0, acceptedWhileBusy: () => 0, abandonedShare: () => 0 },
         ...options,
     });
 
@@ -77,7 +77,7 @@
                 clock: late.clock,
                 utilization: () => 0.3,
                 acceptQueue: {
-                    longestWaitMs: () => waitMs,
+                    waitMs: () => waitMs,
                     acceptedWhileBusy: () => accepted,
                     abandonedShare: () => abandonedShare,
                 },
--- a/packages/gateway/src/AcceptQueueMonitor.ts
+++ b/packages/gateway/src/AcceptQueueMonitor.ts
@@ -1,5 +1,6 @@
 import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
+import type { AcceptQueueProbe } from "./AcceptQueueProbe.js";
 
 /**
  * Observes the accept queue of a listening socket: the connections that the kernel has established and this process has
@@ -15,6 +16,8 @@
     recordFlushed(): void;
     /** Upper bound in ms on the time that the connection accepted last has waited; 0 while the queue is empty. */
     longestWaitMs(): number;
+    /** Wait in ms of the connection accepted last: measured if the probe knows it, else its upper bound. */
+    waitMs(): number;
     /** Number of connections accepted since the queue was empty, at most one per turn of the event loop. */
     acceptedWhileBusy(): number;
     /** Moving average of the share of refused connections whose caller had closed them before, 0 to 1. */
@@ -27,19 +30,23 @@
     /** Calls back at the end of the current turn of the event loop, after the sockets have been polled. */
     readonly onTurnEnd?: (callback: () => void) => void;
     readonly log: telemetry.EventLog;
+    /** Measures the wait while the queue is not empty. Without it, only its upper bound is known. */
+    readonly probe?: Pick<AcceptQueueProbe, "start" | "waitMs">;
 }
 
 /** Maximum number of connections in the queue; the kernel drops further ones. */
 export const acceptBacklog = 511;
 /** Wait in ms from which the queue is reported: latency objectives leave about this much time to a VM. */
 const minReportedWaitMs = 100;
+/** Upper bound in ms from which the wait is measured. */
+const minProbedWaitMs = 50;
 /** Weight of the latest refused connection in the moving average of the share of abandoned ones. */
 const abandonedWeight = 0.1;
 /** Interval in ms of the reports. */
 const reportIntervalMs = 1_000;
 
 export function createAcceptQueueMonitor(options: AcceptQueueMonitorOptions): AcceptQueueMonitor {
-    const { clock, log, onTurnEnd = setImmediate } = options;
+    const { clock, log, onTurnEnd = setImmediate, probe } = options;
     let acceptedCount = 0;
     let acceptedAtTurnEnd = 0;
     let acceptedAtReport = 0;
@@ -51,6 +58,7 @@
     // time is that of the connection that was accepted before the latest one can have joined the queue.
     const acceptTimesMs = new Float64Array(acceptBacklog + 2).fill(Number.NEGATIVE_INFINITY);
     let lastTurnEndMs = 0;
+    let reportedBoundMs = 0;
     let reportedWaitMs = 0;
     let longestTurnMs = 0;
     let abandonedShare = 0;
@@ -63,12 +71,18 @@
         return busySinceMs === undefined ? 0 : clock.nowMs() - Math.max(busySinceMs, oldestAcceptMs);
     }
 
+    function waitMs(): number {
+        const boundMs = longestWaitMs();
+        return Math.min(boundMs, probe?.waitMs() ?? boundMs);
+    }
+
     const acceptedWhileBusy = (): number => busySinceMs === undefined ? 0 : acceptedCount - acceptedAtBusy;
 
     function checkAtTurnEnd(): void {
         const nowMs = clock.nowMs();
         longestTurnMs = Math.max(longestTurnMs, nowMs - lastTurnEndMs);
-        reportedWaitMs = Math.max(reportedWaitMs, longestWaitMs());
+        reportedBoundMs = Math.max(reportedBoundMs, longestWaitMs());
+        reportedWaitMs = Math.max(reportedWaitMs, waitMs());
         lastTurnEndMs = nowMs;
         if (acceptedCount === acceptedAtTurnEnd) {
             busySinceMs = undefined;
@@ -85,9 +99,10 @@
     }
 
     const cancelReports = core.setRepeatingTimer(clock, reportIntervalMs, () => {
-        if (reportedWaitMs >= minReportedWaitMs) {
+        if (reportedBoundMs >= minReportedWaitMs) {
             log.state("accept-queue-busy", {
-                longestWaitMs: Math.round(reportedWaitMs),
+                longestWaitMs: Math.round(reportedBoundMs),
+                waitMs: Math.round(reportedWaitMs),
                 longestTurnMs: Math.round(longestTurnMs),
                 accepted: acceptedCount - acceptedAtReport,
                 flushes: flushesSinceReport,
@@ -95,6 +110,7 @@
         }
         acceptedAtReport = acceptedCount;
         flushesSinceReport = 0;
+        reportedBoundMs = 0;
         reportedWaitMs = 0;
         longestTurnMs = 0;
     });
@@ -109,6 +125,9 @@
                 onTurnEnd(checkAtTurnEnd);
             }
             acceptedCount++;
+            if (longestWaitMs() >= minProbedWaitMs) {
+                probe?.start();
+            }
         },
         recordRefused(isAbandoned) {
             refusedSinceBusy++;
@@ -131,6 +150,7 @@
             }
         },
         longestWaitMs,
+        waitMs,
         acceptedWhileBusy,
         abandonedShare: () => abandonedShare,
         dispose: cancelReports,
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -91,6 +91,9 @@
         server.removeAllListeners("connection");
         server.on("connection", (socket: net.Socket) => {
             acceptQueue.recordAccepted();
+            if (context.acceptQueueProbe.tryEnd(socket)) {
+                return;
+            }
             callerConnections.recordAccepted(socket);
             const verdict = context.overload.judgeConnection();
             metrics.count("connections", { outcome: connectionOutcomes[verdict] });
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -3,6 +3,7 @@
 import type * as dispatch from "@peridotloft/dispatch";
 import type * as telemetry from "@peridotloft/telemetry";
 import type { AcceptQueueMonitor } from "./AcceptQueueMonitor.js";
+import type { AcceptQueueProbe } from "./AcceptQueueProbe.js";
 import type { GatewaySettings } from "./GatewaySettings.js";
 import type { OverloadGuard } from "./OverloadGuard.js";
 import type { UpstreamConnections } from "./UpstreamConnections.js";
@@ -19,6 +20,7 @@
     readonly streamOrigins: dispatch.StreamOrigins;
     readonly connections: UpstreamConnections;
     readonly acceptQueue: AcceptQueueMonitor;
+    readonly acceptQueueProbe: AcceptQueueProbe;
     readonly overload: OverloadGuard;
     readonly log: telemetry.EventLog;
     readonly metrics: telemetry.Metrics;
--- a/packages/gateway/src/OverloadGuard.ts
+++ b/packages/gateway/src/OverloadGuard.ts
@@ -82,7 +82,7 @@
     readonly random: core.Random;
     /** Returns the event loop utilization since its previous call, 0 to 1. */
     readonly utilization: () => number;
-    readonly acceptQueue: Pick<AcceptQueueMonitor, "longestWaitMs" | "acceptedWhileBusy" | "abandonedShare">;
+    readonly acceptQueue: Pick<AcceptQueueMonitor, "waitMs" | "acceptedWhileBusy" | "abandonedShare">;
 }
 
 export function createOverloadGuard(options: OverloadGuardOptions): OverloadGuard {
@@ -100,7 +100,7 @@
     const lagMs = (): number => Math.max(lastLagMs, clock.nowMs() - expectedTickMs);
 
     const isLagging = (): boolean => lastLagMs >= heavyCustomerLagMs;
-    const isBehind = (): boolean => isLagging() || acceptQueue.longestWaitMs() >= unreadyAcceptWaitMs;
+    const isBehind = (): boolean => isLagging() || acceptQueue.waitMs() >= unreadyAcceptWaitMs;
 
     function adjustRefusedShare(): void {
         const previousShare = refusedShare;
@@ -135,7 +135,7 @@
             changeSinceMs = undefined;
             log.state(overloaded ? "processor-overloaded" : "processor-recovered", {
                 lagMs: Math.round(lastLagMs),
-                acceptWaitMs: Math.round(acceptQueue.longestWaitMs()),
+                acceptWaitMs: Math.round(acceptQueue.waitMs()),
                 utilization: smoothedUtilization,
             });
         }
@@ -148,7 +148,7 @@
             return lag >= refuseAllLagMs || (lag >= heavyCustomerLagMs && relativeUsage >= heavyCustomerUsage);
         },
         judgeConnection() {
-            const waitMs = acceptQueue.longestWaitMs();
+            const waitMs = acceptQueue.waitMs();
             if (clock.nowMs() < earlyFlushesUntilMs) {
                 if (waitMs >= earlyFlushWaitMs) {
                     return "flush";
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,5 @@
 export * from "./AcceptQueueMonitor.js";
+export * from "./AcceptQueueProbe.js";
 export { exitMarginMs } from "./Drain.js";
 export * from "./Gateway.js";
 export * from "./GatewayContext.js";
