gateway: log lines say from when to when a VM listens

On planned work alone some tries get no connection and single ones are cut without an answer, without any line of a VM.

--- a/packages/gateway/src/CallerConnections.ts
+++ b/packages/gateway/src/CallerConnections.ts
@@ -17,14 +17,18 @@
     hasUnsentResponses(): boolean;
     /** Number of open connections on which bytes have arrived. */
     openCount(): number;
+    /** Number of connections accepted so far. */
+    acceptedCount(): number;
 }
 
 export function createCallerConnections(): CallerConnections {
     const sockets = new Set<net.Socket>();
+    let acceptedCount = 0;
     const inFlight = new Set<http.ServerResponse>();
     const latestResponses = new WeakMap<net.Socket, http.ServerResponse>();
     return {
         recordAccepted(socket) {
+            acceptedCount++;
             sockets.add(socket);
             socket.once("close", () => sockets.delete(socket));
         },
@@ -38,5 +42,6 @@
         inFlightCount: () => inFlight.size,
         hasUnsentResponses: () => [...inFlight].some(({ writableEnded }) => writableEnded),
         openCount: () => [...sockets].filter(({ destroyed, bytesRead }) => !destroyed && bytesRead > 0).length,
+        acceptedCount: () => acceptedCount,
     };
 }
--- a/packages/gateway/src/Drain.ts
+++ b/packages/gateway/src/Drain.ts
@@ -45,6 +45,7 @@
     const isQueueEmpty = (): boolean => acceptQueue.longestWaitMs() === 0;
     const startedMs = clock.nowMs();
     const endMs = startedMs + stopGraceMs - exitMarginMs;
+    const acceptedAtSignal = connections.acceptedCount();
     /** Whether no connections waited to be accepted when the listener was closed; the kernel resets those that wait. */
     let acceptQueueEmpty: boolean | undefined;
 
@@ -83,6 +84,14 @@
         acceptQueueEmpty = isQueueEmpty();
         // Unlike the method of HTTP servers, this one leaves open connections untouched.
         net.Server.prototype.close.call(server);
+        log.state("listener-closed", {
+            sinceSignalMs: Math.round(clock.nowMs() - startedMs),
+            turnMs,
+            acceptQueueEmpty,
+            acceptedCount: connections.acceptedCount() - acceptedAtSignal,
+            inFlight: connections.inFlightCount(),
+            connections: connections.openCount(),
+        });
         await delay(pollIntervalMs);
     }
 
