gateway: a report of who is refused and why, every 2 s

On call could not tell, for one customer or one beginning of prompts, how many requests were refused by which VM and why: the lines of single refusals are limited to 100 a second and the metric has the reason only. Each VM now writes one line per 2 s in which it refused something: requests by reason, the four customers and the four beginnings of prompts with the most refusals, each with its requests and reasons, the refused connections, and the utilization and accept wait then.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -9,6 +9,7 @@
 import { createFreshness } from "./Freshness.js";
 import type { GatewayContext } from "./GatewayContext.js";
 import type { Endpoint } from "./GatewaySettings.js";
+import { createRefusalReport } from "./RefusalReport.js";
 import { createRequestHandler } from "./RequestExchange.js";
 
 /** A running gateway. */
@@ -42,7 +43,8 @@
     const callerConnections = createCallerConnections();
     const clientErrors = createClientErrors(callerConnections, log);
     let isClosed = false;
-    const requestHandler = createRequestHandler(context, freshness, callerConnections);
+    const refusalReport = createRefusalReport(context);
+    const requestHandler = createRequestHandler(context, freshness, callerConnections, refusalReport);
     const callerServer = http.createServer({
         maxHeaderSize: maxHeaderBytes,
         headersTimeout: defaultHeaderTimeoutMs,
@@ -94,6 +96,7 @@
             callerConnections.recordAccepted(socket);
             const verdict = context.overload.judgeConnection();
             metrics.count("connections", { outcome: connectionOutcomes[verdict] });
+            refusalReport.recordConnection(verdict);
             if (verdict === "serve") {
                 defaultListeners.forEach(listener => listener.call(server, socket));
                 return;
@@ -164,6 +167,7 @@
         isClosed = true;
         subscription.unsubscribe();
         removeAcceptQueueGauge();
+        refusalReport.dispose();
         [callerServer, readinessServer, metricsServer].forEach(server => {
             server.close();
             server.closeAllConnections();
--- a/packages/gateway/src/OverloadGuard.ts
+++ b/packages/gateway/src/OverloadGuard.ts
@@ -29,6 +29,8 @@
      * while their callers still wait for a response.
      */
     judgeConnection(): ConnectionVerdict;
+    /** Moving average of the utilization of the event loop, 0 to 1. */
+    utilization(): number;
     dispose(): void;
 }
 
@@ -163,6 +165,7 @@
             const share = isQueueLong ? maxRefusedShare : refusedShare;
             return share > 0 && random() < share ? "refuse" : "serve";
         },
+        utilization: () => smoothedUtilization,
         dispose: () => cancelTimer(),
     };
 }
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -20,6 +20,7 @@
     type RefusalReason,
     type UpstreamFailureReason,
 } from "./Refusal.js";
+import type { RefusalReport } from "./RefusalReport.js";
 import { readBody } from "./RequestBody.js";
 import { createRequestDeadline } from "./RequestDeadline.js";
 import { connectionCloseOf, onceResponseClosed } from "./ResponseClose.js";
@@ -51,11 +52,12 @@
     context: GatewayContext,
     freshness: Freshness,
     connections: CallerConnections,
+    refusalReport: RefusalReport,
 ): RequestHandler {
     const exchanges = new Set<RequestExchange>();
     return {
         handle(request, response) {
-            const exchange = createExchange(context, freshness, connections, request, response);
+            const exchange = createExchange(context, freshness, connections, refusalReport, request, response);
             exchanges.add(exchange);
             onceResponseClosed(response, () => exchanges.delete(exchange));
             exchange.run().catch((error: unknown) => {
@@ -77,6 +79,7 @@
     context: GatewayContext,
     freshness: Freshness,
     connections: CallerConnections,
+    refusalReport: RefusalReport,
     request: http.IncomingMessage,
     response: http.ServerResponse,
 ): RequestExchange {
@@ -165,6 +168,7 @@
             return;
         }
         metrics.count("refusals", { reason: refusal.reason });
+        refusalReport.recordRefusal(refusal.reason, { customer, prompt: requestHead.prompt });
         log.failure("request-refused", {
             ...describeRequest(),
             reason: refusal.reason,
@@ -195,6 +199,7 @@
         deadline.setRoute(allowed.value.route);
         kind = allowed.value.route.kind;
         customer = allowed.value.customer?.id;
+        refusalReport.recordRequest({ customer, prompt: requestHead.prompt });
         if (!isAcceptedWhileDraining(deadline.timeoutMs())) {
             return refuse(createRefusal("draining"));
         }
