--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -21,6 +21,7 @@
     type RefusalReason,
     type UpstreamFailureReason,
 } from "./Refusal.js";
+import type { RefusalReport } from "./RefusalReport.js";
 import { readBody } from "./RequestBody.js";
 import { createRequestDeadline } from "./RequestDeadline.js";
 import { connectionCloseOf, onceResponseClosed } from "./ResponseClose.js";
@@ -52,11 +53,12 @@
     context: GatewayContext,
     freshness: Freshness,
     connections: CallerConnections,
+    refusalReport: RefusalReport,
 ): RequestHandler {
     const exchanges = new Set<RequestExchange>();
     return {
         handle(request, response) {
-            const exchange = createExchange(context, freshness, connections, request, response);
+            const exchange = createExchange(context, freshness, connections, refusalReport, request, response);
             exchanges.add(exchange);
             onceResponseClosed(response, () => exchanges.delete(exchange));
             exchange.run().catch((error: unknown) => {
@@ -78,6 +80,7 @@
     context: GatewayContext,
     freshness: Freshness,
     connections: CallerConnections,
+    refusalReport: RefusalReport,
     request: http.IncomingMessage,
     response: http.ServerResponse,
 ): RequestExchange {
@@ -167,6 +170,7 @@
             return;
         }
         metrics.count("refusals", { reason: refusal.reason });
+        refusalReport.recordRefusal(refusal.reason, { customer, prompt: requestHead.prompt });
         log.failure("request-refused", {
             ...describeRequest(),
             reason: refusal.reason,
@@ -197,6 +201,7 @@
         deadline.setRoute(allowed.value.route);
         kind = allowed.value.route.kind;
         customer = allowed.value.customer?.id;
+        refusalReport.recordRequest({ customer, prompt: requestHead.prompt });
         if (!isAcceptedWhileDraining(deadline.timeoutMs())) {
             return refuse(createRefusal("draining"));
         }
