--- a/packages/gateway/__tests__/unit/RefusalReport.test.ts
+++ b/packages/gateway/__tests__/unit/RefusalReport.test.ts
@@ -17,7 +17,7 @@
     const report = createRefusalReport({
         clock,
         log,
-        acceptQueue: { longestWaitMs: () => 120.4 },
+        acceptQueue: { waitMs: () => 120.4 },
         overload: { utilization: () => 0.9 },
     });
     return { clock, log, report };
--- a/packages/gateway/src/RefusalReport.ts
+++ b/packages/gateway/src/RefusalReport.ts
@@ -28,7 +28,7 @@
 
 export interface RefusalReportOptions {
     readonly clock: core.Clock;
-    readonly acceptQueue: Pick<AcceptQueueMonitor, "longestWaitMs">;
+    readonly acceptQueue: Pick<AcceptQueueMonitor, "waitMs">;
     readonly overload: Pick<OverloadGuard, "utilization">;
     readonly log: telemetry.EventLog;
 }
@@ -50,7 +50,7 @@
     let maxUtilization = 0;
 
     function sampleLoad(): void {
-        maxAcceptWaitMs = Math.max(maxAcceptWaitMs, acceptQueue.longestWaitMs());
+        maxAcceptWaitMs = Math.max(maxAcceptWaitMs, acceptQueue.waitMs());
         maxUtilization = Math.max(maxUtilization, overload.utilization());
     }
 
