gateway: a response in place of a silent one is tracked from its head on

Callers saw a resumable stream cut whose upstream had fallen silent for a moment, if the upstream tried in its place answered without length and chunks: with the end of the connection only, since the stream had no event left, or with a head and a reset. In the second case the silent upstream was sound, and was stopped for a response that had none.

Cause: whether such a response is complete was tracked only once its relay began, which is after its first bytes. The end of an empty body is the first thing that arrives, so it had passed; the relay then saw the close of the socket only and took it for a break. And an end that Node.js reports for a reset counted as a whole empty body.

The tracking starts with the wait for the first bytes now, which goes by it if the body is empty. The relay uses the same check. A reset never looked complete, and no stream was left without an end. Responses that are not in place of another, and statements of a run, are read in the turn in which their head arrives; they were not affected (by reading).

--- a/packages/gateway/src/ResponseRelay.ts
+++ b/packages/gateway/src/ResponseRelay.ts
@@ -50,6 +50,9 @@
     readChunks(message, maxResponseBytes, { onTooLarge: () => void message.destroy() });
 }
 
+/** Responses are tracked from the first call on, since the connection may end before the relay begins. */
+const completenessChecks = new WeakMap<http.IncomingMessage, () => Promise<boolean>>();
+
 /**
  * Returns a function that reports whether a response is complete. Call it once the response has ended.
  *
@@ -58,6 +61,12 @@
  * fails only after a reset.
  */
 function trackCompleteness(message: http.IncomingMessage): () => Promise<boolean> {
+    const check = completenessChecks.get(message) ?? startTracking(message);
+    completenessChecks.set(message, check);
+    return check;
+}
+
+function startTracking(message: http.IncomingMessage): () => Promise<boolean> {
     const { socket } = message;
     if (isFramed(message)) {
         return () => Promise.resolve(message.complete);
@@ -189,10 +198,11 @@
 
 /** Resolves once the first bytes of a body can be read, or the whole body is empty; with false if neither happens. */
 export function awaitFirstBytes(message: http.IncomingMessage): Promise<boolean> {
+    const checkComplete = trackCompleteness(message);
     return new Promise(resolve => {
-        const onReadable = (): void => settle(message.readableLength > 0 || message.complete);
+        const onReadable = (): void => settle(message.readableLength > 0 || checkComplete());
         const onClose = (): void => settle(false);
-        const settle = (hasBytes: boolean): void => {
+        const settle = (hasBytes: boolean | Promise<boolean>): void => {
             message.off("readable", onReadable).off("close", onClose);
             resolve(hasBytes);
         };
