gateway: an upstream that is silent when asked for its run is not left out afterwards

A caller that resumed its stream while the stream's upstream was silent for a moment was refused as not run, and so were all further callers and streams at this VM that would have gone on there, for 3 s.

Cause: a statement of the run that is not complete within 500 ms ended like a failed connection. After one, streams do not go on at an upstream for 3 s, since it may have started again before its entry shows it. Silence on an open connection is no such sign, and an upstream whose entry states its start is asked again before each stream that goes on.

It ends as silent now, like an attempt without a response, if its connection was established and its entry states the start of its run. Refused, broken and late connections, and entries without a start, are treated as before.

--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -6,7 +6,7 @@
 import { createRefusal, createUpstreamFailure, type Refusal, type RefusalReason } from "./Refusal.js";
 import { createReplacement, type Replacement } from "./Replacement.js";
 import { discardResponse } from "./ResponseRelay.js";
-import { verifyRun } from "./RunVerification.js";
+import { type RunCheck, verifyRun } from "./RunVerification.js";
 import { type Attempt, type AttemptFailure, startAttempt } from "./UpstreamAttempt.js";
 
 /** A caller's request in the form in which it is sent to upstreams. */
@@ -70,6 +70,13 @@
 const responseTimeoutFactor = 3;
 const responseTimeoutSlackMs = 400;
 
+/** How an attempt ends whose upstream has not stated the run of its entry. */
+const verificationFailures: Partial<Readonly<Record<RunCheck, dispatch.AttemptOutcome>>> = {
+    other: "misdirected",
+    silent: "silent",
+    unreachable: "connect-failed",
+};
+
 export function createAttemptSequence(context: GatewayContext, request: AttemptRequest): AttemptSequence {
     const { clock, codec, log } = context;
     const { job, isRetryable } = request;
@@ -138,9 +145,10 @@
             entryStartedWallMs: upstream.startedWallMs,
             startedWallMs,
         };
-        if (check === "other" || check === "unreachable") {
+        const failure = verificationFailures[check];
+        if (failure) {
             log.failure("run-not-verified", fields);
-            lease.end(check === "other" ? "misdirected" : "connect-failed");
+            lease.end(failure);
             return false;
         }
         log.decision("run-verified", fields);
--- a/packages/gateway/src/RunVerification.ts
+++ b/packages/gateway/src/RunVerification.ts
@@ -12,9 +12,10 @@
  * - `same`: the run that its entry describes.
  * - `other`: it has started again since.
  * - `unstated`: neither can be known from its statement or its entry.
- * - `unreachable`: no statement.
+ * - `silent`: it accepts connections but has not stated anything in time. A later check can tell.
+ * - `unreachable`: no statement, and it may have started again since.
  */
-export type RunCheck = "same" | "other" | "unstated" | "unreachable";
+export type RunCheck = "same" | "other" | "unstated" | "silent" | "unreachable";
 
 /** A connection on which an upstream has stated its run. A later run cannot respond on it. */
 export interface VerifiedConnection {
@@ -35,10 +36,10 @@
     clock: core.Clock,
 ): Promise<VerifiedConnection> {
     const agent = createSingleConnectionAgent();
-    const body = await requestStatement(upstream, codec.runStatementPath, agent, clock);
+    const { body, isSilent } = await requestStatement(upstream, codec.runStatementPath, agent, clock);
     const startedWallMs = body && codec.readRunStart(body);
     const check = body === undefined
-        ? "unreachable"
+        ? isSilent && upstream.startedWallMs !== undefined ? "silent" : "unreachable"
         : startedWallMs === undefined || upstream.startedWallMs === undefined
         ? "unstated"
         : startedWallMs === upstream.startedWallMs
@@ -47,21 +48,30 @@
     return { check, startedWallMs, agent };
 }
 
-/** Resolves with the body of the statement, which is empty if the upstream has none; undefined if there is no response. */
+interface Statement {
+    /** Empty if the upstream has none; undefined if there is no response. */
+    readonly body: Buffer | undefined;
+    /** Whether the connection was established and stayed open, but the response did not end in time. */
+    readonly isSilent: boolean;
+}
+
 function requestStatement(
     { host, port }: catalog.Upstream,
     path: string,
     agent: http.Agent,
     clock: core.Clock,
-): Promise<Buffer | undefined> {
+): Promise<Statement> {
     return new Promise(resolve => {
         const request = http.get({ agent, host, port, path, setHost: false });
         let hasResponse = false;
-        const cancelTimer = clock.setTimer(connectTimeoutMs, () => void request.destroy());
-        const settle = (body: Buffer | undefined): void => {
+        const settle = (body: Buffer | undefined, isSilent = false): void => {
             cancelTimer();
-            resolve(body);
+            resolve({ body, isSilent });
         };
+        const cancelTimer = clock.setTimer(connectTimeoutMs, () => {
+            settle(undefined, request.socket?.connecting === false);
+            request.destroy();
+        });
         request.on("error", () => settle(undefined));
         // Without a listener Node.js closes the connection and reports no error.
         request.on("upgrade", (_response, socket) => {
