gateway: connections to upstreams that announce no idle timeout are reused for 500 ms

Callers got 502 for requests that may be repeated after all upstreams of a pool had been silent for about a second: the connections on which the requests were sent had been idle, and the upstreams closed them when they went on, before they read anything, since their idle timeout had passed during the silence. Other upstreams could not take all of them: they had been silent as well, the route allowed one attempt, or the retry budget was used up.

Cause: connections were kept for 4 s for requests that may be repeated, unless the upstream announces a shorter timeout. An upstream announces whole seconds, so one that announces nothing may have a timeout of less. Its closes are seen in time unless it is silent.

Connections without an announced timeout are closed after 500 ms for all requests now. Those with one are kept as before.

Exchange "does not lose a request to an idle timeout that passes unannounced while the upstream is silent": failed before.

--- a/packages/gateway/src/UpstreamConnections.ts
+++ b/packages/gateway/src/UpstreamConnections.ts
@@ -23,6 +23,10 @@
 const maxIdleMs = 4_000;
 /** The same for requests that cannot be retried. */
 const maxRecentIdleMs = 500;
+/** The same if the upstream announces no idle timeout: it may have one of less than a second, which it cannot announce. */
+const maxUnannouncedIdleMs = 500;
+/** The agents' own timeout in ms, in place of which Node.js sets the one that an upstream announces. */
+const unannouncedTimeoutMs = 2 ** 31 - 1;
 /** Time in ms by which a connection is closed before the idle timeout that the upstream announces. */
 const idleMarginMs = 700;
 /** Delay in ms of TCP keep-alive probes on open connections. */
@@ -81,7 +85,13 @@
     private readonly idleDataListeners = new WeakMap<net.Socket, () => void>();
 
     constructor(private readonly idleMs: number, maxSockets = Number.POSITIVE_INFINITY) {
-        super({ keepAlive: true, scheduling: "lifo", timeout: idleMs, keepAliveMsecs: keepAliveDelayMs, maxSockets });
+        super({
+            keepAlive: true,
+            scheduling: "lifo",
+            timeout: unannouncedTimeoutMs,
+            keepAliveMsecs: keepAliveDelayMs,
+            maxSockets,
+        });
     }
 
     override keepSocketAlive(socket: net.Socket): boolean {
@@ -89,8 +99,7 @@
         if (!isReusable) {
             return false;
         }
-        const announcedIdleMs = socket.timeout ?? this.idleMs;
-        const idleMs = announcedIdleMs < this.idleMs ? announcedIdleMs - idleMarginMs : this.idleMs;
+        const idleMs = this.maxIdleMs(socket.timeout ?? unannouncedTimeoutMs);
         if (idleMs <= 0) {
             return false;
         }
@@ -101,6 +110,13 @@
         return true;
     }
 
+    private maxIdleMs(announcedIdleMs: number): number {
+        if (announcedIdleMs === unannouncedTimeoutMs) {
+            return Math.min(this.idleMs, maxUnannouncedIdleMs);
+        }
+        return announcedIdleMs < this.idleMs ? announcedIdleMs - idleMarginMs : this.idleMs;
+    }
+
     override reuseSocket(socket: net.Socket, request: http.ClientRequest): void {
         const onIdleData = this.idleDataListeners.get(socket);
         if (onIdleData) {
