telemetry: a reader that closes the pipe of the log no longer ends the process

What callers saw: once whoever read the VM's standard output closed the pipe, the next log line ended the process with every request in flight; in a trial the next request ended in a closed connection and the process exited with 1 (write EPIPE).

Cause: standard output emits an error event for a write that fails, and an error event without a listener is an uncaught exception.

Now the sink listens for it, and each line that cannot be written is counted like the lines that are omitted, and reported in `log-lines-omitted` if standard output can be written again.

Test: LogReader starts a process, closes the pipe of its log and sends five requests. After: 200 five times, and the process runs on.

--- a/packages/telemetry/src/EventLog.ts
+++ b/packages/telemetry/src/EventLog.ts
@@ -17,7 +17,8 @@
 
 /** A writable that reports whether its buffer is full, such as standard output. */
 export interface LogSink {
-    write(text: string): boolean;
+    /** @param onLost called if the text cannot be written, such as after its reader has closed the pipe. */
+    write(text: string, onLost: () => void): boolean;
     /** Bytes that are buffered and not yet consumed. */
     pendingBytes(): number;
 }
@@ -62,14 +63,19 @@
         }
     };
 
+    function recordOmitted(): void {
+        omitted++;
+        omittedSinceReport++;
+    }
+
     function emit(level: string, event: string, fields: LogFields): void {
         if (sink.pendingBytes() > maxPendingBytes) {
-            omitted++;
-            omittedSinceReport++;
+            recordOmitted();
             return;
         }
         sink.write(
             `${JSON.stringify({ timeMs: Math.round(clock.wallMs()), level, event, ...commonFields, ...fields })}\n`,
+            recordOmitted,
         );
     }
 
@@ -77,8 +83,7 @@
         resetCountsOnNewSecond();
         const count = lineCounts.get(event) ?? 0;
         if (count >= limitPerS) {
-            omitted++;
-            omittedSinceReport++;
+            recordOmitted();
             return;
         }
         lineCounts.set(event, count + 1);
@@ -95,5 +100,15 @@
 
 /** Standard output of this process. Only writes to pipes are asynchronous, so the limit is checked before each write. */
 export function createStdoutSink(): LogSink {
-    return { write: text => process.stdout.write(text), pendingBytes: () => process.stdout.writableLength };
+    // An error event without a listener ends the process. Each write that fails also calls back.
+    process.stdout.on("error", () => undefined);
+    return {
+        write: (text, onLost) =>
+            process.stdout.write(text, error => {
+                if (error) {
+                    onLost();
+                }
+            }),
+        pendingBytes: () => process.stdout.writableLength,
+    };
 }
