platform: a process drains after an uncaught error instead of dropping all requests in flight

What callers saw: any exception or rejection that no code handled ended the process at once. Every request in flight lost its connection without an answer, and connections in the accept queue were reset.

Now the process logs one bounded line (`uncaught-error`: kind, message, first lines of the stack), counts `uncaught_errors_total`, turns readiness off, refuses requests that arrive from then on with 503 (`draining`, Retry-After 50 ms) before anything else looks at them, and drains as after SIGTERM. Requests in flight end; those whose response has not begun by the end get 503 or 504 as in any drain. Then it exits with 3. Further errors are logged and do not cut the drain short. It ends at once at 100 errors, which a timer that fails ten times a second does not reach in a drain and code that fails at every turn reaches in a moment, and if the drain has not ended with the grace period.

Why serve what is in flight: an exception interrupts one callback, and requests in flight share little mutable state with each other. What an upstream has not sent completely never looks complete, whatever failed. Ending at once certainly loses all of them, and requests that run once cannot be repeated. Until now an error on all VMs at once dropped everything on all of them; now it refuses new work on all of them for the drain, 3 s at least, which is the price of keeping what they hold.

The logic is in telemetry; the daemon wires it. The gateway asks its context whether to refuse new requests, which is the one line in RequestExchange.

Tests: UncaughtErrors (platform) runs a real process with a module of the test preloaded that raises the errors; the program has no hook. UncaughtErrors (telemetry): a drain that does not end; any thrown value fits a bounded line.

--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -26,4 +26,6 @@
     drainElapsedMs(): number | undefined;
     /** Time in ms until the requests in flight are aborted; undefined before the stop signal. */
     drainRemainingMs(): number | undefined;
+    /** Whether requests that arrive now are refused, since the state of this process may be inconsistent. */
+    refusesNewRequests(): boolean;
 }
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -176,6 +176,9 @@
     }
 
     async function run(): Promise<void> {
+        if (context.refusesNewRequests()) {
+            return refuse(createRefusal("draining"));
+        }
         if (requestHead.requestId === undefined) {
             return refuse(createRefusal("no-request-id"));
         }
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -34,6 +34,7 @@
         "outcome",
     ]],
     peerMessages: ["peer_messages_total", "Messages between VMs, by direction.", ["direction"]],
+    uncaughtErrors: ["uncaught_errors_total", "Exceptions and rejections that no code handled, by kind.", ["kind"]],
 } as const;
 
 const histograms = {
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,2 +1,3 @@
 export * from "./EventLog.js";
 export * from "./Metrics.js";
+export * from "./UncaughtErrors.js";
