catalog: changes of another VM that cannot be used no longer end the process

What callers saw: nothing yet. A VM that reads the store relays changes to the others in its own build's form. A change that another build cannot use, such as a configuration without a list that it expects, ended the process of every VM that read from it, in the moment of the change, and again after each start.

Cause: the loop that follows the catalog has no one to handle its exceptions, so one in a relayed change is an unhandled rejection. The change had been recorded as known before it was applied, so the same revision read from the store would not have been applied either.

Now the changes are recorded once they have been applied, and a VM whose relayed changes cannot be applied is not read for 2 s, as one that does not answer: `relay-lost` says why, and the store is read instead, whose items this build decodes itself. Changes of the store need no such care: their decoder checks every field.

A relayed upstream that lacks fields is still applied; what fails with it later counts as an uncaught error.

Test: CatalogRelay, three changes.

--- a/packages/catalog/__tests__/integration/CatalogRelay.test.ts
+++ b/packages/catalog/__tests__/integration/CatalogRelay.test.ts
@@ -111,6 +111,20 @@
         assert.ok(follower.ageMs() < 2_500, `age ${follower.ageMs()}`);
     });
 
+    [undefined, { kind: "config" }, { kind: "upstream" }].forEach(change =>
+        it(`reads the store after another build has relayed ${JSON.stringify(change)}, without an uncaught error`, async () => {
+            const position = { era: 0, revision: 5 };
+            const unusable = { item: "zone/a", position, change: change as catalog.CatalogChange };
+            const relay: catalog.CatalogRelaySource = {
+                address: "127.0.0.2",
+                watch: async () => ok({ position, ageMs: 0, complete: true, changes: [unusable] }),
+            };
+            const follower = startFollower(createSource().source, () => relay);
+            await pause(100);
+            assert.deepEqual(zonesOf(follower), ["a"]);
+        })
+    );
+
     it("keeps a VM that cannot reach the store current through another VM that can", async () => {
         const store = createSource();
         const relay = await startRelay(startFollower(store.source));
--- a/packages/catalog/src/CatalogFollower.ts
+++ b/packages/catalog/src/CatalogFollower.ts
@@ -158,11 +158,13 @@
     const isSettled = (): boolean => clock.nowMs() >= settledAtMs;
 
     function apply(changes: readonly PositionedChange[]): void {
-        const newChanges = items.record(changes, isSettled());
+        const selected = items.select(changes, isSettled());
+        const newChanges = selected.changes;
         if (newChanges.length === 0) {
             return;
         }
         snapshot.update(current => applyChanges(current, newChanges, clock.nowMs()));
+        selected.record();
         newChanges.forEach(logChange);
         history.append(newChanges);
         waiters.forEach(wake => wake());
@@ -348,13 +350,32 @@
             return;
         }
         result.match(batch => {
-            applyConfigs(batch);
-            catchUpReads = batch.changes.length > 0 ? 0 : catchUpReads;
+            if (applyRelayed(peer, () => applyConfigs(batch))) {
+                catchUpReads = batch.changes.length > 0 ? 0 : catchUpReads;
+            }
         }, error => {
             log.state("relay-lost", { peer: peer.address, reason: error.message });
         });
     }
 
+    /** Stops reading from another VM for a time. */
+    function rejectRelay(relay: CatalogRelaySource, reason: string | undefined): void {
+        relayRetryAtMs.set(relay.address, clock.nowMs() + timing.relayRetryDelayMs);
+        log.state("relay-lost", { peer: relay.address, reason });
+    }
+
+    /** Applies changes of another VM; false if they cannot be used, since that VM runs another build. */
+    function applyRelayed(relay: CatalogRelaySource, applyAll: () => void): boolean {
+        try {
+            applyAll();
+            return true;
+        }
+        catch (error) {
+            rejectRelay(relay, `changes that cannot be used: ${String(error)}`);
+            return false;
+        }
+    }
+
     /** Reads from another VM; false if that VM cannot replace the store now. */
     async function readFromRelay(relay: CatalogRelaySource): Promise<boolean> {
         const sentMs = clock.nowMs();
@@ -368,26 +389,28 @@
             error => error.message,
         );
         if (result.isErr() || failure !== undefined) {
-            relayRetryAtMs.set(relay.address, clock.nowMs() + timing.relayRetryDelayMs);
-            log.state("relay-lost", { peer: relay.address, reason: failure });
+            rejectRelay(relay, failure);
             return false;
         }
         const batch = result.value;
         if (isOutdated(batch.position)) {
-            applyConfigs(batch);
-            relayRetryAtMs.set(relay.address, clock.nowMs() + timing.relayRetryDelayMs);
-            log.state("relay-lost", { peer: relay.address, reason: outdatedError(batch.position).message });
+            if (applyRelayed(relay, () => applyConfigs(batch))) {
+                rejectRelay(relay, outdatedError(batch.position).message);
+            }
             return false;
         }
-        // The reply was made after the request was sent, so counting its age from the send time cannot understate it.
-        confirmedMs = Math.max(confirmedMs, sentMs - batch.ageMs);
-        if (batch.complete) {
-            applyListing({ position: batch.position, items: batch.changes });
-        }
-        else {
-            applyBatch(batch);
+        const isApplied = applyRelayed(
+            relay,
+            () =>
+                batch.complete
+                    ? applyListing({ position: batch.position, items: batch.changes })
+                    : applyBatch(batch),
+        );
+        if (isApplied) {
+            // The reply was made after the request was sent, so counting its age from the send time cannot understate it.
+            confirmedMs = Math.max(confirmedMs, sentMs - batch.ageMs);
         }
-        return true;
+        return isApplied;
     }
 
     function usableRelay(): CatalogRelaySource | undefined {
--- a/packages/catalog/src/CatalogItems.ts
+++ b/packages/catalog/src/CatalogItems.ts
@@ -3,18 +3,24 @@
 /** The last change that was applied for each item of the store, which decides whether another change is newer. */
 export interface CatalogItems {
     /**
-     * Records the changes that are newer than what is known of their items, and returns them.
+     * Selects the changes that are newer than what is known of their items.
      *
      * @param isSettled whether entries that were lost with a restore of the store have been written again since, and
      * entries that should not be there have expired.
      */
-    record(changes: readonly PositionedChange[], isSettled: boolean): readonly PositionedChange[];
+    select(changes: readonly PositionedChange[], isSettled: boolean): SelectedChanges;
     /** The removals of the items that a complete listing does not contain. */
     missingFrom(listed: readonly PositionedChange[], position: Position): readonly PositionedChange[];
     /** The last change of each item, removals included. */
     all(): readonly PositionedChange[];
 }
 
+export interface SelectedChanges {
+    readonly changes: readonly PositionedChange[];
+    /** Records that these changes have been applied. */
+    record(): void;
+}
+
 interface KnownItem {
     readonly last: PositionedChange;
     /** The last change other than a removal; undefined if there was none. */
@@ -24,20 +30,22 @@
 export function createCatalogItems(): CatalogItems {
     const items = new Map<string, KnownItem>();
 
-    function recordOne(change: PositionedChange): void {
-        const lastWrite = isRemoval(change.change) ? items.get(change.item)?.lastWrite : change;
-        items.set(change.item, { last: change, lastWrite });
-    }
-
     return {
-        record(changes, isSettled) {
-            return changes.filter(change => {
-                const isNewer = supersedes(change, items.get(change.item), isSettled);
+        select(changes, isSettled) {
+            const selected = new Map<string, KnownItem>();
+            const newChanges = changes.filter(change => {
+                const known = selected.get(change.item) ?? items.get(change.item);
+                const isNewer = supersedes(change, known, isSettled);
                 if (isNewer) {
-                    recordOne(change);
+                    const lastWrite = isRemoval(change.change) ? known?.lastWrite : change;
+                    selected.set(change.item, { last: change, lastWrite });
                 }
                 return isNewer;
             });
+            return {
+                changes: newChanges,
+                record: () => selected.forEach((known, item) => items.set(item, known)),
+            };
         },
         missingFrom(listed, position) {
             const names = new Set(listed.map(({ item }) => item));
