catalog: a VM retains one configuration for the others, not one for each of its last 500 changes

What callers saw: the process ended, on all VMs in about the same moment and with all requests in flight, once it had adopted so many versions of a large configuration that its heap was full (96 MB in deploy/system.toml).

Cause: a VM retains the last 500 changes of the catalog for VMs that read it there, each configuration among them as a whole.

Now it retains the newest configuration only. A VM that reads here needs no other: configurations are whole documents, and an older version is never adopted after a newer one.

Test: ChangeHistory, "retains only the newest configuration". Before: fails (all four changes are returned); after: passes, as do the other tests of catalog and StoreRestore.

--- a/packages/catalog/__tests__/unit/ChangeHistory.test.ts
+++ b/packages/catalog/__tests__/unit/ChangeHistory.test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from "node:test";
 import { createChangeHistory } from "../../src/ChangeHistory.js";
 import type * as catalog from "../../src/index.js";
+import { config } from "./CatalogFixture.js";
 
 const at = (revision: number, era = 1): catalog.Position => ({ era, revision });
 const change = (revision: number): catalog.PositionedChange => ({
@@ -30,6 +31,21 @@
         assert.deepEqual(revisionsOf(history.changesAfter(at(6))), [7, 8]);
     });
 
+    it("retains only the newest configuration, since several hundred large ones exhaust the memory", () => {
+        const history = createChangeHistory(10);
+        const adopted = (revision: number, version: number): catalog.PositionedChange => ({
+            item: "config",
+            position: at(revision),
+            change: config(version),
+        });
+        history.restart(at(5));
+        history.append([adopted(6, 1), change(7)]);
+        assert.deepEqual(revisionsOf(history.changesAfter(at(5))), [6, 7]);
+        history.append([adopted(8, 2)]);
+        history.append([adopted(9, 1)]);
+        assert.deepEqual(revisionsOf(history.changesAfter(at(5))), [7, 8]);
+    });
+
     it("returns nothing for a position of another era", () => {
         const history = createChangeHistory(2);
         history.restart(at(5));
--- a/packages/catalog/src/ChangeHistory.ts
+++ b/packages/catalog/src/ChangeHistory.ts
@@ -17,7 +17,7 @@
 
     return {
         append(added) {
-            const all = [...changes, ...added];
+            const all = withoutOlderConfigs([...changes, ...added]);
             const dropped = all.slice(0, Math.max(0, all.length - maxLength));
             changes = all.slice(dropped.length);
             start = dropped.reduce((latest, { position }) => isAfter(position, latest) ? position : latest, start);
@@ -32,3 +32,14 @@
                 : changes.filter(({ position: at }) => isAfter(at, position)),
     };
 }
+
+/** Other VMs need only the newest configuration, and the documents are too large to retain several hundred of them. */
+function withoutOlderConfigs(changes: readonly PositionedChange[]): readonly PositionedChange[] {
+    const versionOf = ({ change }: PositionedChange): number | undefined =>
+        change.kind === "config" ? change.config.version : undefined;
+    const newest = changes.reduce<PositionedChange | undefined>((last, change) => {
+        const version = versionOf(change);
+        return version !== undefined && version >= ((last && versionOf(last)) ?? version) ? change : last;
+    }, undefined);
+    return changes.filter(change => change === newest || versionOf(change) === undefined);
+}
