--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -182,6 +182,9 @@
     }
 
     async function run(): Promise<void> {
+        if (context.refusesNewRequests()) {
+            return refuse(createRefusal("draining"));
+        }
         if (requestHead.requestId === undefined) {
             return refuse(createRefusal("no-request-id"));
         }
