gateway: what arrives in a long turn of the event loop is read before due timers run

Callers saw, after a turn that outlasted a timer: ECONNRESET for a whole request on a kept connection; 408 for a head whose end had arrived in time, on served and on refused connections; 504 in place of a complete response that the upstream had sent. An upstream whose connection had been established in that turn counted as unreachable.

Cause: Node.js runs due timers before it polls the sockets. Only the drain waited for the poll.

The gateway now takes its timers from `core.createPolledClock`, whose timers call back at the end of the turn in which they fire, after the poll. So the deadline, the timers of attempts, stalls and refused connections need no care of their own. Two timers are Node.js's: an idle connection is closed only if the poll has read nothing from it, and a late head fails only if the poll has not completed it. A refused connection also stops its head timer once the head is read; it could fire before the refusal was sent. The overload guard keeps the raw clock, since it measures the lag of its timers.

--- a/packages/core/src/Clock.ts
+++ b/packages/core/src/Clock.ts
@@ -46,6 +46,31 @@
     return { ...createSystemClock(), nowMs: () => performance.now() };
 }
 
+/**
+ * A clock whose timers call back once the sockets have been polled. After a long turn of the event loop, Node.js runs the
+ * timers that are due before it reads what has arrived in that turn; here, what has arrived comes first.
+ *
+ * @param onTurnEnd calls back at the end of the current turn of the event loop, after the sockets have been polled.
+ */
+export function createPolledClock(clock: Clock, onTurnEnd: (callback: () => void) => void = setImmediate): Clock {
+    return {
+        ...clock,
+        setTimer(delayMs, callback) {
+            let isCancelled = false;
+            const cancel = clock.setTimer(delayMs, () =>
+                onTurnEnd(() => {
+                    if (!isCancelled) {
+                        callback();
+                    }
+                }));
+            return () => {
+                isCancelled = true;
+                cancel();
+            };
+        },
+    };
+}
+
 /** Calls `callback` every `periodMs`; returns a function that stops it. */
 export function setRepeatingTimer(clock: Clock, periodMs: number, callback: () => void): () => void {
     let cancel = clock.setTimer(periodMs, tick);
--- a/packages/gateway/src/CallerConnections.ts
+++ b/packages/gateway/src/CallerConnections.ts
@@ -9,6 +9,8 @@
     recordRequest(response: http.ServerResponse): void;
     /** Whether no later request has arrived on the connection of a response. */
     isLatest(response: http.ServerResponse): boolean;
+    /** The response to the request that arrived last on a connection. */
+    latestOn(socket: net.Socket): http.ServerResponse | undefined;
     /** Responses in flight on a connection, in the order of their requests. */
     inFlightOn(socket: net.Socket): readonly http.ServerResponse[];
     /** Number of responses that have not been written to the kernel in full. */
@@ -34,6 +36,7 @@
             onceResponseClosed(response, () => inFlight.delete(response));
         },
         isLatest: response => latestResponses.get(response.req.socket) === response,
+        latestOn: socket => latestResponses.get(socket),
         inFlightOn: socket => [...inFlight].filter(({ req }) => req.socket === socket),
         inFlightCount: () => inFlight.size,
         hasUnsentResponses: () => [...inFlight].some(({ writableEnded }) => writableEnded),
--- a/packages/gateway/src/CallerResponse.ts
+++ b/packages/gateway/src/CallerResponse.ts
@@ -1,5 +1,6 @@
 import * as core from "@peridotloft/core";
 import type * as http from "node:http";
+import type * as net from "node:net";
 import { formatRefusalBody, type Refusal, type RefusalReason } from "./Refusal.js";
 import type { RawHeaders, WireCodec } from "./WireCodec.js";
 
@@ -107,3 +108,19 @@
         }
     });
 }
+
+/** Closes idle connections at their timeout unless something has arrived that is not read yet, as at the end of a long turn. */
+export function closeIdleAfterPoll(
+    server: http.Server,
+    onTurnEnd: (callback: () => void) => void = setImmediate,
+): void {
+    // With a listener, Node.js does not close the connection itself.
+    server.on("timeout", (socket: net.Socket) => {
+        const { bytesRead } = socket;
+        onTurnEnd(() => {
+            if (socket.bytesRead === bytesRead) {
+                socket.destroy();
+            }
+        });
+    });
+}
--- a/packages/gateway/src/ClientError.ts
+++ b/packages/gateway/src/ClientError.ts
@@ -17,7 +17,12 @@
 };
 const defaultStatus = "400 Bad Request";
 
-export function createClientErrors(connections: CallerConnections, log: telemetry.EventLog): ClientErrors {
+/** @param onTurnEnd calls back at the end of the current turn of the event loop, after the sockets have been polled. */
+export function createClientErrors(
+    connections: CallerConnections,
+    log: telemetry.EventLog,
+    onTurnEnd: (callback: () => void) => void = setImmediate,
+): ClientErrors {
     const failed = new WeakSet<net.Socket>();
 
     /** Closes the connection once the responses to its earlier requests have been sent. */
@@ -34,34 +39,48 @@
         });
     }
 
+    function fail(error: NodeJS.ErrnoException, socket: net.Socket): void {
+        if (socket.destroyed) {
+            return;
+        }
+        const responses = connections.inFlightOn(socket);
+        // Any other response belongs to the request that could not be read.
+        const isAwaited = responses.some(({ req, headersSent }) => req.complete || headersSent);
+        const status = isAwaited ? undefined : statuses[error.code ?? ""] ?? defaultStatus;
+        if (!failed.has(socket)) {
+            failed.add(socket);
+            log.failure("caller-connection-failed", {
+                code: error.code,
+                statusCode: status === undefined ? undefined : Number.parseInt(status, 10),
+                inFlight: responses.length,
+                halfClosed: socket.readableEnded,
+                bytesRead: socket.bytesRead,
+            });
+            if (isAwaited && !socket.readableEnded) {
+                closeAfterResponses(socket);
+            }
+        }
+        if (status !== undefined && socket.writable) {
+            socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
+        }
+        if (!isAwaited || socket.readableEnded) {
+            socket.destroy(error);
+        }
+    }
+
     return {
         handle(error, socket) {
-            if (socket.destroyed) {
+            if (error.code !== "ERR_HTTP_REQUEST_TIMEOUT") {
+                fail(error, socket);
                 return;
             }
-            const responses = connections.inFlightOn(socket);
-            // Any other response belongs to the request that could not be read.
-            const isAwaited = responses.some(({ req, headersSent }) => req.complete || headersSent);
-            const status = isAwaited ? undefined : statuses[error.code ?? ""] ?? defaultStatus;
-            if (!failed.has(socket)) {
-                failed.add(socket);
-                log.failure("caller-connection-failed", {
-                    code: error.code,
-                    statusCode: status === undefined ? undefined : Number.parseInt(status, 10),
-                    inFlight: responses.length,
-                    halfClosed: socket.readableEnded,
-                    bytesRead: socket.bytesRead,
-                });
-                if (isAwaited && !socket.readableEnded) {
-                    closeAfterResponses(socket);
+            // Node.js checks this timeout before it reads the rest of a head that arrived in time, in a long turn.
+            const latest = connections.latestOn(socket);
+            onTurnEnd(() => {
+                if (connections.latestOn(socket) === latest) {
+                    fail(error, socket);
                 }
-            }
-            if (status !== undefined && socket.writable) {
-                socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
-            }
-            if (!isAwaited || socket.readableEnded) {
-                socket.destroy(error);
-            }
+            });
         },
         hasFailed: socket => failed.has(socket),
     };
--- a/packages/gateway/src/ConnectionRefusal.ts
+++ b/packages/gateway/src/ConnectionRefusal.ts
@@ -57,6 +57,7 @@
     };
     const stopReading = (): void => {
         hasRead = true;
+        cancelTimer();
         socket.off("data", onData);
         // Discards the body: closing a connection with unread bytes resets it before the caller has read the response.
         socket.resume();
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -1,8 +1,10 @@
+import * as core from "@peridotloft/core";
 import { err, ok, type Result } from "neverthrow";
 import * as http from "node:http";
 import * as net from "node:net";
 import { acceptBacklog } from "./AcceptQueueMonitor.js";
 import { createCallerConnections } from "./CallerConnections.js";
+import { closeIdleAfterPoll } from "./CallerResponse.js";
 import { createClientErrors } from "./ClientError.js";
 import { refuseConnection, type RefusedConnection } from "./ConnectionRefusal.js";
 import { drainServer } from "./Drain.js";
@@ -36,7 +38,8 @@
 const listenRetryDelayMs = 100;
 const connectionOutcomes = { serve: "served", refuse: "refused", flush: "flushed" } as const;
 
-export function createGateway(context: GatewayContext, onDrainStarted: () => void): Gateway {
+export function createGateway(dependencies: GatewayContext, onDrainStarted: () => void): Gateway {
+    const context = { ...dependencies, clock: core.createPolledClock(dependencies.clock) };
     const { settings, clock, follower, acceptQueue, log, metrics } = context;
     const freshness = createFreshness(follower, settings);
     const callerConnections = createCallerConnections();
@@ -59,6 +62,7 @@
         requestHandler.handle(request, response);
     });
     callerServer.on("clientError", (error, socket) => clientErrors.handle(error, socket as net.Socket));
+    closeIdleAfterPoll(callerServer);
     refuseConnectionsUnderOverload(callerServer);
     const removeAcceptQueueGauge = metrics.registerGauge(
         "accept_queue_wait_seconds",
