gateway: a request behind a response that closes the connection is not passed on

Callers that pipelined a request behind a response stating `Connection: close`, as those that begin during a drain do, had it run by an upstream, and the connection was closed without a response to it. Requests on a connection that had failed were dropped without a line.

Cause: Node.js reports requests that arrive behind its last response as any other. The exception for failed connections knew only one way in which a connection closes.

Such a request is now not served, whatever closes the connection, as RFC 9112 (section 9.6) requires, and `request-after-close` names it. A caller that saw the close knows that it may send the request again.

Test: Drain, "does not pass on a request behind a response that closes the connection": the upstream received 2 requests before, 1 now. Drain and RequestEnds pass.

--- a/packages/gateway/src/CallerConnections.ts
+++ b/packages/gateway/src/CallerConnections.ts
@@ -9,6 +9,8 @@
     recordRequest(response: http.ServerResponse): void;
     /** Whether no later request has arrived on the connection of a response. */
     isLatest(response: http.ServerResponse): boolean;
+    /** Whether a connection is closed after the responses so far, as the latest one states. No later request on it is served. */
+    isClosing(socket: net.Socket): boolean;
     /** The response to the request that arrived last on a connection. */
     latestOn(socket: net.Socket): http.ServerResponse | undefined;
     /** Responses in flight on a connection, in the order of their requests. */
@@ -36,6 +38,10 @@
             onceResponseClosed(response, () => inFlight.delete(response));
         },
         isLatest: response => latestResponses.get(response.req.socket) === response,
+        isClosing(socket) {
+            const latest = latestResponses.get(socket);
+            return !socket.writable || (latest !== undefined && latest.headersSent && !latest.shouldKeepAlive);
+        },
         latestOn: socket => latestResponses.get(socket),
         inFlightOn: socket => [...inFlight].filter(({ req }) => req.socket === socket),
         inFlightCount: () => inFlight.size,
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -54,7 +54,10 @@
         connectionsCheckingInterval: timeoutCheckIntervalMs,
         noDelay: true,
     }, (request, response) => {
-        if (clientErrors.hasFailed(request.socket)) {
+        if (clientErrors.hasFailed(request.socket) || callerConnections.isClosing(request.socket)) {
+            // Served, it would run, and its response be lost with the connection (RFC 9112, section 9.6).
+            const { requestId } = context.codec.readRequestHead(request.rawHeaders);
+            log.failure("request-after-close", { requestId, bytesRead: request.socket.bytesRead });
             request.resume();
             return;
         }
