gateway: a head that is completed after its timeout is served behind the response in flight

Callers whose next head was late while a response was in flight, and whole before that response had ended, got no response to it and no line said so: the connection was closed behind the earlier response, even if that had begun as one that keeps the connection.

Cause: the first report of a late head decided for good that no further request is served, and set the earlier response to close.

Whether a response closes the connection is now decided when its head is written, as during a drain: the latest one does. Until a response has stated the close, a late head that becomes complete is a request like any other, and its response is the last.

Drain, Exchange and LongTurn pass.

--- a/packages/gateway/src/ClientError.ts
+++ b/packages/gateway/src/ClientError.ts
@@ -6,7 +6,7 @@
 /** Handles what Node.js reports as `clientError`: bytes that it cannot parse, heads that are late or too large, broken connections. */
 export interface ClientErrors {
     handle(error: NodeJS.ErrnoException, socket: net.Socket): void;
-    /** Whether no further request on a connection is served. */
+    /** Whether a connection is closed after the responses in flight on it. */
     hasFailed(socket: net.Socket): boolean;
 }
 
@@ -28,9 +28,6 @@
     /** Closes the connection once the responses to its earlier requests have been sent. */
     function closeAfterResponses(socket: net.Socket): void {
         connections.inFlightOn(socket).forEach(response => {
-            if (connections.isLatest(response)) {
-                response.shouldKeepAlive = false;
-            }
             onceResponseClosed(response, () => {
                 if (connections.inFlightOn(socket).length === 0) {
                     socket.destroySoon();
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -45,7 +45,7 @@
     const callerConnections = createCallerConnections();
     const clientErrors = createClientErrors(callerConnections, log);
     let isClosed = false;
-    const requestHandler = createRequestHandler(context, freshness, callerConnections);
+    const requestHandler = createRequestHandler(context, freshness, callerConnections, clientErrors.hasFailed);
     const callerServer = http.createServer({
         maxHeaderSize: maxHeaderBytes,
         headersTimeout: defaultHeaderTimeoutMs,
@@ -54,7 +54,7 @@
         connectionsCheckingInterval: timeoutCheckIntervalMs,
         noDelay: true,
     }, (request, response) => {
-        if (clientErrors.hasFailed(request.socket) || callerConnections.isClosing(request.socket)) {
+        if (callerConnections.isClosing(request.socket)) {
             // Served, it would run, and its response be lost with the connection (RFC 9112, section 9.6).
             const { requestId } = context.codec.readRequestHead(request.rawHeaders);
             log.failure("request-after-close", { requestId, bytesRead: request.socket.bytesRead });
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -11,6 +11,7 @@
 } from "./AttemptSequence.js";
 import type { CallerConnections } from "./CallerConnections.js";
 import { createCallerResponse, keepConnectionOpen } from "./CallerResponse.js";
+import type { ClientErrors } from "./ClientError.js";
 import type { Freshness } from "./Freshness.js";
 import type { GatewayContext } from "./GatewayContext.js";
 import {
@@ -51,11 +52,12 @@
     context: GatewayContext,
     freshness: Freshness,
     connections: CallerConnections,
+    hasFailed: ClientErrors["hasFailed"],
 ): RequestHandler {
     const exchanges = new Set<RequestExchange>();
     return {
         handle(request, response) {
-            const exchange = createExchange(context, freshness, connections, request, response);
+            const exchange = createExchange(context, freshness, connections, hasFailed, request, response);
             exchanges.add(exchange);
             onceResponseClosed(response, () => exchanges.delete(exchange));
             exchange.run().catch((error: unknown) => {
@@ -77,6 +79,7 @@
     context: GatewayContext,
     freshness: Freshness,
     connections: CallerConnections,
+    hasFailed: ClientErrors["hasFailed"],
     request: http.IncomingMessage,
     response: http.ServerResponse,
 ): RequestExchange {
@@ -88,7 +91,7 @@
         response,
         codec,
         // A connection that is closed after this response loses those of later requests.
-        () => context.drainElapsedMs() !== undefined && connections.isLatest(response),
+        () => (context.drainElapsedMs() !== undefined || hasFailed(request.socket)) && connections.isLatest(response),
         context.clock,
     );
     let kind = "unknown";
