--- a/packages/gateway/__tests__/unit/ConnectionRefusal.test.ts
+++ b/packages/gateway/__tests__/unit/ConnectionRefusal.test.ts
@@ -93,6 +93,19 @@
         assert.deepEqual(await closeAfter(2_000), { cause: "linger-timeout", answered: true, bytes: 26 });
     });
 
+    it("is not closed by a refusal while the body of the request arrives, for 30 s at most", async () => {
+        const head = "POST / HTTP/1.1\r\nId: a1\r\n\r\n";
+        await send(head);
+        await until(() => received.endsWith("}"));
+        for (let elapsedMs = 0; elapsedMs < 28_000; elapsedMs += 2_000) {
+            await send("x");
+            await clock.advance(2_000);
+            assert.equal(refused.destroyed, false, `${elapsedMs} ms`);
+        }
+        await send("x");
+        assert.deepEqual(await closeAfter(2_000), { cause: "linger-timeout", answered: true, bytes: head.length + 15 });
+    });
+
     const unfinished = [
         {
             text: `GET / HTTP/1.1\r\nId: ${"x".repeat(maxHeaderBytes)}`,
