gateway: an idle connection to an upstream is not reused past its idle time in a long turn

A request that cannot be retried could fail (502) at a sound upstream: in one turn of the event loop that outlasted the idle time, such as one that reads a large configuration and then sends what was queued, it was written to a connection that its upstream had closed meanwhile.

Cause: idle connections are closed by a timer, which cannot run before that turn has ended.

The idle time is now also checked when a connection is chosen. An expired one is closed and taken out of the pool, since Node.js would use it while it is being closed.

--- a/packages/gateway/src/RunVerification.ts
+++ b/packages/gateway/src/RunVerification.ts
@@ -34,7 +34,7 @@
     codec: WireCodec,
     clock: core.Clock,
 ): Promise<VerifiedConnection> {
-    const agent = createSingleConnectionAgent();
+    const agent = createSingleConnectionAgent(clock);
     const body = await requestStatement(upstream, codec.runStatementPath, agent, clock);
     const startedWallMs = body && codec.readRunStart(body);
     const check = body === undefined
--- a/packages/gateway/src/UpstreamConnections.ts
+++ b/packages/gateway/src/UpstreamConnections.ts
@@ -51,7 +51,7 @@
     return {
         agentOf(upstream, recentOnly) {
             const key = `${recentOnly ? "c" : "n"}${keyOf(upstream)}`;
-            const agent = agents.get(key) ?? new UpstreamAgent(recentOnly ? maxRecentIdleMs : maxIdleMs);
+            const agent = agents.get(key) ?? new UpstreamAgent(clock, recentOnly ? maxRecentIdleMs : maxIdleMs);
             agents.set(key, agent);
             return agent;
         },
@@ -72,15 +72,21 @@
 }
 
 /** An agent whose requests use one connection, one after the other, for as long as the upstream keeps it open. */
-export function createSingleConnectionAgent(): http.Agent {
-    return new UpstreamAgent(maxRecentIdleMs, 1);
+export function createSingleConnectionAgent(clock: core.Clock): http.Agent {
+    return new UpstreamAgent(clock, maxRecentIdleMs, 1);
 }
 
 /** An agent that closes idle connections on unexpected data and before the idle timeout that the upstream announces. */
 class UpstreamAgent extends http.Agent {
     private readonly idleDataListeners = new WeakMap<net.Socket, () => void>();
+    /** Times in ms at which idle connections are closed. */
+    private readonly idleUntilMs = new WeakMap<net.Socket, number>();
 
-    constructor(private readonly idleMs: number, maxSockets = Number.POSITIVE_INFINITY) {
+    constructor(
+        private readonly clock: core.Clock,
+        private readonly idleMs: number,
+        maxSockets = Number.POSITIVE_INFINITY,
+    ) {
         super({ keepAlive: true, scheduling: "lifo", timeout: idleMs, keepAliveMsecs: keepAliveDelayMs, maxSockets });
     }
 
@@ -95,12 +101,32 @@
             return false;
         }
         socket.setTimeout(idleMs);
+        this.idleUntilMs.set(socket, this.clock.nowMs() + idleMs);
         const onIdleData = (): void => void socket.destroy();
         this.idleDataListeners.set(socket, onIdleData);
         socket.once("data", onIdleData);
         return true;
     }
 
+    /** Assigns a connection to a request; Node.js calls it for each. It is missing in the types of `http.Agent`. */
+    addRequest(...args: unknown[]): void {
+        this.closeExpired();
+        (http.Agent.prototype as unknown as { addRequest(...values: unknown[]): void; }).addRequest.apply(this, args);
+    }
+
+    /** Closes connections whose idle time has passed in the current turn of the event loop, so that no timer has closed them. */
+    private closeExpired(): void {
+        const nowMs = this.clock.nowMs();
+        const isExpired = (socket: net.Socket): boolean =>
+            nowMs >= (this.idleUntilMs.get(socket) ?? Number.POSITIVE_INFINITY);
+        Object.values(this.freeSockets).forEach(sockets => {
+            const expired = sockets?.filter(isExpired) ?? [];
+            // Node.js would use a connection that is being closed.
+            sockets?.splice(0, sockets.length, ...sockets.filter(socket => !isExpired(socket)));
+            expired.forEach(socket => socket.destroy());
+        });
+    }
+
     override reuseSocket(socket: net.Socket, request: http.ClientRequest): void {
         const onIdleData = this.idleDataListeners.get(socket);
         if (onIdleData) {
