core, gateway: a response that closes its connection waits for a body that still arrives

Callers that send a body slowly and read the response only then lost refusals that close the connection: a client of Python's http.client that sends 48 kB in 6 s got BrokenPipeError in place of 413.

Cause: the same as for refused connections: the rest of the body was discarded for 2 s, whatever still arrived.

`startLinger` extends that time while bytes arrive, up to 30 s or 64 MiB, for both.

--- a/packages/core/src/EndResponse.ts
+++ b/packages/core/src/EndResponse.ts
@@ -1,16 +1,36 @@
 import type * as http from "node:http";
-import type { Clock } from "./Clock.js";
+import { type Clock, setRepeatingTimer } from "./Clock.js";
 
-/** Time in ms for which the rest of a request body is read and discarded. */
+/** Time in ms for which the rest of a request body is read and discarded while nothing arrives, and in all. */
 const lingerMs = 2_000;
+const maxLingerMs = 30_000;
 /** Bytes of a request body that are discarded at most. */
 const maxDiscardedBytes = 64 * 1024 * 1024;
 
+/**
+ * Calls `onEnd` once no bytes have arrived for 2 s, or after 30 s or 64 MiB. Returns a function that cancels it.
+ *
+ * @param discardedBytes returns the number of bytes that have arrived.
+ */
+export function startLinger(clock: Clock, discardedBytes: () => number, onEnd: () => void): () => void {
+    const untilMs = clock.nowMs() + maxLingerMs;
+    let lastBytes = discardedBytes();
+    const stop = setRepeatingTimer(clock, lingerMs, () => {
+        const bytes = discardedBytes();
+        if (bytes === lastBytes || bytes > maxDiscardedBytes || clock.nowMs() >= untilMs) {
+            stop();
+            onEnd();
+        }
+        lastBytes = bytes;
+    });
+    return stop;
+}
+
 /**
  * Sends the body of a response whose headers, with the length of `body`, have been sent, and ends the response.
  *
  * If the connection is closed after it and the request's body has not been read to its end, the response ends once that body
- * has ended, after 2 s, or after 64 MiB: a connection that is closed with unread bytes is reset, and its client may
+ * has ended, or nothing more of it arrives for 2 s, or after 30 s or 64 MiB: a connection that is closed with unread bytes is reset, and its client may
  * lose a response that has already arrived (RFC 9112, section 9.6).
  */
 export function endResponse(
@@ -36,7 +56,7 @@
             end();
         }
     };
-    const cancelTimer = clock.setTimer(lingerMs, end);
+    const cancelTimer = startLinger(clock, () => discardedBytes, end);
     response.write(body);
     request.on("data", discard).on("end", end).on("close", end).resume();
 }
--- a/packages/gateway/src/ConnectionRefusal.ts
+++ b/packages/gateway/src/ConnectionRefusal.ts
@@ -1,4 +1,4 @@
-import type * as core from "@peridotloft/core";
+import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
 import type * as net from "node:net";
 import { createRefusal, formatRefusalBody, type Refusal } from "./Refusal.js";
@@ -27,14 +27,6 @@
 
 /** Time in ms that a caller has to send the head of its request. */
 const headTimeoutMs = 2_000;
-/**
- * Time in ms after which the connection is closed if the caller has not closed it and sends nothing more, and the time after
- * which it is closed in any case, both after the response.
- */
-const lingerMs = 2_000;
-const maxLingerMs = 30_000;
-/** Bytes that are discarded at most before the linger time is not extended. */
-const maxDiscardedBytes = 64 * 1024 * 1024;
 const headTerminator = "\r\n\r\n";
 
 /**
@@ -58,20 +50,9 @@
     const answer = (response: string): void => {
         hasAnswered = true;
         cancelTimer();
-        linger(clock.nowMs() + maxLingerMs);
+        cancelTimer = core.startLinger(clock, () => socket.bytesRead, () => close("linger-timeout"));
         socket.end(response);
     };
-    const linger = (untilMs: number): void => {
-        const { bytesRead } = socket;
-        cancelTimer = clock.setTimer(lingerMs, () => {
-            const isSending = socket.bytesRead > bytesRead && socket.bytesRead <= maxDiscardedBytes;
-            if (isSending && clock.nowMs() < untilMs) {
-                linger(untilMs);
-                return;
-            }
-            close("linger-timeout");
-        });
-    };
     const stopReading = (): void => {
         hasRead = true;
         cancelTimer();
