fleet: a request that states more tokens than a message can carry no longer ends the process

What callers saw: one request to an engine with a `Token-Usage` of 5,000,000,000 tokens, or of 400 digits, ended the process of the VM, with every request in flight there. Nothing limits what a caller states.

Cause: announcements of usage carry costs as 32-bit numbers, and encoding a larger one throws, in the timer of the membership. The cost stays queued, so each of its ticks throws, ten a second.

Now every number in a message between VMs is rounded and bounded in one place, and what is not a number counts as 0.

Test: FleetNode, "announces usage of any size".

--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -135,6 +135,17 @@
         assert.deepEqual([...received.values()], Array.from({ length: 5 }, () => 2 * usage.cost));
     });
 
+    it("announces usage of any size, since a request with more tokens than a message can carry would end the process", async () => {
+        const { clock, nodes } = createNetwork(2, 1);
+        await clock.advance(3_000);
+        const received: number[] = [];
+        nodes[1]!.registerUsageListener(({ cost }) => void received.push(cost));
+        const costs = [5e9, Number.POSITIVE_INFINITY, Number.NaN, -1, 7];
+        costs.forEach((cost, customerHash) => nodes[0]!.announceUsage({ customerHash, cost }));
+        await clock.advance(600);
+        assert.deepEqual(received, [0xffffffff, 0xffffffff, 0, 0, 7]);
+    });
+
     /** Records the evidence that a node receives; `quarantines` are those that it announces. */
     function recordEvidence(node: fleet.FleetNode, quarantines: readonly fleet.QuarantineMark[] = []) {
         const received = {
--- a/packages/fleet/src/Announcement.ts
+++ b/packages/fleet/src/Announcement.ts
@@ -1,5 +1,6 @@
 import { type CrashEvidence, fromCrashEvidenceMessage, toCrashEvidenceMessage } from "./CrashEvidence.js";
 import type * as messages from "./gen/announcement_pb.js";
+import { toUint32 } from "./Uint32.js";
 
 /** Cost of a customer's requests. */
 export interface CustomerCost {
@@ -33,7 +34,7 @@
         zone: zoneHash,
         crashEvidence: toCrashEvidenceMessage(crashEvidence, nowMs),
         usageCustomers: usages.map(({ customerHash }) => customerHash),
-        usageCosts: usages.map(({ cost }) => Math.round(cost)),
+        usageCosts: usages.map(({ cost }) => toUint32(cost)),
     };
 }
 
--- a/packages/fleet/src/CrashEvidence.ts
+++ b/packages/fleet/src/CrashEvidence.ts
@@ -1,5 +1,6 @@
 import type * as messages from "./gen/announcement_pb.js";
 import { createRepeatedSends } from "./RepeatedSends.js";
+import { toUint32 } from "./Uint32.js";
 
 /** A request, or a part of a prompt, that was in flight without a response when the connections to an upstream broke. */
 export interface CrashMark {
@@ -122,7 +123,7 @@
     if (crashes.length + responses.length + quarantines.length === 0) {
         return undefined;
     }
-    const ageMs = ({ atMs }: { readonly atMs: number; }): number => Math.max(0, Math.round(nowMs - atMs));
+    const ageMs = ({ atMs }: { readonly atMs: number; }): number => toUint32(nowMs - atMs);
     return {
         crashSuspects: crashes.map(({ suspectHash }) => suspectHash),
         crashRuns: crashes.map(({ runHash }) => runHash),
--- a/packages/fleet/src/Datagram.ts
+++ b/packages/fleet/src/Datagram.ts
@@ -7,6 +7,7 @@
 } from "./gen/announcement_pb.js";
 import type { StreamOriginAnswer, StreamOriginQuestion, StreamOriginRecord } from "./StreamOriginMessages.js";
 import type { AttemptReport, LimitReport, StatedLimit, TrackerAnswer, TrackerQuestion } from "./TrackerMessages.js";
+import { toUint32 } from "./Uint32.js";
 
 /** A datagram between VMs. An answer repeats the number of its question. */
 export type Datagram =
@@ -247,9 +248,3 @@
 function fromSlotPercent(percent: number): number {
     return percent === 0 ? 1 : Math.min(1, percent / 100);
 }
-
-const maxUint32 = 0xffffffff;
-
-function toUint32(value: number): number {
-    return Math.min(maxUint32, Math.max(0, Math.round(value)));
-}
