gateway: a drain logs how many idle connections it closed

Tries were cut without an answer on planned work without any line of a VM. The kernel resets these, so the VM cannot log them; the line about the listener now has the number of idle connections that the drain has closed, which bounds them.

--- a/packages/gateway/src/Drain.ts
+++ b/packages/gateway/src/Drain.ts
@@ -46,6 +46,7 @@
     const startedMs = clock.nowMs();
     const endMs = startedMs + stopGraceMs - exitMarginMs;
     const acceptedAtSignal = connections.acceptedCount();
+    let idleClosed = 0;
     /** Whether no connections waited to be accepted when the listener was closed; the kernel resets those that wait. */
     let acceptQueueEmpty: boolean | undefined;
 
@@ -62,7 +63,9 @@
     function closeIdle(): boolean {
         // Node.js counts a connection as idle as soon as its response has ended, even if its caller has not received all of it.
         if (!connections.hasUnsentResponses()) {
+            const openCount = connections.openCount();
             server.closeIdleConnections();
+            idleClosed += openCount - connections.openCount();
         }
         // While the queue is empty, all accepted connections have been polled.
         return connections.openCount() === 0 && isQueueEmpty();
@@ -89,6 +92,7 @@
             turnMs,
             acceptQueueEmpty,
             acceptedCount: connections.acceptedCount() - acceptedAtSignal,
+            idleClosed,
             inFlight: connections.inFlightCount(),
             connections: connections.openCount(),
         });
