gateway: a probe of the accept queue that is accepted in the next turn is recognized

What callers saw: refusals of connections that had not waited. A probe that was not recognized was handled as the connection of a caller: served until the head timeout (a 408), or refused. Until it ended, or for good, no wait was measured, so connections were refused by the upper bound again, as before.

Cause: the monitor starts the probe while a connection is being accepted, and the gateway then asks at once whether that connection is the probe. Node.js connects on the next tick and retains the local address that is read before, although it is empty, until the connect event. Listener and probe become ready in the same poll, and the listener comes first if the queue is short, so the probe was compared with no address.

The test of this commit, on real sockets: before, [false, false]; with the fix it passes.

The address is now read only after the tick in which Node.js connects. The kernel has bound the port by then.

--- /dev/null
+++ b/packages/gateway/__tests__/unit/AcceptQueueProbe.test.ts
@@ -0,0 +1,38 @@
+import * as core from "@peridotloft/core";
+import * as testing from "@peridotloft/testing";
+import * as assert from "node:assert/strict";
+import { once } from "node:events";
+import * as net from "node:net";
+import { describe, it } from "node:test";
+import { createAcceptQueueProbe } from "../../src/AcceptQueueProbe.js";
+
+describe("Probes of the accept queue", { timeout: 10_000 }, () => {
+    it("are recognized if they are accepted in the next turn, before their own end reports the connection", async () => {
+        const server = net.createServer().listen(0, "127.0.0.1");
+        await once(server, "listening");
+        const { port } = server.address() as net.AddressInfo;
+        const log = testing.createRecordingLog();
+        const probe = createAcceptQueueProbe({
+            endpoint: { host: "127.0.0.1", port },
+            clock: core.createSteadyClock(),
+            log,
+        });
+        const accepted: { readonly socket: net.Socket; readonly isProbe: boolean; }[] = [];
+        const bothAccepted = new Promise<void>(resolve => {
+            server.on("connection", socket => {
+                // In the order of the gateway: the monitor may start a probe before the connection is looked at.
+                probe.start();
+                accepted.push({ socket, isProbe: probe.tryEnd(socket) });
+                if (accepted.length === 2) {
+                    resolve();
+                }
+            });
+        });
+        const caller = net.connect(port, "127.0.0.1");
+        await bothAccepted;
+        probe.dispose();
+        [caller, ...accepted.map(({ socket }) => socket)].forEach(socket => socket.destroy());
+        server.close();
+        assert.deepEqual(accepted.map(({ isProbe }) => isProbe), [false, true]);
+    });
+});
--- a/packages/gateway/src/AcceptQueueProbe.ts
+++ b/packages/gateway/src/AcceptQueueProbe.ts
@@ -31,7 +31,7 @@
 
 export function createAcceptQueueProbe(options: AcceptQueueProbeOptions): AcceptQueueProbe {
     const { endpoint, clock, log, connect = net.connect } = options;
-    let pending: { readonly socket: net.Socket; readonly startedMs: number; } | undefined;
+    let pending: { readonly socket: net.Socket; readonly startedMs: number; hasAddress: boolean; } | undefined;
     let last: { readonly waitMs: number; readonly atMs: number; } | undefined;
     let nextStartMs = Number.NEGATIVE_INFINITY;
 
@@ -56,11 +56,14 @@
                 return;
             }
             const socket = connect(endpoint);
-            pending = { socket, startedMs };
+            const started = { socket, startedMs, hasAddress: false };
+            pending = started;
+            // Node.js connects on the next tick. It retains an address that is read before, although there is none yet.
+            process.nextTick(() => started.hasAddress = true);
             socket.on("error", error => onClosed(socket, error)).once("close", () => onClosed(socket));
         },
         tryEnd(accepted) {
-            if (!pending || !isOtherEnd(accepted, pending.socket)) {
+            if (!pending?.hasAddress || !isOtherEnd(accepted, pending.socket)) {
                 return false;
             }
             const atMs = clock.nowMs();
