gateway: a probe of the accept queue whose connection gets data ends when the connection is closed

What callers saw: nothing by itself. A connection of the probe that something else answers (the 408 of an unrecognized one, another listener on the address) stayed open for good, and no other probe was started, so connections were refused by the upper bound of their wait from then on.

Cause: nothing read from the probe's end. Node.js reports the end of a connection once its data has been read.

Evidence: a server that answers and closes: not closed after 1.5 s, with 51 bytes buffered. The test: failed before (still pending after 1 s), passes with the fix. The data is now read and discarded.

--- a/packages/gateway/__tests__/unit/AcceptQueueLoad.test.ts
+++ b/packages/gateway/__tests__/unit/AcceptQueueLoad.test.ts
@@ -26,6 +26,7 @@
         remotePort: port,
         destroy: () => undefined,
         resetAndDestroy: () => undefined,
+        resume: () => undefined,
     }) as unknown as net.Socket;
 }
 
--- a/packages/gateway/__tests__/unit/AcceptQueueProbe.test.ts
+++ b/packages/gateway/__tests__/unit/AcceptQueueProbe.test.ts
@@ -35,4 +35,25 @@
         server.close();
         assert.deepEqual(accepted.map(({ isProbe }) => isProbe), [false, true]);
     });
+
+    it("do not wait forever if their connection gets data and is closed", async () => {
+        const server = net.createServer(socket => void socket.end("HTTP/1.1 408 Request Timeout\r\n\r\n"));
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+        const { port } = server.address() as net.AddressInfo;
+        const probe = createAcceptQueueProbe({
+            endpoint: { host: "127.0.0.1", port },
+            clock: core.createSteadyClock(),
+            log: testing.createRecordingLog(),
+        });
+        probe.start();
+        const isPending = (): boolean => probe.waitMs() !== undefined;
+        for (let polls = 0; polls < 50 && isPending(); polls++) {
+            await new Promise(resolve => setTimeout(resolve, 20));
+        }
+        const isStillPending = isPending();
+        probe.dispose();
+        server.close();
+        assert.equal(isStillPending, false);
+    });
 });
--- a/packages/gateway/src/AcceptQueueProbe.ts
+++ b/packages/gateway/src/AcceptQueueProbe.ts
@@ -60,7 +60,8 @@
             pending = started;
             // Node.js connects on the next tick. It retains an address that is read before, although there is none yet.
             process.nextTick(() => started.hasAddress = true);
-            socket.on("error", error => onClosed(socket, error)).once("close", () => onClosed(socket));
+            // Unless its data is read, a connection does not report that its other end has closed it.
+            socket.on("error", error => onClosed(socket, error)).once("close", () => onClosed(socket)).resume();
         },
         tryEnd(accepted) {
             if (!pending?.hasAddress || !isOtherEnd(accepted, pending.socket)) {
