--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -47,13 +47,13 @@
     const clientErrors = createClientErrors(callerConnections, log);
     let isClosed = false;
     const refusalReport = createRefusalReport(context);
-    const requestHandler = createRequestHandler(
+    const requestHandler = createRequestHandler({
         context,
         freshness,
-        callerConnections,
-        clientErrors.hasFailed,
+        connections: callerConnections,
+        hasFailed: clientErrors.hasFailed,
         refusalReport,
-    );
+    });
     const callerServer = http.createServer({
         maxHeaderSize: maxHeaderBytes,
         headersTimeout: defaultHeaderTimeoutMs,
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -50,29 +50,24 @@
 /** Maximum number of upstreams that a log line names. */
 const maxLoggedUpstreams = 4;
 
-export function createRequestHandler(
-    context: GatewayContext,
-    freshness: Freshness,
-    connections: CallerConnections,
-    hasFailed: ClientErrors["hasFailed"],
-    refusalReport: RefusalReport,
-): RequestHandler {
+/** What the requests of a gateway share. */
+export interface RequestHandlerOptions {
+    readonly context: GatewayContext;
+    readonly freshness: Freshness;
+    readonly connections: CallerConnections;
+    readonly hasFailed: ClientErrors["hasFailed"];
+    readonly refusalReport: RefusalReport;
+}
+
+export function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
     const exchanges = new Set<RequestExchange>();
     return {
         handle(request, response) {
-            const exchange = createExchange(
-                context,
-                freshness,
-                connections,
-                hasFailed,
-                refusalReport,
-                request,
-                response,
-            );
+            const exchange = createExchange(options, request, response);
             exchanges.add(exchange);
             onceResponseClosed(response, () => exchanges.delete(exchange));
             exchange.run().catch((error: unknown) => {
-                context.log.failure("request-failed-unexpectedly", { error: String(error) });
+                options.context.log.failure("request-failed-unexpectedly", { error: String(error) });
                 exchange.refuse(createRefusal("internal"));
             });
         },
@@ -87,11 +82,7 @@
 }
 
 function createExchange(
-    context: GatewayContext,
-    freshness: Freshness,
-    connections: CallerConnections,
-    hasFailed: ClientErrors["hasFailed"],
-    refusalReport: RefusalReport,
+    { context, freshness, connections, hasFailed, refusalReport }: RequestHandlerOptions,
     request: http.IncomingMessage,
     response: http.ServerResponse,
 ): RequestExchange {
