fleet: answers that arrive in a long turn of the event loop are read before their questions time out

What callers saw: a VM whose turns are long skips the trackers of its peers for 250 ms and more, although they have answered in time, and decides from its own requests alone; a stream to be resumed may not be found at its holder.

Cause: after a long turn, Node.js runs the timers that are due before it reads the sockets. Questions to trackers have 40 ms. The second timer of 1 ms that stream origins use is not enough by the documented order: it can be due in the same run.

The links between VMs now use the clock of the gateway, whose timers call back after the sockets have been polled.

--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -139,6 +139,8 @@
 
 export function createFleetNode(options: FleetNodeOptions): FleetNode {
     const { clock, random, socket, log, metrics } = options;
+    // Answers that have arrived in a long turn of the event loop are read before their questions time out.
+    const polledClock = core.createPolledClock(clock);
     const zoneHash = core.hash32(options.zone);
     const budgetBytesPerS = options.budgetBytesPerS ?? defaultBudgetBytesPerS;
     const seeds = new Set(options.seeds);
@@ -194,7 +196,7 @@
 
     const trackerLink = createTrackerLink({
         address: options.address,
-        clock,
+        clock: polledClock,
         log,
         metrics,
         alivePeers,
@@ -203,7 +205,7 @@
 
     const streamOriginLink = createStreamOriginLink({
         address: options.address,
-        clock,
+        clock: polledClock,
         alivePeers,
         send: sendToPeer,
     });
