fleet, gateway: Retry-After of refusals for lack of processor time follows the load of the other VMs

Callers that a busy VM refused waited for 150 ms although its neighbours were idle, and came back as soon while all VMs refused.

Cause: the Retry-After of `processor-overloaded` was constant; a VM knew nothing of the load of the others.

--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -36,6 +36,7 @@
     const random = testing.createSeededRandom(7);
     const sentBytes = new Map<string, number>();
     const partitioned = new Set<string>();
+    const refusedShares = new Map<string, number>();
     const log = testing.createRecordingLog();
     let lossShare = 0;
     const network = testing.createDatagramNetwork({
@@ -57,6 +58,7 @@
             random,
             log,
             metrics: testing.createNoopMetrics(),
+            refusedShare: () => refusedShares.get(address) ?? 0,
             ...(budgetBytesPerS === undefined ? {} : { budgetBytesPerS }),
         });
     const nodes = addresses.map(address => createNode(address, 1n));
@@ -66,6 +68,7 @@
         nodes,
         addresses,
         partitioned,
+        refusedShares,
         sentBytes,
         log,
         setLossShare: (share: number): void => void (lossShare = share),
@@ -100,6 +103,18 @@
         assert.equal(nodes[0]!.vmCount(), 6);
     });
 
+    it("announces the share of connections that a VM refuses", async () => {
+        const { clock, nodes, addresses, refusedShares } = createNetwork(4, 1);
+        refusedShares.set(addresses[0]!, 0.9);
+        await clock.advance(2_000);
+        const loads = nodes[3]!.peerLoads();
+        assert.ok(loads.every(({ ageMs }) => ageMs <= 700), JSON.stringify(loads));
+        assert.deepEqual(
+            loads.map(({ isSameZone, refusedShare }) => [isSameZone, refusedShare]).sort(),
+            [[false, 0], [false, 0], [true, 0.9]],
+        );
+    });
+
     it("chooses the same two store readers of a zone on all its VMs, and replaces them when they fail", async () => {
         const { clock, nodes, partitioned, addresses } = createNetwork(12, 1);
         await clock.advance(5_000);
@@ -374,6 +389,7 @@
             members: ["10.1.0.33", "255.0.1.254"],
             usages: [{ customerHash: 9, cost: 12_000 }],
             zoneHash: 42,
+            refusedShare: 0.37,
         };
         const datagrams: Datagram[] = [
             { kind: "announcement", announcement },
--- a/packages/fleet/src/Announcement.ts
+++ b/packages/fleet/src/Announcement.ts
@@ -21,16 +21,19 @@
     readonly members: readonly string[];
     /** Hash of the sender's availability zone. */
     readonly zoneHash: number;
+    /** Share of new connections that the sender refuses for lack of processor time, 0 to 1. */
+    readonly refusedShare: number;
 }
 
 /** Converts an announcement to its message. */
 export function toAnnouncementMessage(announcement: Announcement, nowMs: number) {
-    const { incarnation, sampling, crashEvidence, usages, members, zoneHash } = announcement;
+    const { incarnation, sampling, crashEvidence, usages, members, zoneHash, refusedShare } = announcement;
     return {
         incarnation,
         sampling,
         members: members.map(packAddress),
         zone: zoneHash,
+        refusedPercent: Math.round(refusedShare * 100),
         crashEvidence: toCrashEvidenceMessage(crashEvidence, nowMs),
         usageCustomers: usages.map(({ customerHash }) => customerHash),
         usageCosts: usages.map(({ cost }) => Math.round(cost)),
@@ -53,6 +56,7 @@
         })),
         members: message.members.map(unpackAddress),
         zoneHash: message.zone,
+        refusedShare: Math.min(message.refusedPercent, 100) / 100,
     };
 }
 
--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -34,6 +34,18 @@
     readonly metrics: telemetry.Metrics;
     /** Bandwidth limit in bytes/s of this VM's datagrams, headers included; announcements use what the others leave. */
     readonly budgetBytesPerS?: number;
+    /** Returns the share of new connections that this VM refuses for lack of processor time, 0 to 1. */
+    readonly refusedShare?: () => number;
+}
+
+/** What another VM announced last about its load. */
+export interface PeerLoad {
+    /** Whether it is in the availability zone of this VM. */
+    readonly isSameZone: boolean;
+    /** Share of new connections that it refuses for lack of processor time, 0 to 1. */
+    readonly refusedShare: number;
+    /** Age of the announcement in ms. */
+    readonly ageMs: number;
 }
 
 /** Called with the usage of a customer at another VM. `weight` scales it, since only a sample of the VMs receives it. */
@@ -50,6 +62,8 @@
      * the same view of the membership choose the same ones without further messages.
      */
     storeReaders(): readonly string[];
+    /** The loads of the other VMs that are considered alive and have announced theirs. */
+    peerLoads(): readonly PeerLoad[];
     /** Adds bootstrap addresses. */
     addSeeds(addresses: readonly string[]): void;
     /** Announces the usage of a customer to other VMs, within 500 ms as long as the bandwidth suffices. */
@@ -135,6 +149,9 @@
     isGreeted: boolean;
     incarnation: bigint;
     zoneHash: number;
+    refusedShare: number;
+    /** Time in ms at which its last announcement arrived. */
+    lastAnnouncementMs: number;
 }
 
 export function createFleetNode(options: FleetNodeOptions): FleetNode {
@@ -180,6 +197,8 @@
                 isGreeted: false,
                 incarnation: 0n,
                 zoneHash: 0,
+                refusedShare: 0,
+                lastAnnouncementMs: Number.NEGATIVE_INFINITY,
             });
         }
     }
@@ -257,7 +276,7 @@
         crashEvidence.receive(announcement.crashEvidence);
     }
 
-    function updatePeer(from: string, { incarnation, zoneHash }: Announcement): void {
+    function updatePeer(from: string, { incarnation, zoneHash, refusedShare }: Announcement): void {
         const peer = peers.get(from);
         if (!peer) {
             return;
@@ -268,13 +287,16 @@
         }
         peer.incarnation = incarnation;
         peer.zoneHash = zoneHash;
+        peer.refusedShare = refusedShare;
+        peer.lastAnnouncementMs = clock.nowMs();
         if (!peer.isGreeted) {
             welcome(from, peer);
         }
     }
 
-    function encodeAnnouncement(contents: Omit<Announcement, "incarnation" | "zoneHash">): Uint8Array {
-        const announcement = { incarnation: options.incarnation, zoneHash, ...contents };
+    function encodeAnnouncement(contents: Omit<Announcement, "incarnation" | "zoneHash" | "refusedShare">): Uint8Array {
+        const refusedShare = options.refusedShare?.() ?? 0;
+        const announcement = { incarnation: options.incarnation, zoneHash, refusedShare, ...contents };
         return encodeDatagram({ kind: "announcement", announcement }, clock.nowMs());
     }
 
@@ -329,6 +351,17 @@
             .map(({ address }) => address);
     }
 
+    function peerLoads(): readonly PeerLoad[] {
+        const nowMs = clock.nowMs();
+        return [...peers.values()]
+            .filter(peer => isDirectlyAlive(peer) && Number.isFinite(peer.lastAnnouncementMs))
+            .map(peer => ({
+                isSameZone: peer.zoneHash === zoneHash,
+                refusedShare: peer.refusedShare,
+                ageMs: nowMs - peer.lastAnnouncementMs,
+            }));
+    }
+
     function tick(): void {
         const nowMs = clock.nowMs();
         const periodS = (nowMs - lastTickMs) / 1_000;
@@ -414,6 +447,7 @@
         vmCount,
         peers: alivePeers,
         storeReaders,
+        peerLoads,
         addSeeds: addresses => addresses.forEach(address => seeds.add(address)),
         announceUsage({ customerHash, cost }) {
             pendingCosts.set(customerHash, (pendingCosts.get(customerHash) ?? 0) + cost);
--- a/packages/gateway/__tests__/unit/ConnectionRefusal.test.ts
+++ b/packages/gateway/__tests__/unit/ConnectionRefusal.test.ts
@@ -4,6 +4,7 @@
 import * as net from "node:net";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { refuseConnection } from "../../src/ConnectionRefusal.js";
+import { planOverloadRetry } from "../../src/OverloadRetry.js";
 import type { WireCodec } from "../../src/WireCodec.js";
 
 const maxHeaderBytes = 200;
@@ -34,6 +35,7 @@
                     codec,
                     maxHeaderBytes,
                     log,
+                    chooseRetry: () => ({ ...planOverloadRetry([]), retryAfterMs: undefined }),
                     onRefused: connection => void refusals.push(connection.isAbandoned),
                 });
                 resolve(socket);
--- a/packages/gateway/__tests__/unit/OverloadGuard.test.ts
+++ b/packages/gateway/__tests__/unit/OverloadGuard.test.ts
@@ -55,6 +55,7 @@
         utilization = 1;
         await advance(2_500);
         assert.equal(guard.judgeConnection(), "refuse");
+        assert.equal(guard.refusedShare(), 0.9);
         assert.ok(!guard.refusesRequest(0.9), "accepted requests are served");
         assert.ok(!guard.isOverloaded(), "readiness stays on; refused callers retry at other VMs");
         utilization = 0.5;
--- a/packages/gateway/src/ConnectionRefusal.ts
+++ b/packages/gateway/src/ConnectionRefusal.ts
@@ -1,6 +1,7 @@
 import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
 import type * as net from "node:net";
+import type { OverloadRetry } from "./OverloadRetry.js";
 import { createRefusal, formatRefusalBody, type Refusal } from "./Refusal.js";
 import type { WireCodec } from "./WireCodec.js";
 
@@ -8,6 +9,7 @@
 export interface RefusedConnection {
     readonly requestId: core.RequestId | undefined;
     readonly refusal: Refusal;
+    readonly retry: OverloadRetry;
     /** Time in ms since the connection was accepted. */
     readonly heldMs: number;
     /** Whether the caller closed the connection, or its sending side, before it was refused. */
@@ -18,6 +20,8 @@
     readonly clock: core.Clock;
     readonly codec: WireCodec;
     readonly maxHeaderBytes: number;
+    /** Decides when the caller may retry. */
+    readonly chooseRetry: () => OverloadRetry;
     readonly onRefused: (refused: RefusedConnection) => void;
     readonly log: telemetry.EventLog;
 }
@@ -70,10 +74,12 @@
         answer(formatBareResponse("408 Request Timeout"));
     };
     const refuse = (): void => {
-        const refusal = createRefusal("processor-overloaded");
+        const retry = options.chooseRetry();
+        const refusal = createRefusal("processor-overloaded", retry.retryAfterMs);
         options.onRefused({
             requestId,
             refusal,
+            retry,
             heldMs: clock.nowMs() - acceptedMs,
             isAbandoned: socket.destroyed || socket.readableEnded,
         });
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -11,6 +11,7 @@
 import { createFreshness } from "./Freshness.js";
 import type { GatewayContext } from "./GatewayContext.js";
 import type { Endpoint } from "./GatewaySettings.js";
+import { createOverloadRetryChooser } from "./OverloadRetry.js";
 import { createRefusalReport } from "./RefusalReport.js";
 import { createRequestHandler } from "./RequestExchange.js";
 
@@ -47,12 +48,14 @@
     const clientErrors = createClientErrors(callerConnections, log);
     let isClosed = false;
     const refusalReport = createRefusalReport(context);
+    const chooseRetry = createOverloadRetryChooser(context);
     const requestHandler = createRequestHandler(
         context,
         freshness,
         callerConnections,
         clientErrors.hasFailed,
         refusalReport,
+        chooseRetry,
     );
     const callerServer = http.createServer({
         maxHeaderSize: maxHeaderBytes,
@@ -127,6 +130,7 @@
                 log,
                 codec: context.codec,
                 maxHeaderBytes,
+                chooseRetry,
                 onRefused: recordRefusedConnection,
             });
         });
@@ -157,9 +161,11 @@
         }
     }
 
-    function recordRefusedConnection({ requestId, refusal, heldMs, isAbandoned }: RefusedConnection): void {
+    function recordRefusedConnection({ requestId, refusal, retry, heldMs, isAbandoned }: RefusedConnection): void {
         const { reason, statusCode, retryAfterMs } = refusal;
+        const { knownPeers, freePeers, oldestLoadMs } = retry;
         acceptQueue.recordRefused(isAbandoned);
+        refusalReport.recordOverloadRetry(retry);
         metrics.count("requests", { kind: "unknown", outcome: String(statusCode) });
         metrics.count("refusals", { reason });
         log.failure("request-refused", {
@@ -169,6 +175,9 @@
             retryAfterMs,
             heldMs: Math.round(heldMs),
             isAbandoned,
+            knownPeers,
+            freePeers,
+            oldestLoadMs,
             atConnection: true,
         });
     }
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -6,6 +6,7 @@
 import type { AcceptQueueProbe } from "./AcceptQueueProbe.js";
 import type { GatewaySettings } from "./GatewaySettings.js";
 import type { OverloadGuard } from "./OverloadGuard.js";
+import type { PeerLoad } from "./OverloadRetry.js";
 import type { UpstreamConnections } from "./UpstreamConnections.js";
 import type { WireCodec } from "./WireCodec.js";
 
@@ -28,6 +29,8 @@
     drainElapsedMs(): number | undefined;
     /** Time in ms until the requests in flight are aborted; undefined before the stop signal. */
     drainRemainingMs(): number | undefined;
+    /** The loads that other VMs announced last. */
+    peerLoads(): readonly PeerLoad[];
     /** Whether requests that arrive now are refused, since the state of this process may be inconsistent. */
     refusesNewRequests(): boolean;
 }
--- a/packages/gateway/src/OverloadGuard.ts
+++ b/packages/gateway/src/OverloadGuard.ts
@@ -29,6 +29,8 @@
      * while their callers still wait for a response.
      */
     judgeConnection(): ConnectionVerdict;
+    /** Share of new connections that is refused now, 0 to 1. */
+    refusedShare(): number;
     /** Moving average of the utilization of the event loop, 0 to 1. */
     utilization(): number;
     dispose(): void;
@@ -104,6 +106,11 @@
     const isLagging = (): boolean => lastLagMs >= heavyCustomerLagMs;
     const isBehind = (): boolean => isLagging() || acceptQueue.waitMs() >= unreadyAcceptWaitMs;
 
+    function currentRefusedShare(waitMs: number): number {
+        const isQueueLong = waitMs >= refuseAcceptWaitMs && acceptQueue.acceptedWhileBusy() >= minAcceptedWhileBusy;
+        return isQueueLong ? maxRefusedShare : refusedShare;
+    }
+
     function adjustRefusedShare(): void {
         const previousShare = refusedShare;
         if (isLagging() || smoothedUtilization >= highUtilization) {
@@ -160,11 +167,10 @@
                 earlyFlushesUntilMs = clock.nowMs() + earlyFlushesMs;
                 return "flush";
             }
-            const isQueueLong = waitMs >= refuseAcceptWaitMs
-                && acceptQueue.acceptedWhileBusy() >= minAcceptedWhileBusy;
-            const share = isQueueLong ? maxRefusedShare : refusedShare;
+            const share = currentRefusedShare(waitMs);
             return share > 0 && random() < share ? "refuse" : "serve";
         },
+        refusedShare: () => currentRefusedShare(acceptQueue.waitMs()),
         utilization: () => smoothedUtilization,
         dispose: () => cancelTimer(),
     };
--- a/packages/gateway/src/RefusalReport.ts
+++ b/packages/gateway/src/RefusalReport.ts
@@ -3,6 +3,7 @@
 import type * as telemetry from "@peridotloft/telemetry";
 import type { AcceptQueueMonitor } from "./AcceptQueueMonitor.js";
 import type { ConnectionVerdict, OverloadGuard } from "./OverloadGuard.js";
+import type { OverloadRetry } from "./OverloadRetry.js";
 import type { RefusalReason } from "./Refusal.js";
 
 /** The sender of a request and what it has in common with others. */
@@ -23,6 +24,8 @@
     recordRefusal(reason: RefusalReason, subject: RequestSubject): void;
     /** Records an accepted connection. The requests of refused ones are not decoded, so their subjects are unknown. */
     recordConnection(verdict: ConnectionVerdict): void;
+    /** Records what the Retry-After of a refusal for lack of processor time was decided by. */
+    recordOverloadRetry(retry: OverloadRetry): void;
     dispose(): void;
 }
 
@@ -48,6 +51,7 @@
     let refusedConnections = 0;
     let maxAcceptWaitMs = 0;
     let maxUtilization = 0;
+    let lastRetry: OverloadRetry | undefined;
 
     function sampleLoad(): void {
         maxAcceptWaitMs = Math.max(maxAcceptWaitMs, acceptQueue.waitMs());
@@ -64,6 +68,11 @@
                 refusedConnections,
                 acceptWaitMs: Math.round(maxAcceptWaitMs),
                 utilization: maxUtilization,
+                ...(lastRetry && {
+                    knownPeers: lastRetry.knownPeers,
+                    freePeers: lastRetry.freePeers,
+                    oldestLoadMs: lastRetry.oldestLoadMs,
+                }),
             });
         }
         reasons.clear();
@@ -73,6 +82,7 @@
         refusedConnections = 0;
         maxAcceptWaitMs = 0;
         maxUtilization = 0;
+        lastRetry = undefined;
     }
 
     const cancelReports = core.setRepeatingTimer(clock, reportIntervalMs, report);
@@ -95,6 +105,9 @@
                 sampleLoad();
             }
         },
+        recordOverloadRetry(retry) {
+            lastRetry = retry;
+        },
         dispose() {
             cancelReports();
             report();
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -15,6 +15,7 @@
 import type { ClientErrors } from "./ClientError.js";
 import type { Freshness } from "./Freshness.js";
 import type { GatewayContext } from "./GatewayContext.js";
+import type { OverloadRetry } from "./OverloadRetry.js";
 import {
     createRefusal,
     createUpstreamFailure,
@@ -56,6 +57,7 @@
     connections: CallerConnections,
     hasFailed: ClientErrors["hasFailed"],
     refusalReport: RefusalReport,
+    chooseRetry: () => OverloadRetry,
 ): RequestHandler {
     const exchanges = new Set<RequestExchange>();
     return {
@@ -66,6 +68,7 @@
                 connections,
                 hasFailed,
                 refusalReport,
+                chooseRetry,
                 request,
                 response,
             );
@@ -92,6 +95,7 @@
     connections: CallerConnections,
     hasFailed: ClientErrors["hasFailed"],
     refusalReport: RefusalReport,
+    chooseRetry: () => OverloadRetry,
     request: http.IncomingMessage,
     response: http.ServerResponse,
 ): RequestExchange {
@@ -220,7 +224,9 @@
             return refuse(createRefusal("draining"));
         }
         if (context.overload.refusesRequest(context.dispatcher.relativeUsage(customer))) {
-            return refuse(createRefusal("processor-overloaded"));
+            const retry = chooseRetry();
+            refusalReport.recordOverloadRetry(retry);
+            return refuse(createRefusal("processor-overloaded", retry.retryAfterMs));
         }
         stage = "body";
         const maxBodyBytes = context.follower.snapshot.read().activeConfig?.config.limits.maxBodyBytes ?? 0;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,5 +5,6 @@
 export * from "./GatewayContext.js";
 export * from "./GatewaySettings.js";
 export * from "./OverloadGuard.js";
+export type { PeerLoad } from "./OverloadRetry.js";
 export * from "./UpstreamConnections.js";
 export * from "./WireCodec.js";
