--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -15,6 +15,7 @@
 import type { ClientErrors } from "./ClientError.js";
 import type { Freshness } from "./Freshness.js";
 import type { GatewayContext } from "./GatewayContext.js";
+import type { OverloadRetry } from "./OverloadRetry.js";
 import {
     createRefusal,
     createUpstreamFailure,
@@ -57,6 +58,8 @@
     readonly connections: CallerConnections;
     readonly hasFailed: ClientErrors["hasFailed"];
     readonly refusalReport: RefusalReport;
+    /** Decides when a caller that is refused for lack of processor time may retry. */
+    readonly chooseRetry: () => OverloadRetry;
 }
 
 export function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
@@ -82,7 +85,7 @@
 }
 
 function createExchange(
-    { context, freshness, connections, hasFailed, refusalReport }: RequestHandlerOptions,
+    { context, freshness, connections, hasFailed, refusalReport, chooseRetry }: RequestHandlerOptions,
     request: http.IncomingMessage,
     response: http.ServerResponse,
 ): RequestExchange {
@@ -211,7 +214,9 @@
             return refuse(createRefusal("draining"));
         }
         if (context.overload.refusesRequest(context.dispatcher.relativeUsage(customer))) {
-            return refuse(createRefusal("processor-overloaded"));
+            const retry = chooseRetry();
+            refusalReport.recordOverloadRetry(retry);
+            return refuse(createRefusal("processor-overloaded", retry.retryAfterMs));
         }
         stage = "body";
         const maxBodyBytes = context.follower.snapshot.read().activeConfig?.config.limits.maxBodyBytes ?? 0;
