dispatch: a request that crashes upstreams after its first event is quarantined

Cause: a begun response counted as an acquittal. The first event of a stream cleared the marks of its request, and a connection that broke after it was no crash. A first event proves that the upstream has read the prompt; only the complete response proves that the request does not crash it.

Change: the first event still clears the parts of the prompt and shows that the upstream runs; the request is cleared by a complete response only, and is marked at a crash whether or not its response had begun. Since far more sound requests are in flight with a response, such marks weigh less: one more crash is needed, two if the responses ran for 5 s in all; crashes that a quarantined suspect explains do not count; and upstreams must crash more than twice as often while the request runs than all of them do otherwise. Of suspects with equal evidence the one that ran for the shortest time is chosen. The marks travel in lists of their own, which older versions ignore, and behind those of unbegun responses.

--- a/packages/dispatch/__tests__/unit/CrashSuspects.test.ts
+++ b/packages/dispatch/__tests__/unit/CrashSuspects.test.ts
@@ -11,12 +11,12 @@
     return {
         suspects,
         /** Records a crash, and afterwards responses to requests with other parts. */
-        crash(suspectHash: number, runHash: number, atMs: number, depth = 0, otherResponses = 3): void {
-            suspects.recordCrash({ suspectHash, runHash, depth, atMs }, atMs);
-            Array.from(
-                { length: otherResponses },
-                (_, index) => suspects.recordResponse([900 + index], atMs + 300, true),
-            );
+        crash(suspectHash: number, runHash: number, atMs: number, depth = 0, otherResponses = 3, runMs?: number): void {
+            suspects.recordCrash({ suspectHash, runHash, depth, atMs, runMs }, atMs);
+            Array.from({ length: otherResponses }, (_, index) => {
+                suspects.countResponse(atMs + 300);
+                suspects.recordResponse([900 + index], atMs + 300);
+            });
         },
         /** Quarantines all suspects with sufficient evidence and returns them. */
         quarantine(nowMs: number): readonly number[] {
@@ -67,7 +67,7 @@
         const { suspects, crash, quarantine } = createFixture();
         [1, 2, 3, 4, 5].forEach(run => {
             crash(7, run, run * 1_000);
-            suspects.recordResponse([run], run * 1_000 + 250, true);
+            suspects.recordResponse([run], run * 1_000 + 250);
         });
         assert.deepEqual(quarantine(10_000), []);
     });
@@ -76,7 +76,7 @@
         const { suspects, crash, quarantine } = createFixture();
         [1, 2, 3].forEach(run => {
             crash(7, run, run * 1_000);
-            suspects.recordResponse([run], run * 1_000 + 50, true);
+            suspects.recordResponse([run], run * 1_000 + 50);
         });
         assert.deepEqual(quarantine(5_000), [7]);
     });
@@ -84,7 +84,7 @@
     it("clears a part by a response to any prompt with it", () => {
         const { suspects, crash, quarantine } = createFixture();
         [1, 2].forEach(run => crash(7, run, run * 1_000));
-        assert.deepEqual(suspects.recordResponse([7, 8], 2_500, true), [7]);
+        assert.deepEqual(suspects.recordResponse([7, 8], 2_500), [7]);
         crash(7, 3, 3_000);
         assert.deepEqual(quarantine(5_000), []);
     });
@@ -93,7 +93,7 @@
         const { suspects, crash, quarantine } = createFixture();
         [1, 2, 3].forEach(run => crash(7, run, run));
         assert.deepEqual(quarantine(300), []);
-        suspects.recordResponse([7], 300, true);
+        suspects.recordResponse([7], 300);
         assert.deepEqual(quarantine(5_000), []);
     });
 
@@ -122,7 +122,7 @@
 
     it("does not quarantine a part that had responses before an outage of all upstreams", () => {
         const { suspects, crash, quarantine } = createFixture();
-        suspects.recordResponse([7], 900, true);
+        suspects.recordResponse([7], 900);
         [1, 2, 3, 4, 5, 6].forEach(run => crash(7, run, 1_000));
         assert.deepEqual(quarantine(5_000), []);
     });
@@ -136,6 +136,52 @@
         assert.deepEqual(quarantine(10_000), [7]);
     });
 
+    // Requests with a first event were never marked.
+    it("quarantines a request that crashes upstreams after its responses have begun, at the fourth crash", () => {
+        const { crash, quarantine } = createFixture();
+        [1, 2, 3].forEach(run => crash(7, run, run * 1_000, 0, 3, 30));
+        assert.deepEqual(quarantine(3_000 + settledMs), []);
+        crash(7, 4, 4_000, 0, 3, 30);
+        assert.deepEqual(quarantine(4_000 + settledMs), [7]);
+    });
+
+    it("requires a fifth crash of a request whose responses ran for seconds", () => {
+        const { crash, quarantine } = createFixture();
+        [1, 2, 3, 4].forEach(run => crash(7, run, run * 4_000, 0, 3, 2_000));
+        assert.deepEqual(quarantine(16_000 + settledMs), []);
+        crash(7, 5, 20_000, 0, 3, 2_000);
+        assert.deepEqual(quarantine(20_000 + settledMs), [7]);
+    });
+
+    it("does not quarantine a long response that was in flight at several of many crashes", () => {
+        const { crash, quarantine } = createFixture();
+        Array.from(
+            { length: 30 },
+            (_, index) => crash(index % 3 === 0 ? 7 : 100 + index, index, index * 500, 0, 3, 1_500),
+        );
+        assert.deepEqual(quarantine(16_000), []);
+    });
+
+    it("does not count the crashes of a quarantined request against a long response that was in flight there", () => {
+        const { crash, quarantine } = createFixture();
+        Array.from({ length: 6 }, (_, index) => {
+            crash(7, index, index * 1_000);
+            crash(8, index, index * 1_000, 0, 3, 900);
+        });
+        assert.deepEqual(quarantine(6_000 + settledMs), [7]);
+        [11, 12].forEach(run => crash(8, run, run * 1_000, 0, 3, 900));
+        assert.deepEqual(quarantine(12_000 + settledMs), []);
+    });
+
+    it("takes the crash of a request with two responses for one before the first event, if one of them had not begun", () => {
+        const { crash, quarantine } = createFixture();
+        [1, 2, 3].forEach(run => {
+            crash(7, run, run * 1_000, 0, 3, 30);
+            crash(7, run, run * 1_000);
+        });
+        assert.deepEqual(quarantine(3_000 + settledMs), [7]);
+    });
+
     it("requires more crashes of a part that was not in flight at all of them", () => {
         const { crash, quarantine } = createFixture();
         [1, 2, 3].forEach(run => crash(7, run, run * 1_000));
@@ -159,7 +205,7 @@
 
     it("quarantines a part that had responses before, once it crashes upstreams while others have responses", () => {
         const { suspects, crash, quarantine } = createFixture();
-        suspects.recordResponse([7], 900, true);
+        suspects.recordResponse([7], 900);
         [1, 2, 3, 4].forEach(run => {
             crash(7, run, run * 1_000);
         });
@@ -169,7 +215,7 @@
     it("quarantines a suspect whose quarantine has expired at its next crash", () => {
         const { suspects, crash, quarantine } = createFixture();
         [7, 8].forEach(suspect => suspects.requireSingleCrash(suspect));
-        suspects.recordResponse([8], 500, true);
+        suspects.recordResponse([8], 500);
         [7, 8].forEach(suspect => crash(suspect, suspect, 1_000));
         assert.deepEqual(quarantine(2_000), [7]);
     });
--- a/packages/dispatch/__tests__/unit/DispatchFleet.ts
+++ b/packages/dispatch/__tests__/unit/DispatchFleet.ts
@@ -24,6 +24,12 @@
     readonly sharedParts: readonly string[];
     /** VM that gets the prompt; by default any VM, and another one when the caller tries again. */
     readonly vm?: number;
+    /** Identifies the request if it is sent again and again; by default each prompt is another request. */
+    readonly fingerprint?: number;
+    /** Time in ms from the first event to the end of the response. */
+    readonly runMs?: number;
+    /** Number of upstreams to which a VM may send the prompt. */
+    readonly maxAttempts?: number;
 }
 
 /** What happened to a request. */
@@ -37,6 +43,7 @@
     readonly incarnation: string;
     readonly upstream: core.UpstreamId;
     readonly sharedParts: readonly string[];
+    readonly fingerprint: number;
 }
 
 interface FakeUpstream {
@@ -61,15 +68,15 @@
 /** Time in ms that a plain service takes. */
 const serviceResponseMs = 40;
 
-/** Time in ms until an engine writes the first event of a response, and until the response ends. */
+/** Time in ms until an engine writes the first event of a response, and from then until the response ends. */
 const firstEventMs = 150;
-const responseMs = 600;
+const defaultRunMs = 450;
 /** Time in ms after which a new run of a crashed engine is registered, under another id. */
 const engineRestartMs = 3_000;
 
 /**
- * VMs with a dispatcher each, and upstreams. Engines crash when they begin to respond to a prompt with certain parts, and
- * upstreams may state a limit in their responses.
+ * VMs with a dispatcher each, and upstreams. Engines crash when they begin to respond to a prompt with certain parts, or some
+ * time after they began to respond to certain requests, and upstreams may state a limit in their responses.
  */
 export async function createDispatchFleet(options: DispatchFleetOptions) {
     const { vms, engines, services = 0, seed, lossShare = 0, lateShare = 0 } = options;
@@ -116,8 +123,10 @@
         ]),
     );
     const crashingParts = new Set<string>();
+    /** Times in ms from the first event of a response to the crash, by fingerprint of the request. */
+    const crashingRequests = new Map<number, number>();
     const arrivals: Arrival[] = [];
-    const crashTimesMs = new Map<string, number[]>();
+    const crashTimesMs = new Map<string | number, number[]>();
     const startTimesMs: number[] = [];
     let revision = 1_000;
     let number = 0;
@@ -156,7 +165,10 @@
         snapshot.update(current => catalog.applyChanges(current, changes, clock.nowMs()));
     }
 
-    function crash(engine: FakeUpstream): void {
+    function crash(engine: FakeUpstream, cause?: string | number): void {
+        if (cause !== undefined) {
+            crashTimesMs.set(cause, [...(crashTimesMs.get(cause) ?? []), clock.nowMs()]);
+        }
         engine.isUp = false;
         [...engine.leases].forEach(lease => lease.end("broken"));
         engine.leases.clear();
@@ -229,6 +241,7 @@
             incarnation: fleet[vm]!.incarnation,
             upstream: upstream.id,
             sharedParts: [],
+            fingerprint,
         });
         return new Promise(resolve =>
             clock.setTimer(serviceResponseMs, () => {
@@ -240,7 +253,12 @@
     }
 
     /** Sends a prompt to an engine; resolves when the response has ended. */
-    function send(lease: dispatch.Lease, sharedParts: readonly string[], vm: number): Promise<"served" | "failed"> {
+    function send(
+        lease: dispatch.Lease,
+        { sharedParts, runMs = defaultRunMs }: OfferedPrompt,
+        fingerprint: number,
+        vm: number,
+    ): Promise<"served" | "failed"> {
         const engine = upstreamById.get(lease.upstream.id);
         return new Promise(resolve => {
             if (!engine?.isUp) {
@@ -256,25 +274,31 @@
                 incarnation: fleet[vm]!.incarnation,
                 upstream: engine.id,
                 sharedParts,
+                fingerprint,
             });
             engine.leases.add(lease);
             const isLost = (): boolean => !engine.leases.has(lease);
             clock.setTimer(firstEventMs, () => {
                 const cause = sharedParts.find(part => crashingParts.has(part));
                 if (!isLost() && cause !== undefined) {
-                    crashTimesMs.set(cause, [...(crashTimesMs.get(cause) ?? []), clock.nowMs()]);
-                    crash(engine);
+                    crash(engine, cause);
                 }
                 if (isLost()) {
                     resolve("failed");
                     return;
                 }
                 respond(engine, lease, vm);
-                clock.setTimer(responseMs - firstEventMs, () => {
-                    if (!isLost()) {
-                        engine.leases.delete(lease);
-                        lease.end("ok");
+                const crashDelayMs = crashingRequests.get(fingerprint);
+                if (crashDelayMs !== undefined) {
+                    clock.setTimer(crashDelayMs, () => !isLost() && crash(engine, fingerprint));
+                }
+                clock.setTimer(runMs, () => {
+                    if (isLost()) {
+                        resolve("failed");
+                        return;
                     }
+                    engine.leases.delete(lease);
+                    lease.end("ok");
                     resolve("served");
                 });
             });
@@ -285,12 +309,13 @@
         const vm = prompt.vm ?? randomVm();
         const job = createJob(prompt, fingerprint);
         const avoided = new Set<core.UpstreamId>();
-        for (let attempt = 0; attempt < route.maxAttempts; attempt++) {
+        const { maxAttempts = route.maxAttempts } = prompt;
+        for (let attempt = 0; attempt < maxAttempts; attempt++) {
             const lease = await fleet[vm]!.dispatcher.acquire(job, avoided, attempt > 0);
             if (lease.isErr()) {
                 return lease.error.reason === "quarantined" ? "quarantined" : "refused";
             }
-            if (await send(lease.value, prompt.sharedParts, vm) === "served") {
+            if (await send(lease.value, prompt, fingerprint, vm) === "served") {
                 return "served";
             }
             avoided.add(lease.value.upstream.id);
@@ -302,15 +327,18 @@
         clock,
         random,
         crashingParts,
-        /** Times in ms of the crashes that a part caused. */
-        crashTimesOf: (part: string): readonly number[] => crashTimesMs.get(part) ?? [],
+        crashingRequests,
+        /** Times in ms of the crashes that a part, or a request, caused. */
+        crashTimesOf: (cause: string | number): readonly number[] => crashTimesMs.get(cause) ?? [],
         logsOf: (event: string) => fleet.flatMap(({ log }) => log.lines.filter(line => line.event === event)),
         /** Serves a prompt; the caller tries once more, at another VM, unless it is served. */
         async offer(prompt: OfferedPrompt): Promise<RequestOutcome> {
-            const fingerprint = ++number;
+            const { fingerprint = ++number } = prompt;
             const outcome = await serve(prompt, fingerprint);
             return outcome === "failed" ? serve(prompt, fingerprint) : outcome;
         },
+        /** Serves a prompt; the caller does not try again. */
+        offerOnce: (prompt: OfferedPrompt): Promise<RequestOutcome> => serve(prompt, prompt.fingerprint ?? ++number),
         callService: (): Promise<RequestOutcome> => callService(randomVm()),
         /** Makes a number of engines, or of upstreams of the plain service, state a limit; returns their ids. */
         limitUpstreams(count: number, limitPerS: number, kind: "engine" | "service"): readonly core.UpstreamId[] {
@@ -331,7 +359,7 @@
         arrivalsAt: (id: core.UpstreamId): readonly Arrival[] => arrivals.filter(({ upstream }) => upstream === id),
         crashEngines(count: number): void {
             core.shuffle([...upstreamById.values()].filter(({ isUp, pool: other }) => isUp && other === pool), random)
-                .slice(0, count).forEach(crash);
+                .slice(0, count).forEach(engine => crash(engine));
         },
         /** Breaks the connections of a share of the requests in flight, while their engines run on. */
         breakConnections(share: number): void {
@@ -360,10 +388,14 @@
             fleet[index]!.node.dispose();
             fleet[index] = startVm(index);
         },
-        /** Arrivals of a part later than a time, from VMs that had been running for at least `contactMs` by then. */
-        arrivalsOf: (part: string, afterMs: number, contactMs: number): readonly Arrival[] =>
-            arrivals.filter(({ atMs, vm, sharedParts }) =>
-                atMs > afterMs && sharedParts.includes(part) && atMs - startTimesMs[vm]! >= contactMs
+        /**
+         * Arrivals of a part, or of a request, later than a time, from VMs that had been running for at least `contactMs` by
+         * then.
+         */
+        arrivalsOf: (cause: string | number, afterMs: number, contactMs: number): readonly Arrival[] =>
+            arrivals.filter(({ atMs, vm, sharedParts, fingerprint }) =>
+                atMs > afterMs && (fingerprint === cause || sharedParts.some(part => part === cause))
+                && atMs - startTimesMs[vm]! >= contactMs
             ),
         dispose(): void {
             fleet.forEach(({ dispatcher, node }) => {
--- a/packages/dispatch/__tests__/unit/PromptQuarantine.test.ts
+++ b/packages/dispatch/__tests__/unit/PromptQuarantine.test.ts
@@ -13,6 +13,10 @@
 const maxLateArrivals = 3;
 const promptsPerS = 50;
 
+/** Fingerprint of a request that crashes engines. */
+const deadlyRequest = 2_000_000;
+const longRunMs = 5_000;
+
 /** Time in ms after which all VMs of a small fleet know of a crash. */
 const announcementMs = 300;
 const canelones = { vms: 9, engines: 6 };
@@ -113,6 +117,113 @@
     });
 });
 
+// The first event of a stream used to acquit its request, so that it crashed one engine after another without end.
+describe("Requests that crash engines after the first event", () => {
+    let fleet: DispatchFleet;
+    afterEach(() => fleet.dispose());
+
+    interface Load {
+        readonly durationMs: number;
+        /** Time in ms from the first event to the crash, and between two attempts of the caller. */
+        readonly crashDelayMs: number;
+        readonly gapMs: number;
+        /** Long prompts that are offered per second, each another request. */
+        readonly longPerS: number;
+        /** Callers that send one long prompt again as soon as its response has ended. */
+        readonly repeatingCallers: number;
+    }
+
+    /** Offers the request again and again; returns what happened to the other prompts. */
+    async function offerBesideOthers({ durationMs, crashDelayMs, gapMs, longPerS, repeatingCallers }: Load) {
+        const outcomes: RequestOutcome[] = [];
+        const startMs = fleet.clock.nowMs();
+        const isOver = (): boolean => fleet.clock.nowMs() - startMs >= durationMs;
+        const repeat = async (caller: number): Promise<void> => {
+            while (!isOver()) {
+                outcomes.push(
+                    await fleet.offer({
+                        sharedParts: ["template", `agent-${caller}`],
+                        fingerprint: 1_000_000 + caller,
+                        runMs: longRunMs,
+                    }),
+                );
+                await new Promise<void>(resolve => void fleet.clock.setTimer(100, resolve));
+            }
+        };
+        Array.from({ length: repeatingCallers }, (_, caller) => void repeat(caller));
+        fleet.crashingRequests.set(deadlyRequest, crashDelayMs);
+        let nextAttemptMs = startMs + longRunMs;
+        while (!isOver()) {
+            const session = `session-${Math.floor(fleet.random() * 40)}`;
+            void fleet.offer({ sharedParts: ["template", session] }).then(outcome => outcomes.push(outcome));
+            if (fleet.random() < longPerS / promptsPerS) {
+                void fleet.offer({ sharedParts: ["template", session], runMs: longRunMs }).then(outcome =>
+                    outcomes.push(outcome)
+                );
+            }
+            if (fleet.clock.nowMs() >= nextAttemptMs) {
+                nextAttemptMs += gapMs;
+                void fleet.offerOnce({
+                    sharedParts: ["template"],
+                    fingerprint: deadlyRequest,
+                    runMs: longRunMs,
+                    maxAttempts: 1,
+                });
+            }
+            await fleet.clock.advance(1_000 / promptsPerS);
+        }
+        return outcomes;
+    }
+
+    const lateArrivals = (): number => {
+        const thirdCrashMs = fleet.crashTimesOf(deadlyRequest)[2] ?? Number.POSITIVE_INFINITY;
+        return fleet.arrivalsOf(deadlyRequest, thirdCrashMs + contactMs, contactMs).length;
+    };
+
+    async function checkIsHeldBack(options: DispatchFleetOptions, load: Load, minServedShare: number) {
+        fleet = await createDispatchFleet(options);
+        const outcomes = await offerBesideOthers(load);
+        const { seed } = options;
+        assert.ok(fleet.crashTimesOf(deadlyRequest).length >= 3, `seed ${seed}: too few crashes`);
+        assert.ok(lateArrivals() <= maxLateArrivals, `seed ${seed}: ${lateArrivals()} late arrivals`);
+        assert.equal(outcomes.filter(outcome => outcome === "quarantined").length, 0, `seed ${seed}: sound ones`);
+        const served = outcomes.filter(outcome => outcome === "served").length / outcomes.length;
+        assert.ok(served > minServedShare, `seed ${seed}: ${served} of the other prompts served`);
+    }
+
+    for (const seed of [1, 2, 3]) {
+        for (const options of [canelones, lantern]) {
+            it(`are held back while identical long prompts are served, seed ${seed}, ${options.vms} VMs`, () =>
+                checkIsHeldBack(
+                    { ...options, seed },
+                    { durationMs: 30_000, crashDelayMs: 30, gapMs: 1_000, longPerS: 10, repeatingCallers: 15 },
+                    0.9,
+                ));
+
+            it(`are held back if they come rarely and crash engines seconds later, seed ${seed}, ${options.vms} VMs`, () =>
+                checkIsHeldBack(
+                    { ...options, seed },
+                    { durationMs: 50_000, crashDelayMs: 2_000, gapMs: 4_000, longPerS: 10, repeatingCallers: 15 },
+                    0.9,
+                ));
+        }
+
+        it(`are held back if each crash breaks a hundred streams, seed ${seed}`, () =>
+            checkIsHeldBack(
+                { ...canelones, seed },
+                { durationMs: 30_000, crashDelayMs: 30, gapMs: 1_000, longPerS: 100, repeatingCallers: 15 },
+                0.75,
+            ));
+
+        it(`are held back although VMs lose one in ten datagrams, seed ${seed}`, () =>
+            checkIsHeldBack(
+                { ...lantern, seed, lossShare: 0.1 },
+                { durationMs: 30_000, crashDelayMs: 30, gapMs: 1_500, longPerS: 10, repeatingCallers: 15 },
+                0.9,
+            ));
+    }
+});
+
 describe("Sound prompts", () => {
     let fleet: DispatchFleet;
     afterEach(() => fleet.dispose());
@@ -152,6 +263,26 @@
             checkNoneIsHeldBack(await offerDuring(20_000, () => fleet.crashEngines(canelones.engines)), seed);
         });
 
+        it(`are not held back when they are identical and long, and engines crash one by one, seed ${seed}`, async () => {
+            fleet = await createDispatchFleet({ ...lantern, seed });
+            const identical: RequestOutcome[] = [];
+            const repeat = async (caller: number): Promise<void> => {
+                for (let i = 0; i < 8; i++) {
+                    identical.push(
+                        await fleet.offer({
+                            sharedParts: ["template-0", `agent-${caller}`],
+                            fingerprint: 1_000_000 + caller,
+                            runMs: longRunMs,
+                        }),
+                    );
+                    await new Promise<void>(resolve => void fleet.clock.setTimer(100, resolve));
+                }
+            };
+            Array.from({ length: 20 }, (_, caller) => void repeat(caller));
+            const others = await offerDuring(20_000, () => fleet.crashEngines(1));
+            checkNoneIsHeldBack([...identical, ...others], seed);
+        });
+
         it(`are not held back when connections break, seed ${seed}`, async () => {
             fleet = await createDispatchFleet({ ...canelones, seed });
             checkNoneIsHeldBack(await offerDuring(20_000, () => fleet.breakConnections(0.8)), seed);
--- a/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
+++ b/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
@@ -31,6 +31,7 @@
         log: testing.createRecordingLog(),
         metrics: testing.createNoopMetrics(),
         onBroken: () => undefined,
+        onBegun: () => undefined,
         onResponse: () => undefined,
     });
     let revision = 0;
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -97,7 +97,12 @@
 export function createDispatcher(options: DispatcherOptions): Dispatcher {
     const { clock, random, fleet, log } = options;
     const poisonGuard = createPoisonGuard(options);
-    const table = createUpstreamTable({ ...options, onBroken, onResponse: poisonGuard.recordResponse });
+    const table = createUpstreamTable({
+        ...options,
+        onBroken,
+        onBegun: poisonGuard.recordBegun,
+        onResponse: poisonGuard.recordResponse,
+    });
     const usage = createCustomerUsage();
     const budgets = new Map<core.PoolId, RetryBudget>();
     const removeUsageListener = fleet.registerUsageListener(({ customerHash, cost }, weight) =>
@@ -111,17 +116,16 @@
     }));
     const trackedLoad = createTrackedLoad(clock);
 
-    function onBroken({ job, upstream, hasResponse }: BrokenAttempt): void {
+    function onBroken({ job, upstream, runMs }: BrokenAttempt): void {
         log.failure("attempt-broken", {
             requestId: job.requestId,
             upstream: upstream.id,
             upstreamStartedWallMs: upstream.startedWallMs,
             sharedParts: sharedPartsOf(job.prompt).map(({ id }) => id).join(),
-            hasResponse,
+            hasResponse: runMs !== undefined,
+            runMs: runMs && Math.round(runMs),
         });
-        if (!hasResponse) {
-            poisonGuard.recordCrash(job, upstream);
-        }
+        poisonGuard.recordCrash(job, upstream, runMs);
     }
 
     function relativeUsage(customer: core.CustomerId | undefined): number {
--- a/packages/dispatch/src/PoisonGuard.ts
+++ b/packages/dispatch/src/PoisonGuard.ts
@@ -16,12 +16,19 @@
 
 /**
  * Quarantines requests, and parts of prompts, that crash the upstreams that respond to them. They are recognized by the
- * crashes at which they were in flight without a response, anywhere in the fleet; a response clears them.
+ * crashes at which they were in flight, anywhere in the fleet. The first event of a response clears the parts of its prompt,
+ * which the upstream has read by then; only the complete response clears the request.
  */
 export interface PoisonGuard {
-    /** Records that the connection of an attempt broke before a response began. */
-    recordCrash(job: Job, upstream: catalog.KnownUpstream): void;
-    /** Records that an upstream began to respond. */
+    /**
+     * Records that the connection of an attempt broke before the response was complete.
+     *
+     * @param runMs time in ms since the response began; undefined if it had not begun.
+     */
+    recordCrash(job: Job, upstream: catalog.KnownUpstream, runMs: number | undefined): void;
+    /** Records that a response began. */
+    recordBegun(job: Job, upstream: catalog.KnownUpstream): void;
+    /** Records a complete response. */
     recordResponse(job: Job, upstream: catalog.KnownUpstream): void;
     /** Decides whether a request may be sent to an upstream; undefined if it may. */
     check(job: Job): DispatchRefusal | undefined;
@@ -46,7 +53,7 @@
             recordMark(mark);
         },
         onResponse({ hash, atMs }) {
-            recordResponseTo([hash], atMs, false);
+            recordResponseTo([hash], atMs);
         },
         onQuarantine(mark) {
             const { suspectHash, atMs } = mark;
@@ -95,8 +102,8 @@
     }
 
     /** Returns the hashes that contradict a mark or a quarantine. */
-    function recordResponseTo(hashes: readonly number[], atMs: number, isLocal: boolean): readonly number[] {
-        const contradicting = suspects.recordResponse(hashes, atMs, isLocal);
+    function recordResponseTo(hashes: readonly number[], atMs: number): readonly number[] {
+        const contradicting = suspects.recordResponse(hashes, atMs);
         const released = hashes.filter(hash => {
             const mark = quarantine.get(hash);
             return mark !== undefined && isRefuted(mark, atMs);
@@ -122,14 +129,17 @@
         });
         const find = () => suspects.findNextToQuarantine(nowMs, quarantine.has);
         for (let decision = find(); decision; decision = find()) {
-            const { suspectHash, crashes, firstCrashAgeMs, isConfirmed } = decision;
+            const { suspectHash, crashes, begunCrashes, runMs, firstCrashAgeMs, share, isConfirmed } = decision;
             fleet.announceQuarantine(quarantine.add(suspectHash, isConfirmed, nowMs));
             metrics.count("quarantines");
             log.state("quarantined", {
                 suspect: suspectHash,
                 isLocal: true,
                 crashes,
+                begunCrashes,
+                runMs: Math.round(runMs),
                 firstCrashAgeMs: Math.round(firstCrashAgeMs),
+                share,
                 isConfirmed,
             });
         }
@@ -145,12 +155,22 @@
         return { reason: "suspected", retryAfterMs };
     }
 
+    /** Records a response of this VM and announces what it contradicts. */
+    function recordOwnResponse(hashes: readonly number[]): void {
+        const atMs = clock.nowMs();
+        recordResponseTo(hashes, atMs).forEach(hash => fleet.announceResponse({ hash, atMs }));
+    }
+
     return {
-        recordCrash(job, upstream) {
+        recordCrash(job, upstream, runMs) {
             const atMs = clock.nowMs();
             const runHash = runHashOf(upstream);
-            [...partHashesOf(job), job.fingerprint()].forEach((suspectHash, depth) => {
-                const mark = { suspectHash, runHash, depth, atMs };
+            const parts = partHashesOf(job).map((suspectHash, depth) => ({ suspectHash, depth }));
+            const request = { suspectHash: job.fingerprint(), depth: parts.length };
+            // Once a response has begun, the upstream has read all parts.
+            const marked = runMs === undefined ? [...parts, request] : [request];
+            marked.forEach(({ suspectHash, depth }) => {
+                const mark = { suspectHash, runHash, depth, atMs, runMs };
                 const lastResponseMs = suspects.lastResponseMs(suspectHash, atMs) ?? Number.NEGATIVE_INFINITY;
                 if (atMs - lastResponseMs >= popularResponseMs) {
                     fleet.announceCrash(mark);
@@ -160,11 +180,13 @@
             evaluatedMs = Number.NEGATIVE_INFINITY;
             evaluate();
         },
+        recordBegun(job, upstream) {
+            suspects.countResponse(clock.nowMs());
+            recordOwnResponse([...partHashesOf(job), runHashOf(upstream)]);
+        },
         recordResponse(job, upstream) {
-            const nowMs = clock.nowMs();
-            const fingerprints = suspects.hasRecentMarks(nowMs) ? [job.fingerprint()] : [];
-            recordResponseTo([...partHashesOf(job), ...fingerprints, runHashOf(upstream)], nowMs, true)
-                .forEach(hash => fleet.announceResponse({ hash, atMs: nowMs }));
+            const fingerprints = suspects.hasRecentMarks(clock.nowMs()) ? [job.fingerprint()] : [];
+            recordOwnResponse([...partHashesOf(job), ...fingerprints, runHashOf(upstream)]);
         },
         check(job) {
             evaluate();
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -21,7 +21,9 @@
     readonly metrics: telemetry.Metrics;
     /** Called for each attempt whose connection closed before the response was complete. */
     readonly onBroken: (attempt: BrokenAttempt) => void;
-    /** Called when an upstream has sent the first event of a stream, or a complete response. */
+    /** Called once for each attempt with a response: at the first event of a stream, or before `onResponse`. */
+    readonly onBegun: (job: Job, upstream: catalog.KnownUpstream) => void;
+    /** Called when an upstream has sent a complete response. */
     readonly onResponse: (job: Job, upstream: catalog.KnownUpstream) => void;
 }
 
@@ -29,8 +31,8 @@
 export interface BrokenAttempt {
     readonly job: Job;
     readonly upstream: catalog.KnownUpstream;
-    /** Whether the first event of a stream had arrived. */
-    readonly hasResponse: boolean;
+    /** Time in ms since the first event of a stream; undefined if it had not arrived. */
+    readonly runMs: number | undefined;
 }
 
 /** State of one upstream as known to this VM. */
@@ -298,7 +300,7 @@
         const leasedUpstream = state.upstream;
         let pendingTokens = newTokens;
         let open = true;
-        let hasResponse = false;
+        let begunMs: number | undefined;
         let hasPaused = false;
         let isUnresponsive = false;
         state.localRunning++;
@@ -314,10 +316,10 @@
         const report = (observed: Omit<AttemptReport, "upstreamHash" | "ticket">): void => {
             fleet.reportAttempt({ upstreamHash: state.idHash, ticket, ...observed });
         };
-        const recordResponse = (): void => {
-            if (!hasResponse) {
-                hasResponse = true;
-                options.onResponse(job, leasedUpstream);
+        const recordBegun = (): void => {
+            if (begunMs === undefined) {
+                begunMs = clock.nowMs();
+                options.onBegun(job, leasedUpstream);
             }
         };
         const markPrefilled = (): void => {
@@ -333,7 +335,7 @@
             recordFirstByte() {
                 markPrefilled();
                 if (job.route.kind === "stream") {
-                    recordResponse();
+                    recordBegun();
                 }
                 if (job.prompt) {
                     const tookMs = clock.nowMs() - openedMs;
@@ -367,10 +369,12 @@
                     report({ failed: true, unreachable: outcome === "connect-failed", tookMs: 0, expectedMs: 0 });
                 }
                 if (outcome === "ok" || outcome === "failed") {
-                    recordResponse();
+                    recordBegun();
+                    options.onResponse(job, leasedUpstream);
                 }
                 if (outcome === "broken") {
-                    options.onBroken({ job, upstream: leasedUpstream, hasResponse });
+                    const runMs = begunMs === undefined ? undefined : clock.nowMs() - begunMs;
+                    options.onBroken({ job, upstream: leasedUpstream, runMs });
                 }
                 state.localRunning--;
                 if (outcome === "connect-failed") {
--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -183,7 +183,7 @@
         setLossShare(0.3);
         const received = nodes.slice(1).map(node => recordEvidence(node));
         const atMs = clock.nowMs() - 200;
-        nodes[0]!.announceCrash({ suspectHash: 1, runHash: 2, depth: 0, atMs });
+        nodes[0]!.announceCrash({ suspectHash: 1, runHash: 2, depth: 0, atMs, runMs: undefined });
         nodes[0]!.announceResponse({ hash: 3, atMs });
         await clock.advance(1_000);
         received.forEach(({ crashes, responses }) => {
@@ -208,7 +208,7 @@
             void nodes[0]!.askTracker({ ...emptyQuestion, upstreamHash: i });
             await clock.advance(20);
         }
-        nodes[0]!.announceCrash({ suspectHash: 1, runHash: 2, depth: 0, atMs: clock.nowMs() });
+        nodes[0]!.announceCrash({ suspectHash: 1, runHash: 2, depth: 0, atMs: clock.nowMs(), runMs: undefined });
         nodes[0]!.announceQuarantine({ suspectHash: 3, atMs: clock.nowMs(), count: 1, isConfirmed: false });
         for (let i = 0; i < 15; i++) {
             void nodes[0]!.askTracker({ ...emptyQuestion, upstreamHash: i });
@@ -220,6 +220,30 @@
         });
     });
 
+    // The crash of one upstream breaks all its streams at once, and one of these marks may be of the request that caused it.
+    it("announces the crash of a hundred streams within its bandwidth, and delays no other mark", async () => {
+        const { clock, nodes, sentBytes } = createNetwork(6, 1);
+        await clock.advance(5_000);
+        const received = nodes.slice(1).map(node => recordEvidence(node));
+        sentBytes.clear();
+        const atMs = clock.nowMs();
+        const mark = { runHash: 2, depth: 1, atMs };
+        Array.from(
+            { length: 100 },
+            (_, index) => nodes[0]!.announceCrash({ ...mark, suspectHash: 100 + index, runMs: index }),
+        );
+        nodes[0]!.announceCrash({ ...mark, suspectHash: 1, runMs: undefined });
+        await clock.advance(300);
+        received.forEach(({ crashes }) => assert.ok(crashes.some(({ suspectHash }) => suspectHash === 1)));
+        await clock.advance(2_700);
+        received.forEach(({ crashes }) =>
+            assert.equal(new Set(crashes.map(({ suspectHash }) => suspectHash)).size, 101)
+        );
+        await clock.advance(7_000);
+        const bytesPerS = (sentBytes.get("10.0.0.0") ?? 0) / 10;
+        assert.ok(bytesPerS <= 5_000, `${bytesPerS} bytes/s`);
+    });
+
     it("announces quarantines to a VM that starts without state, within a second", async () => {
         const { clock, nodes, partitioned, addresses } = createNetwork(9, 1);
         partitioned.add(addresses[8]!);
@@ -393,7 +417,10 @@
             incarnation: 1_765_000_000_000n,
             sampling: 0.25,
             crashEvidence: {
-                crashes: [{ suspectHash: 5, runHash: 6, depth: 2, atMs: 8_500 }],
+                crashes: [
+                    { suspectHash: 5, runHash: 6, depth: 2, atMs: 8_500, runMs: undefined },
+                    { suspectHash: 7, runHash: 6, depth: 1, atMs: 8_600, runMs: 40 },
+                ],
                 responses: [{ hash: 0xfffffffe, atMs: 9_999 }],
                 quarantines: [{ suspectHash: 7, atMs: 1_000, count: 3, isConfirmed: true }],
             },
--- a/packages/fleet/src/CrashEvidence.ts
+++ b/packages/fleet/src/CrashEvidence.ts
@@ -2,7 +2,7 @@
 import { createRepeatedSends } from "./RepeatedSends.js";
 import { toUint32 } from "./Uint32.js";
 
-/** A request, or a part of a prompt, that was in flight without a response when the connections to an upstream broke. */
+/** A request, or a part of a prompt, that was in flight when the connections to an upstream broke. */
 export interface CrashMark {
     /** Hash of the request or part. */
     readonly suspectHash: number;
@@ -12,9 +12,11 @@
     readonly depth: number;
     /** Time in ms of the crash. */
     readonly atMs: number;
+    /** Time in ms since the response began; undefined if it had not begun. */
+    readonly runMs: number | undefined;
 }
 
-/** A response to a request, to a part of its prompt, or of a run of an upstream. */
+/** A complete response to a request, or the first event of one to a part of its prompt or of a run of an upstream. */
 export interface ResponseMark {
     readonly hash: number;
     /** Time in ms of the response. */
@@ -50,6 +52,8 @@
 
 /** Maximum number of marks of each kind in a datagram, and of queued ones. A crash yields some marks per request in flight. */
 const maxMarksPerDatagram = 40;
+/** Maximum number of crash marks in a datagram for responses that had begun. A crash breaks many more of these. */
+const maxBegunMarksPerDatagram = 20;
 const maxPendingMarks = 400;
 /** Number of times that each peer is sent a mark, since datagrams may be lost. */
 const sendsPerPeer = 4;
@@ -72,15 +76,20 @@
 
 export function createCrashEvidenceExchange(): CrashEvidenceExchange {
     const limits = { maxPending: maxPendingMarks, maxPerSend: maxMarksPerDatagram, sendsPerPeer };
-    const crashes = createRepeatedSends<CrashMark>({
+    const keyOfCrash = ({ suspectHash, runHash }: CrashMark): string => `${suspectHash} ${runHash}`;
+    const crashes = createRepeatedSends<CrashMark>({ ...limits, keyOf: keyOfCrash });
+    // Kept apart, so that they do not delay the others.
+    const begunCrashes = createRepeatedSends<CrashMark>({
         ...limits,
-        keyOf: ({ suspectHash, runHash }) => `${suspectHash} ${runHash}`,
+        maxPerSend: maxBegunMarksPerDatagram,
+        keyOf: keyOfCrash,
     });
     const responses = createRepeatedSends<ResponseMark>({ ...limits, keyOf: ({ hash }) => String(hash) });
     const quarantines = createRepeatedSends<QuarantineMark>({
         ...limits,
         keyOf: ({ suspectHash }) => String(suspectHash),
     });
+    const queues = [crashes, begunCrashes, responses, quarantines];
     let registered: CrashEvidenceHandler | undefined;
 
     function nextQuarantines(): readonly QuarantineMark[] {
@@ -91,23 +100,21 @@
     }
 
     return {
-        announceCrash: crashes.add,
+        announceCrash: mark => (mark.runMs === undefined ? crashes : begunCrashes).add(mark),
         announceResponse: responses.add,
         announceQuarantine: quarantines.add,
         registerHandler(handler) {
             registered = handler;
             return () => void (registered = undefined);
         },
-        hasPending: () => crashes.hasPending() || responses.hasPending() || quarantines.hasPending(),
+        hasPending: () => queues.some(queue => queue.hasPending()),
         next: () => ({
-            crashes: crashes.next(),
+            crashes: [...crashes.next(), ...begunCrashes.next()],
             responses: responses.next(),
             quarantines: nextQuarantines(),
         }),
         recordSent(share) {
-            crashes.recordSent(share);
-            responses.recordSent(share);
-            quarantines.recordSent(share);
+            queues.forEach(queue => queue.recordSent(share));
         },
         receive(evidence) {
             // Responses come first, since they contradict marks of the same datagram.
@@ -124,11 +131,18 @@
         return undefined;
     }
     const ageMs = ({ atMs }: { readonly atMs: number; }): number => toUint32(nowMs - atMs);
+    const unbegun = crashes.filter(({ runMs }) => runMs === undefined);
+    const begun = crashes.filter(({ runMs }) => runMs !== undefined);
     return {
-        crashSuspects: crashes.map(({ suspectHash }) => suspectHash),
-        crashRuns: crashes.map(({ runHash }) => runHash),
-        crashAgesMs: crashes.map(ageMs),
-        crashDepths: crashes.map(({ depth }) => depth),
+        crashSuspects: unbegun.map(({ suspectHash }) => suspectHash),
+        crashRuns: unbegun.map(({ runHash }) => runHash),
+        crashAgesMs: unbegun.map(ageMs),
+        crashDepths: unbegun.map(({ depth }) => depth),
+        begunCrashSuspects: begun.map(({ suspectHash }) => suspectHash),
+        begunCrashRuns: begun.map(({ runHash }) => runHash),
+        begunCrashAgesMs: begun.map(ageMs),
+        begunCrashDepths: begun.map(({ depth }) => depth),
+        begunCrashRunMs: begun.map(({ runMs }) => toUint32(runMs ?? 0)),
         responseHashes: responses.map(({ hash }) => hash),
         responseAgesMs: responses.map(ageMs),
         quarantinedSuspects: quarantines.map(({ suspectHash }) => suspectHash),
@@ -143,18 +157,25 @@
     if (!message) {
         return { crashes: [], responses: [], quarantines: [] };
     }
-    const { crashSuspects, crashRuns, crashAgesMs, crashDepths } = message;
     const { responseHashes, responseAgesMs } = message;
     const { quarantinedSuspects, quarantineAgesMs, quarantineCounts, quarantineConfirmations } = message;
     return {
-        crashes: crashSuspects.flatMap((suspectHash, index) => {
-            const runHash = crashRuns[index];
-            const ageMs = crashAgesMs[index];
-            const depth = crashDepths[index];
-            return runHash === undefined || ageMs === undefined || depth === undefined
-                ? []
-                : [{ suspectHash, runHash, depth, atMs: nowMs - ageMs }];
-        }),
+        crashes: [
+            ...readCrashMarks({
+                suspects: message.crashSuspects,
+                runs: message.crashRuns,
+                agesMs: message.crashAgesMs,
+                depths: message.crashDepths,
+                runMs: undefined,
+            }, nowMs),
+            ...readCrashMarks({
+                suspects: message.begunCrashSuspects,
+                runs: message.begunCrashRuns,
+                agesMs: message.begunCrashAgesMs,
+                depths: message.begunCrashDepths,
+                runMs: message.begunCrashRunMs,
+            }, nowMs),
+        ],
         responses: responseHashes.flatMap((hash, index) => {
             const ageMs = responseAgesMs[index];
             return ageMs === undefined ? [] : [{ hash, atMs: nowMs - ageMs }];
@@ -169,3 +190,25 @@
         }),
     };
 }
+
+/** The lists of a message that state its crash marks. */
+interface CrashMarkLists {
+    readonly suspects: readonly number[];
+    readonly runs: readonly number[];
+    readonly agesMs: readonly number[];
+    readonly depths: readonly number[];
+    /** Undefined for marks of requests whose response had not begun. */
+    readonly runMs: readonly number[] | undefined;
+}
+
+function readCrashMarks(lists: CrashMarkLists, nowMs: number): readonly CrashMark[] {
+    return lists.suspects.flatMap((suspectHash, index) => {
+        const runHash = lists.runs[index];
+        const ageMs = lists.agesMs[index];
+        const depth = lists.depths[index];
+        const runMs = lists.runMs?.[index];
+        const isIncomplete = runHash === undefined || ageMs === undefined || depth === undefined
+            || (lists.runMs !== undefined && runMs === undefined);
+        return isIncomplete ? [] : [{ suspectHash, runHash, depth, atMs: nowMs - ageMs, runMs }];
+    });
+}
