--- a/packages/dispatch/__tests__/unit/PromptQuarantine.test.ts
+++ b/packages/dispatch/__tests__/unit/PromptQuarantine.test.ts
@@ -117,6 +117,25 @@
     });
 });
 
+/** Sends the long prompt of a caller again as soon as its response has ended, until `isOver`; adds what happened to `outcomes`. */
+async function repeatLongPrompt(
+    fleet: DispatchFleet,
+    caller: number,
+    isOver: () => boolean,
+    outcomes: RequestOutcome[],
+): Promise<void> {
+    while (!isOver()) {
+        outcomes.push(
+            await fleet.offer({
+                sharedParts: ["template", `agent-${caller}`],
+                fingerprint: 1_000_000 + caller,
+                runMs: longRunMs,
+            }),
+        );
+        await new Promise<void>(resolve => void fleet.clock.setTimer(100, resolve));
+    }
+}
+
 // The first event of a stream used to acquit its request, so that it crashed one engine after another without end.
 describe("Requests that crash engines after the first event", () => {
     let fleet: DispatchFleet;
@@ -138,19 +157,7 @@
         const outcomes: RequestOutcome[] = [];
         const startMs = fleet.clock.nowMs();
         const isOver = (): boolean => fleet.clock.nowMs() - startMs >= durationMs;
-        const repeat = async (caller: number): Promise<void> => {
-            while (!isOver()) {
-                outcomes.push(
-                    await fleet.offer({
-                        sharedParts: ["template", `agent-${caller}`],
-                        fingerprint: 1_000_000 + caller,
-                        runMs: longRunMs,
-                    }),
-                );
-                await new Promise<void>(resolve => void fleet.clock.setTimer(100, resolve));
-            }
-        };
-        Array.from({ length: repeatingCallers }, (_, caller) => void repeat(caller));
+        Array.from({ length: repeatingCallers }, (_, caller) => void repeatLongPrompt(fleet, caller, isOver, outcomes));
         fleet.crashingRequests.set(deadlyRequest, crashDelayMs);
         let nextAttemptMs = startMs + longRunMs;
         while (!isOver()) {
@@ -266,19 +273,9 @@
         it(`are not held back when they are identical and long, and engines crash one by one, seed ${seed}`, async () => {
             fleet = await createDispatchFleet({ ...lantern, seed });
             const identical: RequestOutcome[] = [];
-            const repeat = async (caller: number): Promise<void> => {
-                for (let i = 0; i < 8; i++) {
-                    identical.push(
-                        await fleet.offer({
-                            sharedParts: ["template-0", `agent-${caller}`],
-                            fingerprint: 1_000_000 + caller,
-                            runMs: longRunMs,
-                        }),
-                    );
-                    await new Promise<void>(resolve => void fleet.clock.setTimer(100, resolve));
-                }
-            };
-            Array.from({ length: 20 }, (_, caller) => void repeat(caller));
+            const endMs = fleet.clock.nowMs() + 20_000;
+            const isOver = (): boolean => fleet.clock.nowMs() >= endMs;
+            Array.from({ length: 20 }, (_, caller) => void repeatLongPrompt(fleet, caller, isOver, identical));
             const others = await offerDuring(20_000, () => fleet.crashEngines(1));
             checkNoneIsHeldBack([...identical, ...others], seed);
         });
