--- a/packages/dispatch/__tests__/unit/CrashSuspects.test.ts
+++ b/packages/dispatch/__tests__/unit/CrashSuspects.test.ts
@@ -1,3 +1,4 @@
+import type * as fleets from "@peridotloft/fleet";
 import * as assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { createCrashSuspects } from "../../src/CrashSuspects.js";
@@ -8,15 +9,24 @@
 function createFixture() {
     const suspects = createCrashSuspects();
     const quarantined = new Set<number>();
+
+    function recordCrash(mark: fleets.CrashMark, otherResponses: number): void {
+        suspects.recordCrash(mark, mark.atMs);
+        Array.from({ length: otherResponses }, (_, index) => {
+            suspects.countResponse(mark.atMs + 300);
+            suspects.recordResponse([900 + index], mark.atMs + 300);
+        });
+    }
+
     return {
         suspects,
         /** Records a crash, and afterwards responses to requests with other parts. */
-        crash(suspectHash: number, runHash: number, atMs: number, depth = 0, otherResponses = 3, runMs?: number): void {
-            suspects.recordCrash({ suspectHash, runHash, depth, atMs, runMs }, atMs);
-            Array.from({ length: otherResponses }, (_, index) => {
-                suspects.countResponse(atMs + 300);
-                suspects.recordResponse([900 + index], atMs + 300);
-            });
+        crash(suspectHash: number, runHash: number, atMs: number, depth = 0, otherResponses = 3): void {
+            recordCrash({ suspectHash, runHash, depth, atMs, runMs: undefined }, otherResponses);
+        },
+        /** The same for a suspect whose response began `runMs` before the crash. */
+        crashBegun(suspectHash: number, runHash: number, atMs: number, runMs: number): void {
+            recordCrash({ suspectHash, runHash, depth: 0, atMs, runMs }, 3);
         },
         /** Quarantines all suspects with sufficient evidence and returns them. */
         quarantine(nowMs: number): readonly number[] {
@@ -138,45 +148,45 @@
 
     // Requests with a first event were never marked.
     it("quarantines a request that crashes upstreams after its responses have begun, at the fourth crash", () => {
-        const { crash, quarantine } = createFixture();
-        [1, 2, 3].forEach(run => crash(7, run, run * 1_000, 0, 3, 30));
+        const { crashBegun, quarantine } = createFixture();
+        [1, 2, 3].forEach(run => crashBegun(7, run, run * 1_000, 30));
         assert.deepEqual(quarantine(3_000 + settledMs), []);
-        crash(7, 4, 4_000, 0, 3, 30);
+        crashBegun(7, 4, 4_000, 30);
         assert.deepEqual(quarantine(4_000 + settledMs), [7]);
     });
 
     it("requires a fifth crash of a request whose responses ran for seconds", () => {
-        const { crash, quarantine } = createFixture();
-        [1, 2, 3, 4].forEach(run => crash(7, run, run * 4_000, 0, 3, 2_000));
+        const { crashBegun, quarantine } = createFixture();
+        [1, 2, 3, 4].forEach(run => crashBegun(7, run, run * 4_000, 2_000));
         assert.deepEqual(quarantine(16_000 + settledMs), []);
-        crash(7, 5, 20_000, 0, 3, 2_000);
+        crashBegun(7, 5, 20_000, 2_000);
         assert.deepEqual(quarantine(20_000 + settledMs), [7]);
     });
 
     it("does not quarantine a long response that was in flight at several of many crashes", () => {
-        const { crash, quarantine } = createFixture();
+        const { crashBegun, quarantine } = createFixture();
         Array.from(
             { length: 30 },
-            (_, index) => crash(index % 3 === 0 ? 7 : 100 + index, index, index * 500, 0, 3, 1_500),
+            (_, index) => crashBegun(index % 3 === 0 ? 7 : 100 + index, index, index * 500, 1_500),
         );
         assert.deepEqual(quarantine(16_000), []);
     });
 
     it("does not count the crashes of a quarantined request against a long response that was in flight there", () => {
-        const { crash, quarantine } = createFixture();
+        const { crash, crashBegun, quarantine } = createFixture();
         Array.from({ length: 6 }, (_, index) => {
             crash(7, index, index * 1_000);
-            crash(8, index, index * 1_000, 0, 3, 900);
+            crashBegun(8, index, index * 1_000, 900);
         });
         assert.deepEqual(quarantine(6_000 + settledMs), [7]);
-        [11, 12].forEach(run => crash(8, run, run * 1_000, 0, 3, 900));
+        [11, 12].forEach(run => crashBegun(8, run, run * 1_000, 900));
         assert.deepEqual(quarantine(12_000 + settledMs), []);
     });
 
     it("takes the crash of a request with two responses for one before the first event, if one of them had not begun", () => {
-        const { crash, quarantine } = createFixture();
+        const { crash, crashBegun, quarantine } = createFixture();
         [1, 2, 3].forEach(run => {
-            crash(7, run, run * 1_000, 0, 3, 30);
+            crashBegun(7, run, run * 1_000, 30);
             crash(7, run, run * 1_000);
         });
         assert.deepEqual(quarantine(3_000 + settledMs), [7]);
--- a/packages/dispatch/__tests__/unit/DispatchFleet.ts
+++ b/packages/dispatch/__tests__/unit/DispatchFleet.ts
@@ -305,6 +305,8 @@
         });
     }
 
+    const fingerprintOf = (prompt: OfferedPrompt): number => prompt.fingerprint ?? ++number;
+
     async function serve(prompt: OfferedPrompt, fingerprint: number): Promise<RequestOutcome> {
         const vm = prompt.vm ?? randomVm();
         const job = createJob(prompt, fingerprint);
@@ -333,12 +335,12 @@
         logsOf: (event: string) => fleet.flatMap(({ log }) => log.lines.filter(line => line.event === event)),
         /** Serves a prompt; the caller tries once more, at another VM, unless it is served. */
         async offer(prompt: OfferedPrompt): Promise<RequestOutcome> {
-            const { fingerprint = ++number } = prompt;
+            const fingerprint = fingerprintOf(prompt);
             const outcome = await serve(prompt, fingerprint);
             return outcome === "failed" ? serve(prompt, fingerprint) : outcome;
         },
         /** Serves a prompt; the caller does not try again. */
-        offerOnce: (prompt: OfferedPrompt): Promise<RequestOutcome> => serve(prompt, prompt.fingerprint ?? ++number),
+        offerOnce: (prompt: OfferedPrompt): Promise<RequestOutcome> => serve(prompt, fingerprintOf(prompt)),
         callService: (): Promise<RequestOutcome> => callService(randomVm()),
         /** Makes a number of engines, or of upstreams of the plain service, state a limit; returns their ids. */
         limitUpstreams(count: number, limitPerS: number, kind: "engine" | "service"): readonly core.UpstreamId[] {
--- a/packages/dispatch/__tests__/unit/PromptQuarantine.test.ts
+++ b/packages/dispatch/__tests__/unit/PromptQuarantine.test.ts
@@ -22,6 +22,15 @@
 const canelones = { vms: 9, engines: 6 };
 const lantern = { vms: 6, engines: 13 };
 
+const servedShare = (outcomes: readonly RequestOutcome[]): number =>
+    outcomes.filter(outcome => outcome === "served").length / outcomes.length;
+
+/** Number of arrivals of a part, or of a request, later than `contactMs` after the nth crash that it caused. */
+function arrivalsAfterCrash(fleet: DispatchFleet, cause: string | number, nth: number): number {
+    const crashMs = fleet.crashTimesOf(cause)[nth - 1] ?? Number.POSITIVE_INFINITY;
+    return fleet.arrivalsOf(cause, crashMs + contactMs, contactMs).length;
+}
+
 describe("Prompts with a part that crashes engines", () => {
     let fleet: DispatchFleet;
     afterEach(() => fleet.dispose());
@@ -51,13 +60,7 @@
         return sound;
     }
 
-    const servedShare = (outcomes: readonly RequestOutcome[]): number =>
-        outcomes.filter(outcome => outcome === "served").length / outcomes.length;
-
-    const lateArrivals = (part: string): number => {
-        const fifthCrashMs = fleet.crashTimesOf(part)[4] ?? Number.POSITIVE_INFINITY;
-        return fleet.arrivalsOf(part, fifthCrashMs + contactMs, contactMs).length;
-    };
+    const lateArrivals = (part: string): number => arrivalsAfterCrash(fleet, part, 5);
 
     async function checkIsHeldBack(options: DispatchFleetOptions, parts: readonly string[], share: number) {
         await startFleet(options);
@@ -182,19 +185,15 @@
         return outcomes;
     }
 
-    const lateArrivals = (): number => {
-        const thirdCrashMs = fleet.crashTimesOf(deadlyRequest)[2] ?? Number.POSITIVE_INFINITY;
-        return fleet.arrivalsOf(deadlyRequest, thirdCrashMs + contactMs, contactMs).length;
-    };
-
     async function checkIsHeldBack(options: DispatchFleetOptions, load: Load, minServedShare: number) {
         fleet = await createDispatchFleet(options);
         const outcomes = await offerBesideOthers(load);
         const { seed } = options;
         assert.ok(fleet.crashTimesOf(deadlyRequest).length >= 3, `seed ${seed}: too few crashes`);
-        assert.ok(lateArrivals() <= maxLateArrivals, `seed ${seed}: ${lateArrivals()} late arrivals`);
+        const late = arrivalsAfterCrash(fleet, deadlyRequest, 3);
+        assert.ok(late <= maxLateArrivals, `seed ${seed}: ${late} late arrivals`);
         assert.equal(outcomes.filter(outcome => outcome === "quarantined").length, 0, `seed ${seed}: sound ones`);
-        const served = outcomes.filter(outcome => outcome === "served").length / outcomes.length;
+        const served = servedShare(outcomes);
         assert.ok(served > minServedShare, `seed ${seed}: ${served} of the other prompts served`);
     }
 
--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -222,7 +222,7 @@
 
     // The crash of one upstream breaks all its streams at once, and one of these marks may be of the request that caused it.
     it("announces the crash of a hundred streams within its bandwidth, and delays no other mark", async () => {
-        const { clock, nodes, sentBytes } = createNetwork(6, 1);
+        const { clock, nodes, addresses, sentBytes } = createNetwork(6, 1);
         await clock.advance(5_000);
         const received = nodes.slice(1).map(node => recordEvidence(node));
         sentBytes.clear();
@@ -240,7 +240,7 @@
             assert.equal(new Set(crashes.map(({ suspectHash }) => suspectHash)).size, 101)
         );
         await clock.advance(7_000);
-        const bytesPerS = (sentBytes.get("10.0.0.0") ?? 0) / 10;
+        const bytesPerS = (sentBytes.get(addresses[0]!) ?? 0) / 10;
         assert.ok(bytesPerS <= 5_000, `${bytesPerS} bytes/s`);
     });
 
