--- a/packages/dispatch/src/CustomerUsage.ts
+++ b/packages/dispatch/src/CustomerUsage.ts
@@ -1,3 +1,4 @@
+import * as core from "@peridotloft/core";
 import { createDecayingSum, type DecayingSum } from "./LoadModel.js";
 
 /** Recent engine usage of each customer, over the whole fleet as far as it is known to this VM. */
@@ -50,3 +51,8 @@
 
 /** Time in ms for which the largest usage is cached. */
 const largestRefreshMs = 50;
+
+/** Hash under which VMs announce the usage of a customer; 0 on open routes. */
+export function customerHashOf(customer: core.CustomerId | undefined): number {
+    return customer === undefined ? 0 : core.hash32(customer);
+}
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -3,7 +3,7 @@
 import type { TrackerQuestion, TrackerReply } from "@peridotloft/fleet";
 import type * as telemetry from "@peridotloft/telemetry";
 import { err, ok, type Result } from "neverthrow";
-import { createCustomerUsage } from "./CustomerUsage.js";
+import { createCustomerUsage, customerHashOf } from "./CustomerUsage.js";
 import {
     computeRetryAfterMs,
     type EngineAdmissionInput,
@@ -29,6 +29,7 @@
 import { createTrackedLoad } from "./TrackedLoad.js";
 import { type BrokenAttempt, createUpstreamTable, type UpstreamState } from "./UpstreamTable.js";
 import { createUpstreamTracker } from "./UpstreamTracker.js";
+import { type BeginOutcome, createUsageReport } from "./UsageReport.js";
 
 export interface DispatcherOptions {
     readonly clock: core.Clock;
@@ -105,9 +106,11 @@
     });
     const usage = createCustomerUsage();
     const budgets = new Map<core.PoolId, RetryBudget>();
-    const removeUsageListener = fleet.registerUsageListener(({ customerHash, cost }, weight) =>
-        usage.record(customerHash, cost * weight, clock.nowMs())
-    );
+    const usageReport = createUsageReport({ clock, log, usage });
+    const removeUsageListener = fleet.registerUsageListener(({ customerHash, cost }, weight) => {
+        usage.record(customerHash, cost * weight, clock.nowMs());
+        usageReport.recordAnnounced(customerHash, cost * weight);
+    });
     const removeTracker = fleet.registerTracker(createUpstreamTracker({
         ...options,
         stateOf: table.stateOfHash,
@@ -182,11 +185,14 @@
             expectedMs: Math.round(chosen.expectedMs),
             tracker: chosen.tracker,
         });
-        if (cost > 0) {
-            usage.record(customerHash, cost, clock.nowMs());
-            fleet.announceUsage({ customerHash, cost });
+        const lease = state.openLease(job, chosen.load.newTokens, chosen.expectedMs, chosen.ticket);
+        if (cost === 0) {
+            return ok(lease);
         }
-        return ok(state.openLease(job, chosen.load.newTokens, chosen.expectedMs, chosen.ticket));
+        usage.record(customerHash, cost, clock.nowMs());
+        fleet.announceUsage({ customerHash, cost });
+        usageReport.recordSent(job.customer, cost);
+        return ok(observeLease(lease, outcome => usageReport.recordOutcome(job.customer, cost, outcome)));
     }
 
     /** Asks the tracker of an upstream; both tell each other the limit that the upstream states. */
@@ -419,6 +425,7 @@
         relativeUsage,
         dispose() {
             removeUsageListener();
+            usageReport.dispose();
             removeTracker();
             poisonGuard.dispose();
             table.dispose();
@@ -431,8 +438,26 @@
     return prompt?.parts.at(-2)?.id ?? prompt?.parts.at(-1)?.id ?? requestId;
 }
 
-function customerHashOf(customer: core.CustomerId | undefined): number {
-    return customer === undefined ? 0 : core.hash32(customer);
+/** Calls `onOutcome` once: when the response of an attempt begins, or when the attempt ends without one. */
+function observeLease(lease: Lease, onOutcome: (outcome: BeginOutcome) => void): Lease {
+    let isSettled = false;
+    const settle = (outcome: BeginOutcome): void => {
+        if (!isSettled) {
+            isSettled = true;
+            onOutcome(outcome);
+        }
+    };
+    return {
+        ...lease,
+        recordFirstByte() {
+            settle("begun");
+            lease.recordFirstByte();
+        },
+        end(outcome) {
+            settle(outcome);
+            lease.end(outcome);
+        },
+    };
 }
 
 /** Cost in tokens, weighted as in the platform's throughput: input tokens count once, generated tokens twice. */
