--- a/packages/dispatch/__tests__/unit/LargeFleet.test.ts
+++ b/packages/dispatch/__tests__/unit/LargeFleet.test.ts
@@ -24,8 +24,13 @@
     readonly runMs?: number;
     /** Share of the requests moved to the customer "c0", in addition to those of its own sessions. */
     readonly heavyShare?: number;
+    /** Share of the attempts of the customer "c0" that their engines shed; the caller then tries again. */
+    readonly shedShare?: number;
 }
 
+/** Time in ms until an engine sheds an attempt. */
+const shedDelayMs = 5;
+
 const jobOf = (number: number, session: number, customer: string, arrivedMs: number): dispatch.Job => ({
     requestId: core.requestId(`r${number}`),
     route,
@@ -45,7 +50,7 @@
 
 /** Dispatchers of a fleet, and engines that prefill one prompt at a time. */
 async function createFleet(
-    { vms, engines, sessions, customers, load, slots = 128, runMs = 300, heavyShare = 0 }: FleetSizes,
+    { vms, engines, sessions, customers, load, slots = 128, runMs = 300, heavyShare = 0, shedShare = 0 }: FleetSizes,
     seed: number,
 ) {
     const clock = testing.createVirtualClock();
@@ -88,17 +93,33 @@
         const drawn = Math.floor(random() * sessions);
         const session = random() < heavyShare ? drawn - (drawn % customers) : drawn;
         const customer = `c${session % customers}`;
-        const arrivedMs = clock.nowMs();
         counts.offered++;
         const customerCounts = countsByCustomer.get(customer) ?? { offered: 0, onTime: 0 };
         countsByCustomer.set(customer, customerCounts);
         customerCounts.offered++;
+        return send(number, session, customer, customerCounts);
+    }
+
+    async function send(
+        number: number,
+        session: number,
+        customer: string,
+        customerCounts: { onTime: number; },
+    ): Promise<void> {
+        const arrivedMs = clock.nowMs();
         const vm = dispatchers[Math.floor(random() * vms)]!;
         const lease = await vm.acquire(jobOf(number, session, customer, arrivedMs), new Set(), false);
         if (lease.isErr()) {
             counts.refused++;
             return;
         }
+        if (customer === "c0" && random() < shedShare) {
+            clock.setTimer(shedDelayMs, () => {
+                lease.value.end("shed");
+                void send(number, session, customer, customerCounts);
+            });
+            return;
+        }
         const { id } = lease.value.upstream;
         const isCached = cachedPrefixes.has(`${id} ${session}`);
         counts.prefilledAgain += !isCached && prefilledSessions.has(session) ? 1 : 0;
@@ -208,4 +229,24 @@
         }
         assert.ok(light.onTime >= light.offered * 0.9, `${light.onTime} of ${light.offered} on time`);
     });
+
+    it("serves a customer whose attempts engines shed no less than half as much as customers with the same demand", async () => {
+        const seeds = [16, 17, 18];
+        for (const seed of seeds) {
+            const fleet = await createFleet(
+                { vms: 9, engines: 6, sessions: 120, customers: 4, load: 1.8, shedShare: 0.75 },
+                seed,
+            );
+            await fleet.run(8_000);
+            fleet.resetCounts();
+            await fleet.run(6_000);
+            fleet.dispose();
+            const shareOnTime = (id: string): number => {
+                const { offered, onTime } = fleet.countsByCustomer.get(id)!;
+                return onTime / offered;
+            };
+            const best = Math.max(...["c1", "c2", "c3"].map(shareOnTime));
+            assert.ok(shareOnTime("c0") >= best / 2, `seed ${seed}: ${shareOnTime("c0")}, another customer ${best}`);
+        }
+    });
 });
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -29,7 +29,8 @@
 import { createTrackedLoad } from "./TrackedLoad.js";
 import { type BrokenAttempt, createUpstreamTable, type UpstreamState } from "./UpstreamTable.js";
 import { createUpstreamTracker } from "./UpstreamTracker.js";
-import { type BeginOutcome, createUsageReport } from "./UsageReport.js";
+import { createUsageCharges } from "./UsageCharges.js";
+import { createUsageReport } from "./UsageReport.js";
 
 export interface DispatcherOptions {
     readonly clock: core.Clock;
@@ -107,6 +108,7 @@
     const usage = createCustomerUsage();
     const budgets = new Map<core.PoolId, RetryBudget>();
     const usageReport = createUsageReport({ clock, log, usage });
+    const charges = createUsageCharges({ clock, fleet, usage, report: usageReport });
     const removeUsageListener = fleet.registerUsageListener(({ customerHash, cost }, weight) => {
         usage.record(customerHash, cost * weight, clock.nowMs());
         usageReport.recordAnnounced(customerHash, cost * weight);
@@ -170,8 +172,6 @@
         if (!state) {
             return err({ reason: "no-upstream", retryAfterMs: noUpstreamRetryAfterMs });
         }
-        const customerHash = customerHashOf(job.customer);
-        const cost = tokenCost(job.prompt);
         log.decision("placed", {
             requestId: job.requestId,
             customer: job.customer,
@@ -186,13 +186,7 @@
             tracker: chosen.tracker,
         });
         const lease = state.openLease(job, chosen.load.newTokens, chosen.expectedMs, chosen.ticket);
-        if (cost === 0) {
-            return ok(lease);
-        }
-        usage.record(customerHash, cost, clock.nowMs());
-        fleet.announceUsage({ customerHash, cost });
-        usageReport.recordSent(job.customer, cost);
-        return ok(observeLease(lease, outcome => usageReport.recordOutcome(job.customer, cost, outcome)));
+        return ok(charges.createChargedLease(job, lease));
     }
 
     /** Asks the tracker of an upstream; both tell each other the limit that the upstream states. */
@@ -437,30 +431,3 @@
 function sessionKey({ prompt, requestId }: Job): string {
     return prompt?.parts.at(-2)?.id ?? prompt?.parts.at(-1)?.id ?? requestId;
 }
-
-/** Calls `onOutcome` once: when the response of an attempt begins, or when the attempt ends without one. */
-function observeLease(lease: Lease, onOutcome: (outcome: BeginOutcome) => void): Lease {
-    let isSettled = false;
-    const settle = (outcome: BeginOutcome): void => {
-        if (!isSettled) {
-            isSettled = true;
-            onOutcome(outcome);
-        }
-    };
-    return {
-        ...lease,
-        recordFirstByte() {
-            settle("begun");
-            lease.recordFirstByte();
-        },
-        end(outcome) {
-            settle(outcome);
-            lease.end(outcome);
-        },
-    };
-}
-
-/** Cost in tokens, weighted as in the platform's throughput: input tokens count once, generated tokens twice. */
-function tokenCost(prompt: Prompt | undefined): number {
-    return prompt ? prompt.inputTokens + 2 * prompt.maxOutputTokens : 0;
-}
