--- a/packages/dispatch/__tests__/unit/EngineFixtures.ts
+++ b/packages/dispatch/__tests__/unit/EngineFixtures.ts
@@ -21,14 +21,14 @@
     maxEventGapMs: undefined,
 };
 
-const configOf = (engines: number, slots: number): catalog.FleetConfig => ({
+const configOf = (engines: number, slots: number, coldRatePerS: number): catalog.FleetConfig => ({
     version: 1,
     routes: [route],
     pools: [{
         id: pool,
         maxConnections: 1_000,
         coldStartMs: 0,
-        coldRatePerS: 0,
+        coldRatePerS,
         engine: { slots, cacheTokens: 314_200 },
     }],
     customers: [],
@@ -57,8 +57,12 @@
 });
 
 /** The changes that publish a configuration and its engines. */
-export const fleetChanges = (engines: number, slots: number): catalog.PositionedChange[] => [
-    { item: "config", position: { era: 0, revision: 1 }, change: { kind: "config", config: configOf(engines, slots) } },
+export const fleetChanges = (engines: number, slots: number, coldRatePerS = 0): catalog.PositionedChange[] => [
+    {
+        item: "config",
+        position: { era: 0, revision: 1 },
+        change: { kind: "config", config: configOf(engines, slots, coldRatePerS) },
+    },
     ...Array.from({ length: engines }, (_, index): catalog.PositionedChange => ({
         item: `servers/i-${index}`,
         position: { era: 0, revision: index + 2 },
--- a/packages/dispatch/__tests__/unit/LargeFleet.test.ts
+++ b/packages/dispatch/__tests__/unit/LargeFleet.test.ts
@@ -26,6 +26,8 @@
     readonly heavyShare?: number;
     /** Share of the attempts of the customer "c0" that their engines shed; the caller then tries again. */
     readonly shedShare?: number;
+    /** Requests per second that a cold engine accepts from all VMs. */
+    readonly coldRatePerS?: number;
 }
 
 /** Time in ms until an engine sheds an attempt. */
@@ -50,9 +52,11 @@
 
 /** Dispatchers of a fleet, and engines that prefill one prompt at a time. */
 async function createFleet(
-    { vms, engines, sessions, customers, load, slots = 128, runMs = 300, heavyShare = 0, shedShare = 0 }: FleetSizes,
+    sizes: FleetSizes,
     seed: number,
 ) {
+    const { vms, engines, sessions, customers, load, slots = 128, runMs = 300 } = sizes;
+    const { heavyShare = 0, shedShare = 0, coldRatePerS = 0 } = sizes;
     const clock = testing.createVirtualClock();
     const random = testing.createSeededRandom(seed);
     const log = testing.createRecordingLog();
@@ -61,7 +65,7 @@
     const addresses = Array.from({ length: vms }, (_, index) => `10.0.0.${index + 1}`);
     const snapshot = core.createSnapshotCell(catalog.applyChanges(
         catalog.emptySnapshot,
-        fleetChanges(engines, slots),
+        fleetChanges(engines, slots, coldRatePerS),
         clock.nowMs(),
     ));
     const nodes = addresses.map((address, index) =>
@@ -88,6 +92,8 @@
     const counts = { offered: 0, refused: 0, onTime: 0, prefilledAgain: 0 };
     const countsByCustomer = new Map<string, { offered: number; onTime: number; }>();
     const prefilledSessions = new Set<number>();
+    /** Times in ms at which prompts arrived at cold engines. */
+    const coldArrivalsMs = new Map<core.UpstreamId, number[]>();
 
     async function offer(number: number): Promise<void> {
         const drawn = Math.floor(random() * sessions);
@@ -121,6 +127,7 @@
             return;
         }
         const { id } = lease.value.upstream;
+        coldArrivalsMs.get(id)?.push(clock.nowMs());
         const isCached = cachedPrefixes.has(`${id} ${session}`);
         counts.prefilledAgain += !isCached && prefilledSessions.has(session) ? 1 : 0;
         cachedPrefixes.add(`${id} ${session}`);
@@ -137,9 +144,35 @@
         });
     }
 
+    /** Restarts the first engines, which are cold for a time, under new ids. */
+    function restartEngines(count: number, coldMs: number): void {
+        const changes = [...snapshot.read().upstreams.values()].slice(0, count).flatMap(
+            (upstream, index): catalog.PositionedChange[] => {
+                const position = { era: 0, revision: 1_000 + index };
+                const id = core.upstreamId(`cold-${index}`);
+                coldArrivalsMs.set(id, []);
+                return [
+                    {
+                        item: `servers/${upstream.id}`,
+                        position,
+                        change: { kind: "upstream-removed", id: upstream.id },
+                    },
+                    {
+                        item: `servers/${id}`,
+                        position,
+                        change: { kind: "upstream", upstream: { ...upstream, id, coldLeftMs: coldMs } },
+                    },
+                ];
+            },
+        );
+        snapshot.update(current => catalog.applyChanges(current, changes, clock.nowMs()));
+    }
+
     return {
         counts,
         countsByCustomer,
+        coldArrivalsMs,
+        restartEngines,
         /** Offers prompts as a Poisson process. */
         async run(durationMs: number): Promise<void> {
             const prefillMs = ownTokens / prefillTokensPerMs;
@@ -249,4 +282,37 @@
             assert.ok(shareOnTime("c0") >= best / 2, `seed ${seed}: ${shareOnTime("c0")}, another customer ${best}`);
         }
     });
+
+    describe("while most engines are cold", () => {
+        const coldRatePerS = 15;
+        const coldMs = 3_000;
+        // The bounds of the rule on cold upstreams.
+        const coldOvershoot = 1.5;
+        const coldSlack = 5;
+        const uncachedPerS = (prefillTokensPerMs * 1_000) / (sharedTokens + ownTokens);
+
+        for (const vms of [9, 60]) {
+            it(`does not leave the cold engines idle while prompts are refused, and keeps within their limit, ${vms} VMs`, async () => {
+                const fleet = await createFleet(
+                    { vms, engines: 6, sessions: 120, customers: 30, load: 0.8, coldRatePerS },
+                    19,
+                );
+                await fleet.run(6_000);
+                fleet.restartEngines(5, coldMs);
+                fleet.resetCounts();
+                await fleet.run(coldMs);
+                fleet.dispose();
+                const { offered, refused } = fleet.counts;
+                assert.ok(refused > 0, "the warm engine has capacity for all");
+                fleet.coldArrivalsMs.forEach((times, id) => {
+                    const perS = times.length / (coldMs / 1_000);
+                    assert.ok(perS >= uncachedPerS / 2, `${id}: ${perS}/s, ${refused} of ${offered} refused`);
+                    times.forEach(startMs => {
+                        const within = times.filter(atMs => atMs >= startMs && atMs < startMs + 1_000).length;
+                        assert.ok(within <= coldRatePerS * coldOvershoot + coldSlack, `${id}: ${within} in one second`);
+                    });
+                });
+            });
+        }
+    });
 });
--- a/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
+++ b/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
@@ -26,6 +26,7 @@
     const snapshot = core.createSnapshotCell(catalog.emptySnapshot);
     const table = createUpstreamTable({
         clock,
+        random: testing.createSeededRandom(1),
         catalog: snapshot,
         fleet: standaloneView,
         log: testing.createRecordingLog(),
@@ -56,7 +57,7 @@
         },
         firstPauseEndMs: (): number | undefined => table.pauses(pool, snapshot.read())[0]?.untilMs,
         usable: (): readonly string[] =>
-            table.usableUpstreams(pool, snapshot.read(), new Set()).map(({ upstream }) => upstream.id),
+            table.usableUpstreams(pool, snapshot.read(), new Set()).warm.map(({ upstream }) => upstream.id),
     };
 }
 
@@ -75,7 +76,7 @@
         const { clock, register, table, usable } = createTable();
         ["a", "b", "c"].forEach(id => register(upstreamOf(id), 0));
         const all = table.usableUpstreams(pool, { ...catalog.emptySnapshot }, new Set());
-        assert.equal(all.length, 0);
+        assert.deepEqual(all, { warm: [], cold: [] });
         const fail = (id: string): void =>
             Array.from({ length: 8 }).forEach(() =>
                 table.stateOf(core.upstreamId(id))?.health.record("failed", clock.nowMs())
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -81,6 +81,8 @@
     readonly load: EngineLoad;
     /** Rank of the upstream in the rendezvous order of the session; 0 is the primary one. */
     readonly candidateRank: number;
+    /** Whether it is a cold upstream that takes what the others have no capacity for. */
+    readonly isOverflow: boolean;
     /** Expected time in ms to the first byte. */
     readonly expectedMs: number;
     /** Ticket issued by the upstream's tracker; 0 if there is none. */
@@ -89,6 +91,15 @@
     readonly tracker: string | undefined;
 }
 
+/** Engines that may be asked to admit a prompt. */
+interface EngineCandidates {
+    readonly candidates: readonly UpstreamState[];
+    /** Cold engines, which take what the candidates have no capacity for. */
+    readonly overflow: readonly UpstreamState[];
+    /** Whether an upstream has worked on the request before. */
+    readonly isContinued: boolean;
+}
+
 /** Whether a request may be sent to an upstream of a plain service. */
 interface Permit {
     readonly granted: boolean;
@@ -178,6 +189,7 @@
             upstream: id,
             softwareVersion: state.upstream.softwareVersion,
             homeRank: chosen.candidateRank,
+            isOverflow: chosen.isOverflow,
             newTokens: chosen.load.newTokens,
             unreadTokens: Math.round(chosen.load.unreadTokens),
             running: chosen.load.running,
@@ -282,7 +294,7 @@
                 })),
                 random,
             );
-            if (!best) {
+            if (!best?.state.tryTakeColdPermit()) {
                 break;
             }
             const { granted, tracker } = await requestPermit(job, best.state);
@@ -291,27 +303,44 @@
                 return grantLease(job, best.state.upstream.id, {
                     load,
                     candidateRank: 0,
+                    isOverflow: false,
                     expectedMs: expectedServiceMs,
                     ticket: 0,
                     tracker,
                 });
             }
+            best.state.giveBackColdPermit();
             postpone(job, best.state);
         }
         return err(refuseLimited(job));
     }
 
+    /** Acquires an engine, or a cold one if the others have no capacity. */
+    async function acquireEngine(
+        job: Job,
+        prompt: Prompt,
+        { candidates, overflow, isContinued }: EngineCandidates,
+    ): Promise<Result<Lease, DispatchRefusal>> {
+        const lease = await askEngines(job, prompt, candidates, { isOverflow: false, isContinued });
+        const overflowLease = lease.isErr() && overflow.length > 0
+            ? await askEngines(job, prompt, overflow, { isOverflow: true, isContinued })
+            : lease;
+        return (overflowLease.isOk() ? overflowLease : lease).mapErr(refuse => refuse());
+    }
+
     /**
-     * Asks the trackers of the session's engines in rendezvous order, at most three, to admit the prompt. The order is the
-     * same on every VM, so a session that spills over has its prefix cached by the same two or three engines, whichever
-     * VM dispatches it.
+     * Asks the trackers of the session's engines in rendezvous order, at most three or one for an overflow, to admit the
+     * prompt. The order is the same on every VM, so a session that spills over has its prefix cached by the same two or three
+     * engines, whichever VM dispatches it.
+     *
+     * @returns the lease, or a function that logs and returns the refusal.
      */
-    async function acquireEngine(
+    async function askEngines(
         job: Job,
         prompt: Prompt,
         usable: readonly UpstreamState[],
-        isContinued: boolean,
-    ): Promise<Result<Lease, DispatchRefusal>> {
+        { isOverflow, isContinued }: { readonly isOverflow: boolean; readonly isContinued: boolean; },
+    ): Promise<Result<Lease, () => DispatchRefusal>> {
         const candidates = selectByRendezvous(
             sessionKey(job),
             withoutPostponed(usable),
@@ -324,6 +353,9 @@
         let refused: { upstream: core.UpstreamId; load: EngineLoad; input: EngineAdmissionInput; } | undefined;
         let candidateRank = 0;
         for (const state of candidates) {
+            if (!state.tryTakeColdPermit()) {
+                continue;
+            }
             const input = {
                 elapsedMs: clock.nowMs() - job.arrivedMs,
                 objectiveMs: job.route.objectiveMs,
@@ -354,11 +386,12 @@
             const load = answer ?? localLoad(prompt, state);
             const waitMs = expectedWaitMs(load, prefillTokensPerMs);
             if (answer?.limited || answer?.ejected) {
+                state.giveBackColdPermit();
                 // The next candidate takes the place of this one: it is not spilled over to for lack of capacity.
                 refused ??= { upstream: state.upstream.id, load, input: { ...input, waitMs } };
                 continue;
             }
-            if (answer && candidateRank === 0) {
+            if (answer && candidateRank === 0 && !isOverflow) {
                 trackedLoad.record(waitMs, Math.min(1, load.running / state.upstream.slots));
             }
             const hasCapacity = waitMs <= waitLimitMs && load.running < state.upstream.slots * slotShare;
@@ -366,20 +399,22 @@
                 return grantLease(job, state.upstream.id, {
                     load,
                     candidateRank,
+                    isOverflow,
                     expectedMs: expectedFirstEventMs(load, prefillTokensPerMs),
                     ticket: answer?.ticket ?? 0,
                     tracker: answer?.tracker,
-                });
+                }).mapErr(refusal => () => refusal);
             }
+            state.giveBackColdPermit();
             refused = { upstream: state.upstream.id, load, input: { ...input, waitMs } };
             const isLast = candidateRank > 0 && !isContinued && !isSpillWorthwhile(input);
             candidateRank++;
-            if (isLast || candidateRank >= maxCandidates) {
+            if (isLast || isOverflow || candidateRank >= maxCandidates) {
                 break;
             }
         }
-        return err(
-            refused ? refuseOverload(job, refused.upstream, refused.load, refused.input) : refuseLimited(job),
+        return err(() =>
+            refused ? refuseOverload(job, refused.upstream, refused.load, refused.input) : refuseLimited(job)
         );
     }
 
@@ -404,17 +439,21 @@
             if (!isRetry) {
                 budget.addRequest();
             }
-            const usable = table.usableUpstreams(job.pool, options.catalog.read(), avoided, origin);
-            if (usable.length === 0) {
+            const { warm, cold } = table.usableUpstreams(job.pool, options.catalog.read(), avoided, origin);
+            const primary = warm.length > 0 ? warm : cold;
+            if (primary.length === 0) {
                 return err(refuseWithoutUpstream(job, origin));
             }
             if (isRetry && !budget.tryTakeRetry()) {
                 return err({ reason: "retry-budget", retryAfterMs: overloadRetryAfterMs });
             }
-            const candidates = table.withoutEjected(usable);
-            return job.prompt
-                ? acquireEngine(job, job.prompt, candidates, isRetry || origin?.isRecorded === true)
-                : acquireService(job, candidates);
+            const candidates = table.withoutEjected(primary);
+            if (!job.prompt) {
+                return acquireService(job, candidates);
+            }
+            const isContinued = isRetry || origin?.isRecorded === true;
+            const overflow = warm.length > 0 ? table.withoutEjected(cold) : [];
+            return acquireEngine(job, job.prompt, { candidates, overflow, isContinued });
         },
         relativeUsage,
         dispose() {
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -15,6 +15,7 @@
 
 export interface UpstreamTableOptions {
     readonly clock: core.Clock;
+    readonly random: core.Random;
     readonly catalog: core.SnapshotCell<catalog.CatalogSnapshot>;
     readonly fleet: FleetView;
     readonly log: telemetry.EventLog;
@@ -57,6 +58,10 @@
     /** Time in ms until which the upstream is left out because its limit is exhausted. */
     readonly postponedUntilMs: number;
     postpone(untilMs: number): void;
+    /** Takes one of this VM's permits for a cold upstream; false if there is none. A warm upstream needs none. */
+    tryTakeColdPermit(): boolean;
+    /** Returns the permit of a request that was not sent. */
+    giveBackColdPermit(): void;
     /** @param ticket issued by the upstream's tracker; 0 if there is none. */
     openLease(job: Job, newTokens: number, expectedMs: number, ticket: number): Lease;
 }
@@ -67,6 +72,13 @@
     readonly untilMs: number;
 }
 
+/** The upstreams that accept requests now. */
+export interface UsableUpstreams {
+    readonly warm: readonly UpstreamState[];
+    /** The cold ones for which this VM has a permit now. They have little capacity. */
+    readonly cold: readonly UpstreamState[];
+}
+
 /** Time in ms in which the entry of an upstream that has started again reaches this VM. */
 const reregistrationMs = 3_000;
 
@@ -76,7 +88,7 @@
     stateOf(id: core.UpstreamId): UpstreamState | undefined;
     stateOfHash(idHash: number): UpstreamState | undefined;
     /**
-     * Upstreams of a pool that accept requests now: not leaving, paused, evacuated or avoided, and within the cold rate limit.
+     * Upstreams of a pool that accept requests now: not leaving, paused, evacuated or avoided.
      *
      * @param origin of the stream with which they go on; undefined for a new request.
      */
@@ -85,7 +97,7 @@
         snapshot: catalog.CatalogSnapshot,
         avoided: ReadonlySet<core.UpstreamId>,
         origin?: StreamOrigin,
-    ): readonly UpstreamState[];
+    ): UsableUpstreams;
     /** Whether an upstream of a pool that is neither leaving nor evacuated can go on with a stream. */
     hasRoutable(pool: core.PoolId, snapshot: catalog.CatalogSnapshot, origin: StreamOrigin): boolean;
     /** The upstreams of a pool that are paused, and the times in ms at which their pauses end; the first to end comes first. */
@@ -125,7 +137,7 @@
 const msPerTokenWeight = 0.05;
 
 export function createUpstreamTable(options: UpstreamTableOptions): UpstreamTable {
-    const { clock, log, metrics, fleet } = options;
+    const { clock, random, log, metrics, fleet } = options;
     const states = new Map<core.UpstreamId, MutableState>();
     const byHash = new Map<number, MutableState>();
     const routableByPool = new Map<core.PoolId, readonly MutableState[]>();
@@ -223,6 +235,8 @@
             unreachableMs: Number.NEGATIVE_INFINITY,
             postponedUntilMs: Number.NEGATIVE_INFINITY,
             postpone: untilMs => void (state.postponedUntilMs = untilMs),
+            tryTakeColdPermit: () => coldLimiterOf(state)?.tryTake(clock.nowMs()) ?? true,
+            giveBackColdPermit: () => coldLimiterOf(state)?.giveBack(),
             backlog: createBacklog(() => prefillTokensPerMs(upstream.pool)),
             cache: createPrefixCache(localCacheTokens),
             health: createUpstreamHealth((forMs, failureShare) => {
@@ -419,20 +433,19 @@
         }
     }
 
-    function isWithinColdLimit(state: MutableState): boolean {
+    /** Undefined if the upstream is warm or has no limit. */
+    function coldLimiterOf(state: MutableState): TokenBucket | undefined {
         const nowMs = clock.nowMs();
-        if (state.coldUntilMs <= nowMs) {
-            state.coldLimiter = undefined;
-            return true;
-        }
         const ratePerS = poolOf(state.upstream.pool)?.coldRatePerS ?? 0;
-        if (ratePerS <= 0) {
-            return true;
+        if (state.coldUntilMs <= nowMs || ratePerS <= 0) {
+            state.coldLimiter = undefined;
+            return undefined;
         }
         const vmCount = fleet.vmCount() > 1 ? fleet.vmCount() : assumedVmCount;
-        // The bucket has a capacity of one: with a larger one, several VMs could send their bursts in the same second.
-        state.coldLimiter ??= createTokenBucket(() => (ratePerS * coldRateShare) / vmCount, 1, nowMs);
-        return state.coldLimiter.tryTake(nowMs);
+        // The bucket has a capacity of one: with a larger one, several VMs could send their bursts in the same second. The VMs
+        // learn of a cold upstream at the same time, so the random content spreads their first requests.
+        state.coldLimiter ??= createTokenBucket(() => (ratePerS * coldRateShare) / vmCount, 1, nowMs, random());
+        return state.coldLimiter;
     }
 
     return {
@@ -444,11 +457,14 @@
             const routable = avoided.size === 0 ? all : all.filter(({ upstream }) => !avoided.has(upstream.id));
             const nowMs = clock.nowMs();
             if (nowMs >= lastColdUntilMs) {
-                return routable;
+                return { warm: routable, cold: [] };
             }
-            const warm = routable.filter(state => state.coldUntilMs <= nowMs);
-            // Cold upstreams have little capacity, so they are used only if there is no warm one.
-            return warm.length > 0 ? warm : routable.filter(isWithinColdLimit);
+            return {
+                warm: routable.filter(state => state.coldUntilMs <= nowMs),
+                cold: routable.filter(state =>
+                    state.coldUntilMs > nowMs && coldLimiterOf(state)?.hasToken(nowMs) !== false
+                ),
+            };
         },
         hasRoutable: (pool, snapshot, origin) =>
             routableUpstreams(pool, snapshot).some(({ upstream }) => hasOrigin(upstream, origin)),
