--- a/packages/gateway/src/CallerConnections.ts
+++ b/packages/gateway/src/CallerConnections.ts
@@ -7,6 +7,13 @@
     /** Records an accepted connection, whether its requests are served or refused. */
     recordAccepted(socket: net.Socket): void;
     recordRequest(response: http.ServerResponse): void;
+    /**
+     * Resolves once the responses to all earlier requests on the connection have ended, or the connection has closed; undefined if
+     * none is open.
+     */
+    earlierResponses(response: http.ServerResponse): Promise<void> | undefined;
+    /** Records that all of a response has been handed to its connection. */
+    recordEnded(response: http.ServerResponse): void;
     /** Whether no later request has arrived on the connection of a response. */
     isLatest(response: http.ServerResponse): boolean;
     /** Whether a connection is closed after the responses so far, as the latest one states. No later request on it is served. */
@@ -25,11 +32,36 @@
     acceptedCount(): number;
 }
 
+/** The place of a response on its connection. */
+interface Turn {
+    readonly earlier: Promise<void> | undefined;
+    end(): void;
+}
+
 export function createCallerConnections(): CallerConnections {
     const sockets = new Set<net.Socket>();
     let acceptedCount = 0;
     const inFlight = new Set<http.ServerResponse>();
     const latestResponses = new WeakMap<net.Socket, http.ServerResponse>();
+    const turns = new WeakMap<http.ServerResponse, Turn>();
+    /** Resolve once all responses on a connection have ended; missing while none is open. */
+    const openResponses = new WeakMap<net.Socket, Promise<void>>();
+
+    function takeTurn(response: http.ServerResponse): Turn {
+        const { socket } = response.req;
+        const earlier = openResponses.get(socket);
+        let end: () => void = () => undefined;
+        const ended = new Promise<void>(resolve => end = resolve);
+        const allEnded = earlier ? earlier.then(() => ended) : ended;
+        openResponses.set(socket, allEnded);
+        void allEnded.then(() => {
+            if (openResponses.get(socket) === allEnded) {
+                openResponses.delete(socket);
+            }
+        });
+        return { earlier, end };
+    }
+
     return {
         recordAccepted(socket) {
             acceptedCount++;
@@ -39,8 +71,15 @@
         recordRequest(response) {
             inFlight.add(response);
             latestResponses.set(response.req.socket, response);
-            onceResponseClosed(response, () => inFlight.delete(response));
+            const turn = takeTurn(response);
+            turns.set(response, turn);
+            onceResponseClosed(response, () => {
+                inFlight.delete(response);
+                turn.end();
+            });
         },
+        earlierResponses: response => turns.get(response)?.earlier,
+        recordEnded: response => turns.get(response)?.end(),
         isLatest: response => latestResponses.get(response.req.socket) === response,
         isClosing(socket) {
             const latest = latestResponses.get(socket);
--- a/packages/gateway/src/CallerResponse.ts
+++ b/packages/gateway/src/CallerResponse.ts
@@ -22,12 +22,16 @@
     sendRefusal(refusal: Refusal, requestId: core.RequestId | undefined): void;
 }
 
-/** @param shouldClose whether the connection is closed after this response. */
+/**
+ * @param shouldClose whether the connection is closed after this response.
+ * @param onEnded called once all of the response has been handed to its connection.
+ */
 export function createCallerResponse(
     response: http.ServerResponse,
     codec: WireCodec,
     shouldClose: () => boolean,
     clock: core.Clock,
+    onEnded: () => void,
 ): CallerResponse {
     // A write to a closed connection is not an error of this process; the close event reports the disconnect.
     response.on("error", () => undefined);
@@ -53,6 +57,7 @@
         hasSent = true;
         sentBytes = body.length;
         core.endResponse(response, body, !response.shouldKeepAlive, clock);
+        onEnded();
     }
 
     return {
@@ -72,7 +77,10 @@
             response.once("drain", onDrain);
             return false;
         },
-        end: () => void response.end(),
+        end() {
+            response.end();
+            onEnded();
+        },
         send,
         sendRefusal(refusal, requestId) {
             if (response.headersSent) {
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -99,13 +99,14 @@
         // A connection that is closed after this response loses those of later requests.
         () => (context.drainElapsedMs() !== undefined || hasFailed(request.socket)) && connections.isLatest(response),
         context.clock,
+        () => connections.recordEnded(response),
     );
     let kind = "unknown";
     let customer: core.CustomerId | undefined;
     let attemptSequence: AttemptSequence | undefined;
     let callerDisconnected = false;
     let hasBeenEnded = false;
-    let stage: "admission" | "body" | "origin" | "upstream" = "admission";
+    let stage: "admission" | "body" | "turn" | "origin" | "upstream" = "admission";
 
     onceResponseClosed(response, () => {
         deadline.cancel();
@@ -227,6 +228,8 @@
         if (body.isErr()) {
             return body.error === "too-large" ? refuse(createRefusal("body-too-large")) : abandon("disconnected");
         }
+        stage = "turn";
+        await earlierResponsesEnded(requestHead.requestId);
         stage = "origin";
         await nextSocketPoll();
         if (endsEarly()) {
@@ -239,6 +242,18 @@
         return serve(requestHead.requestId, allowed.value, body.value);
     }
 
+    /**
+     * Waits for the responses to earlier requests on the connection. One that cannot be completed is ended by closing the
+     * connection, and a request that runs by then loses its response.
+     */
+    async function earlierResponsesEnded(requestId: core.RequestId): Promise<void> {
+        const earlier = connections.earlierResponses(response);
+        if (earlier) {
+            log.decision("request-pipelined", { requestId });
+            await earlier;
+        }
+    }
+
     /** Whether the caller has left, which is logged, or the deadline has passed. */
     function endsEarly(): boolean {
         if (callerDisconnected) {
