--- a/packages/gateway/__tests__/unit/AttemptSequence.test.ts
+++ b/packages/gateway/__tests__/unit/AttemptSequence.test.ts
@@ -53,6 +53,7 @@
             body: Buffer.alloc(0),
             rawHeaders: [],
             isCancelled: () => false,
+            hasBegun: () => false,
             isStillAllowed: () => true,
         });
         const result = await sequence.nextResponse(undefined);
--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -7,7 +7,7 @@
 import { createReplacement, type Replacement } from "./Replacement.js";
 import { discardResponse } from "./ResponseRelay.js";
 import { type RunCheck, verifyRun } from "./RunVerification.js";
-import { type Attempt, type AttemptFailure, startAttempt } from "./UpstreamAttempt.js";
+import { type Attempt, type AttemptFailure, connectTimeoutMs, startAttempt } from "./UpstreamAttempt.js";
 
 /** A caller's request in the form in which it is sent to upstreams. */
 export interface AttemptRequest {
@@ -20,6 +20,8 @@
     readonly rawHeaders: readonly string[];
     /** Whether the caller has disconnected or the deadline has passed. */
     isCancelled(): boolean;
+    /** Whether the response to the caller has begun. */
+    hasBegun(): boolean;
     /** Checked immediately before each write; false if the configuration no longer allows the request. */
     isStillAllowed(): boolean;
 }
@@ -70,6 +72,15 @@
 const responseTimeoutFactor = 3;
 const responseTimeoutSlackMs = 400;
 
+/** Longest time in ms for which an upstream that was silent before is asked for its run. */
+const maxStatementTimeoutMs = 2_000;
+
+/** An upstream that has not stated its run, and the time in ms for which it is asked next. */
+interface SilentUpstream {
+    readonly lease: dispatch.Lease;
+    readonly timeoutMs: number;
+}
+
 /** How an attempt ends whose upstream has not stated the run of its entry. */
 const verificationFailures: Partial<Readonly<Record<RunCheck, dispatch.AttemptOutcome>>> = {
     other: "misdirected",
@@ -92,7 +103,8 @@
 
     async function nextResponse(position: StreamPosition | undefined): Promise<Result<StartedResponse, Refusal>> {
         for (;;) {
-            const lease = await acquire(excluded, sentTo.size > 0, position);
+            // A response that has begun can only be cut if no upstream goes on with it, any other is refused as not run.
+            const lease = await acquire(excluded, sentTo.size > 0, position, request.hasBegun());
             if (lease.isErr()) {
                 return err(createSequenceRefusal(mayHaveRun, lease.error.reason, lease.error.retryAfterMs));
             }
@@ -113,31 +125,55 @@
         }
     }
 
+    /** @param awaitsSilent whether upstreams that have not stated their run in time are asked again until the request ends. */
     async function acquire(
         avoided: ReadonlySet<core.UpstreamId>,
         isRetry: boolean,
         position: StreamPosition | undefined,
+        awaitsSilent: boolean,
     ): Promise<Result<dispatch.Lease, dispatch.DispatchRefusal>> {
         if (!position) {
             return context.dispatcher.acquire(job, avoided, isRetry);
         }
         const unverified = new Set(avoided);
-        for (;;) {
-            if (!context.streamOrigins.mayContinue()) {
-                return err({ reason: "origin-unknown", retryAfterMs: undefined });
-            }
-            const lease = await context.dispatcher.acquire(job, unverified, isRetry, position.origin);
-            if (lease.isErr() || request.isCancelled() || await isRunVerified(lease.value)) {
-                return lease;
+        /** Upstreams that are asked for their run again while no other one can go on. */
+        const silent: SilentUpstream[] = [];
+        try {
+            for (;;) {
+                if (!context.streamOrigins.mayContinue()) {
+                    return err({ reason: "origin-unknown", retryAfterMs: undefined });
+                }
+                const acquired = await context.dispatcher.acquire(job, unverified, isRetry, position.origin);
+                const candidate = acquired.isOk()
+                    ? { lease: acquired.value, timeoutMs: connectTimeoutMs }
+                    : silent.shift();
+                if (!candidate) {
+                    return acquired;
+                }
+                const { lease, timeoutMs } = candidate;
+                const check = request.isCancelled() ? undefined : await checkRun(lease, timeoutMs);
+                const failure = check && verificationFailures[check];
+                if (!failure) {
+                    return ok(lease);
+                }
+                unverified.add(lease.upstream.id);
+                if (check === "silent" && awaitsSilent) {
+                    silent.push({ lease, timeoutMs: Math.min(2 * timeoutMs, maxStatementTimeoutMs) });
+                }
+                else {
+                    lease.end(failure);
+                }
             }
-            unverified.add(lease.value.upstream.id);
+        }
+        finally {
+            silent.forEach(({ lease }) => lease.end("silent"));
         }
     }
 
-    /** Whether a stream may go on under a lease: its upstream has not started again. Otherwise the lease is ended. */
-    async function isRunVerified(lease: dispatch.Lease): Promise<boolean> {
+    /** Asks the upstream of a lease whether it has started again since its entry. */
+    async function checkRun(lease: dispatch.Lease, timeoutMs: number): Promise<RunCheck> {
         const { upstream } = lease;
-        const { check, startedWallMs, agent } = await verifyRun(upstream, codec, clock);
+        const { check, startedWallMs, agent } = await verifyRun(upstream, codec, clock, timeoutMs);
         const fields = {
             requestId: job.requestId,
             upstream: upstream.id,
@@ -145,17 +181,16 @@
             entryStartedWallMs: upstream.startedWallMs,
             startedWallMs,
         };
-        const failure = verificationFailures[check];
-        if (failure) {
-            log.failure("run-not-verified", fields);
-            lease.end(failure);
-            return false;
+        if (verificationFailures[check]) {
+            log.failure("run-not-verified", { ...fields, timeoutMs });
+        }
+        else {
+            log.decision("run-verified", fields);
         }
-        log.decision("run-verified", fields);
         if (check === "same") {
             verifiedAgents.set(lease, agent);
         }
-        return true;
+        return check;
     }
 
     /** Waits for the response to an attempt, or to the attempt that replaces it if it is unresponsive. */
@@ -260,7 +295,8 @@
             isRequestCancelled: request.isCancelled,
             mayRetry: inProgress => isRetryable && sentTo.size + inProgress < job.route.maxAttempts,
             excludeUpstream,
-            acquire: (inProgress, position) => acquire(new Set([...excluded, ...inProgress.map(idOf)]), true, position),
+            acquire: (inProgress, position) =>
+                acquire(new Set([...excluded, ...inProgress.map(idOf)]), true, position, false),
             startAttempt: startLeasedAttempt,
             onResponse,
         });
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -306,6 +306,7 @@
             body,
             rawHeaders: request.rawHeaders,
             isCancelled,
+            hasBegun: callerResponse.hasBegun,
             isStillAllowed: () => isStillAllowed(job),
         });
         attemptSequence = sequence;
--- a/packages/gateway/src/RunVerification.ts
+++ b/packages/gateway/src/RunVerification.ts
@@ -29,14 +29,17 @@
 /**
  * Asks an upstream which run it is. An entry of the catalog may be that of an earlier run for as long as its update takes, and a
  * request can only name the id, which both runs share.
+ *
+ * @param timeoutMs time in ms within which the connection is established and the statement received.
  */
 export async function verifyRun(
     upstream: catalog.Upstream,
     codec: WireCodec,
     clock: core.Clock,
+    timeoutMs: number = connectTimeoutMs,
 ): Promise<VerifiedConnection> {
     const agent = createSingleConnectionAgent(clock);
-    const { body, isSilent } = await requestStatement(upstream, codec.runStatementPath, agent, clock);
+    const { body, isSilent } = await requestStatement(upstream, codec.runStatementPath, agent, clock, timeoutMs);
     const startedWallMs = body && codec.readRunStart(body);
     const check = body === undefined
         ? isSilent && upstream.startedWallMs !== undefined ? "silent" : "unreachable"
@@ -60,6 +63,7 @@
     path: string,
     agent: http.Agent,
     clock: core.Clock,
+    timeoutMs: number,
 ): Promise<Statement> {
     return new Promise(resolve => {
         const request = http.get({ agent, host, port, path, setHost: false });
@@ -68,7 +72,7 @@
             cancelTimer();
             resolve({ body, isSilent });
         };
-        const cancelTimer = clock.setTimer(connectTimeoutMs, () => {
+        const cancelTimer = clock.setTimer(timeoutMs, () => {
             settle(undefined, request.socket?.connecting === false);
             request.destroy();
         });
