--- a/packages/gateway/__tests__/unit/AttemptSequence.test.ts
+++ b/packages/gateway/__tests__/unit/AttemptSequence.test.ts
@@ -50,7 +50,7 @@
             isRetryable: false,
             method: "GET",
             path: "/",
-            body: Buffer.alloc(0),
+            body: () => Buffer.alloc(0),
             rawHeaders: [],
             isCancelled: () => false,
             isStillAllowed: () => true,
--- a/packages/gateway/__tests__/unit/UpstreamAttempt.test.ts
+++ b/packages/gateway/__tests__/unit/UpstreamAttempt.test.ts
@@ -17,7 +17,7 @@
             method: "GET",
             path: "/",
             headers: () => ["Host", "x"],
-            body: Buffer.alloc(0),
+            body: () => Buffer.alloc(0),
             mayWrite: () => true,
             requiresReusedConnection: false,
         }, core.createPolledClock(core.createSteadyClock()));
--- a/packages/gateway/__tests__/unit/UpstreamConnections.test.ts
+++ b/packages/gateway/__tests__/unit/UpstreamConnections.test.ts
@@ -33,7 +33,7 @@
                 method: "GET",
                 path: "/",
                 headers: () => ["Host", "x"],
-                body: Buffer.alloc(0),
+                body: () => Buffer.alloc(0),
                 mayWrite: () => true,
                 requiresReusedConnection: false,
             }, clock).response;
--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -16,7 +16,8 @@
     readonly isRetryable: boolean;
     readonly method: string;
     readonly path: string;
-    readonly body: Buffer;
+    /** The body; not called after the request has ended. */
+    body(): Buffer;
     readonly rawHeaders: readonly string[];
     /** Whether the caller has disconnected or the deadline has passed. */
     isCancelled(): boolean;
@@ -57,6 +58,10 @@
     upstreams(): readonly core.UpstreamId[];
     /** Closes the connections of all attempts. */
     cancel(cause: string): void;
+    /** Closes the connections to upstreams that have not read the request to its end. */
+    endWrites(): void;
+    /** Whether the outcome of an attempt is not known yet. */
+    isInProgress(): boolean;
 }
 
 /** An attempt in progress, with the lease under which it was sent. */
@@ -89,6 +94,7 @@
     /** Agents of the connections on which the upstreams of leases have stated their run. */
     const verifiedAgents = new WeakMap<dispatch.Lease, http.Agent>();
     let mayHaveRun = false;
+    let inProgressCount = 0;
 
     async function nextResponse(position: StreamPosition | undefined): Promise<Result<StartedResponse, Refusal>> {
         for (;;) {
@@ -196,7 +202,7 @@
                     upstream,
                     customer: job.customer,
                     remainingMs: Math.max(1, Math.floor(job.deadlineMs() - clock.nowMs())),
-                    bodyBytes: request.body.length,
+                    bodyBytes: request.body().length,
                     lastEventId: position?.lastEventId,
                 }),
             mayWrite: () => lease.mayWrite() && request.isStillAllowed(),
@@ -204,7 +210,12 @@
         attempts.add(attempt);
         attemptedUpstreams.push(upstream.id);
         const cancelTimer = startResponseTimer(attempt, lease, onUnresponsive);
-        return { attempt, lease, result: receiveHead(attempt, lease).finally(cancelTimer) };
+        inProgressCount++;
+        const result = receiveHead(attempt, lease).finally(() => {
+            inProgressCount--;
+            cancelTimer();
+        });
+        return { attempt, lease, result };
     }
 
     async function receiveHead(
@@ -332,6 +343,8 @@
         mayHaveRun: () => mayHaveRun || [...attempts].some(attempt => attempt.isSent()),
         upstreams: () => attemptedUpstreams,
         cancel: cause => attempts.forEach(attempt => attempt.cancel(cause)),
+        isInProgress: () => inProgressCount > 0,
+        endWrites: () => attempts.forEach(attempt => attempt.endWrite()),
     };
 }
 
--- /dev/null
+++ b/packages/gateway/src/BodyMemory.ts
@@ -0,0 +1,183 @@
+import type * as core from "@peridotloft/core";
+import { err, ok, type Result } from "neverthrow";
+
+/** Why bytes were not reserved, and when they are expected to be free. */
+export interface BodyMemoryFull {
+    /** Time in ms. */
+    readonly retryAfterMs: number;
+    readonly requestedBytes: number;
+    readonly reservedBytes: number;
+    readonly maxBytes: number;
+    /** Number of other bodies that wait for memory. */
+    readonly waiting: number;
+    /** Time in ms for which this body waited. */
+    readonly waitedMs: number;
+}
+
+/** The memory of one body. */
+export interface BodyReservation {
+    /**
+     * Reserves bytes in addition to those reserved before. Beyond `smallBodyBytes` in all, waits in order of arrival for up to
+     * `maxWaitMs`; fails at once if too many bodies wait already.
+     */
+    reserve(bytes: number, maxWaitMs: number): Promise<Result<void, BodyMemoryFull>>;
+    /** Returns the bytes beyond `bytes`. */
+    shrinkTo(bytes: number): void;
+    /** Returns all bytes and stops waiting; nothing can be reserved any more. */
+    release(): void;
+}
+
+/** Bounds the bytes that a process holds for the bodies of requests, whatever their number and sizes. */
+export interface BodyMemory {
+    /** Size in bytes of the largest body for which there can be memory. */
+    readonly maxBodyBytes: number;
+    readonly maxBytes: number;
+    reservedBytes(): number;
+    waitingCount(): number;
+    openReservation(): BodyReservation;
+}
+
+export interface BodyMemoryOptions {
+    readonly clock: core.Clock;
+    readonly random: core.Random;
+    /** Bytes that all bodies may hold together. */
+    readonly maxBytes: number;
+}
+
+/** Size in bytes up to which bodies may use all of the memory. */
+export const smallBodyBytes = 128 * 1024;
+/** Share of the memory that may be used by what lies beyond this size. */
+const largeBodyShare = 0.75;
+/** Time in ms for which bodies hold their bytes, until this is known. */
+const defaultHeldMs = 300;
+/** Range in ms of the expected times. */
+const minRetryMs = 50;
+const maxRetryMs = 1_000;
+/** Largest share by which such a time is extended, so that callers do not retry at the same time. */
+const retrySpread = 0.3;
+
+interface WaitingBody {
+    readonly bytes: number;
+    readonly grant: () => void;
+}
+
+export function createBodyMemory({ clock, random, maxBytes }: BodyMemoryOptions): BodyMemory {
+    const maxLargeBytes = Math.floor(maxBytes * largeBodyShare);
+    const waiting = new Set<WaitingBody>();
+    let reservedBytes = 0;
+    let waitingBytes = 0;
+    /** Mean time in ms for which a byte was held, over about as many bytes as there are. */
+    let meanHeldMs = defaultHeldMs;
+
+    function returnBytes(bytes: number, heldMs: number): void {
+        if (bytes > 0) {
+            meanHeldMs += (heldMs - meanHeldMs) * bytes / maxBytes;
+            reservedBytes -= bytes;
+            grantWaiting();
+        }
+    }
+
+    function grantWaiting(): void {
+        for (const body of waiting) {
+            if (reservedBytes + body.bytes > maxLargeBytes) {
+                return;
+            }
+            body.grant();
+        }
+    }
+
+    function describeFull(bytes: number, limitBytes: number, waitedMs: number): BodyMemoryFull {
+        // In the mean time for which a byte is held, all of the memory is returned once.
+        const expectedMs = meanHeldMs * (reservedBytes + waitingBytes + bytes) / limitBytes;
+        return {
+            retryAfterMs: Math.round(
+                Math.min(maxRetryMs, Math.max(minRetryMs, expectedMs)) * (1 + retrySpread * random()),
+            ),
+            requestedBytes: bytes,
+            reservedBytes,
+            maxBytes,
+            waiting: waiting.size,
+            waitedMs: Math.round(waitedMs),
+        };
+    }
+
+    function openReservation(): BodyReservation {
+        let ownBytes = 0;
+        let reservedMs = clock.nowMs();
+        let isReleased = false;
+        let stopWaiting: () => void = () => undefined;
+
+        function take(bytes: number): void {
+            ownBytes += bytes;
+            reservedBytes += bytes;
+            reservedMs = clock.nowMs();
+        }
+
+        function shrinkTo(bytes: number): void {
+            const returned = Math.max(0, ownBytes - bytes);
+            ownBytes -= returned;
+            returnBytes(returned, clock.nowMs() - reservedMs);
+        }
+
+        function wait(bytes: number, maxWaitMs: number): Promise<Result<void, BodyMemoryFull>> {
+            const startedMs = clock.nowMs();
+            return new Promise(resolve => {
+                const leave = (): void => {
+                    cancelTimer();
+                    waiting.delete(body);
+                    waitingBytes -= bytes;
+                    stopWaiting = () => undefined;
+                };
+                const fail = (): void => {
+                    leave();
+                    resolve(err(describeFull(bytes, maxLargeBytes, clock.nowMs() - startedMs)));
+                    grantWaiting();
+                };
+                const body: WaitingBody = {
+                    bytes,
+                    grant() {
+                        leave();
+                        take(bytes);
+                        resolve(ok(undefined));
+                    },
+                };
+                const cancelTimer = clock.setTimer(maxWaitMs, fail);
+                stopWaiting = fail;
+                waiting.add(body);
+                waitingBytes += bytes;
+            });
+        }
+
+        return {
+            reserve(bytes, maxWaitMs) {
+                const isSmall = ownBytes + bytes <= smallBodyBytes;
+                const limitBytes = isSmall ? maxBytes : maxLargeBytes;
+                if (isReleased) {
+                    return Promise.resolve(err(describeFull(bytes, limitBytes, 0)));
+                }
+                if (reservedBytes + bytes <= limitBytes && (isSmall || waiting.size === 0)) {
+                    take(bytes);
+                    return Promise.resolve(ok(undefined));
+                }
+                // More than all of the memory is not returned in the time that callers can wait.
+                return isSmall || waitingBytes + bytes > maxLargeBytes
+                    ? Promise.resolve(err(describeFull(bytes, limitBytes, 0)))
+                    : wait(bytes, maxWaitMs);
+            },
+            shrinkTo,
+            release() {
+                isReleased = true;
+                stopWaiting();
+                shrinkTo(0);
+            },
+        };
+    }
+
+    return {
+        maxBodyBytes: maxLargeBytes,
+        maxBytes,
+        reservedBytes: () => reservedBytes,
+        waitingCount: () => waiting.size,
+        openReservation,
+    };
+}
--- a/packages/gateway/src/CallerResponse.ts
+++ b/packages/gateway/src/CallerResponse.ts
@@ -22,6 +22,13 @@
     sendRefusal(refusal: Refusal, requestId: core.RequestId | undefined): void;
 }
 
+/** Reasons for which the rest of a body is not needed. */
+const unreadBodyReasons: ReadonlySet<RefusalReason> = new Set([
+    "body-too-large",
+    "body-memory-full",
+    "not-sent-in-time",
+]);
+
 /** @param shouldClose whether the connection is closed after this response. */
 export function createCallerResponse(
     response: http.ServerResponse,
@@ -80,7 +87,7 @@
                 response.destroy();
                 return;
             }
-            if (refusal.reason === "body-too-large" || refusal.reason === "not-sent-in-time") {
+            if (unreadBodyReasons.has(refusal.reason)) {
                 // Otherwise the rest of the body would be read only to reach the next request on the connection.
                 response.shouldKeepAlive = false;
             }
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -3,6 +3,7 @@
 import * as http from "node:http";
 import * as net from "node:net";
 import { acceptBacklog } from "./AcceptQueueMonitor.js";
+import { createBodyMemory } from "./BodyMemory.js";
 import { createCallerConnections } from "./CallerConnections.js";
 import { closeIdleAfterPoll } from "./CallerResponse.js";
 import { createClientErrors } from "./ClientError.js";
@@ -49,6 +50,11 @@
     let isClosed = false;
     const refusalReport = createRefusalReport(context);
     const chooseRetry = createOverloadRetryChooser(context);
+    const bodyMemory = createBodyMemory({
+        clock,
+        random: context.random,
+        maxBytes: settings.maxBodyMemoryBytes,
+    });
     const requestHandler = createRequestHandler({
         context,
         freshness,
@@ -56,6 +62,7 @@
         hasFailed: clientErrors.hasFailed,
         refusalReport,
         chooseRetry,
+        bodyMemory,
     });
     const callerServer = http.createServer({
         maxHeaderSize: maxHeaderBytes,
@@ -78,11 +85,24 @@
     callerServer.on("clientError", (error, socket) => clientErrors.handle(error, socket as net.Socket));
     closeIdleAfterPoll(callerServer);
     refuseConnectionsUnderOverload(callerServer);
-    const removeAcceptQueueGauge = metrics.registerGauge(
-        "accept_queue_wait_seconds",
-        "Upper bound on the time that connections wait until they are accepted.",
-        () => acceptQueue.longestWaitMs() / 1_000,
-    );
+    const removeGauges = [
+        metrics.registerGauge(
+            "accept_queue_wait_seconds",
+            "Upper bound on the time that connections wait until they are accepted.",
+            () => acceptQueue.longestWaitMs() / 1_000,
+        ),
+        metrics.registerGauge(
+            "body_memory_bytes",
+            "Bytes reserved for the bodies of requests.",
+            bodyMemory.reservedBytes,
+        ),
+        metrics.registerGauge(
+            "body_memory_limit_bytes",
+            "Bytes that the bodies of all requests may hold together.",
+            () => bodyMemory.maxBytes,
+        ),
+        metrics.registerGauge("bodies_waiting", "Bodies that wait for memory.", bodyMemory.waitingCount),
+    ];
     const readinessServer = http.createServer((request, response) => {
         request.resume();
         response.writeHead(request.url === settings.readinessPath ? (isReady() ? 200 : 503) : 404).end();
@@ -191,7 +211,7 @@
     function close(): void {
         isClosed = true;
         subscription.unsubscribe();
-        removeAcceptQueueGauge();
+        removeGauges.forEach(remove => remove());
         refusalReport.dispose();
         [callerServer, readinessServer, metricsServer].forEach(server => {
             server.close();
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -22,4 +22,6 @@
     readonly keyWithdrawalMs: number;
     /** Time in ms within which a new configuration must take effect. */
     readonly configApplyMs: number;
+    /** Bytes that the bodies of all requests may hold together. */
+    readonly maxBodyMemoryBytes: number;
 }
--- a/packages/gateway/src/Refusal.ts
+++ b/packages/gateway/src/Refusal.ts
@@ -13,6 +13,7 @@
     | "unknown-route"
     | "unknown-key"
     | "body-too-large"
+    | "body-memory-full"
     | "not-sent-in-time"
     | UpstreamFailureReason
     | "internal";
@@ -50,6 +51,7 @@
     "unknown-route": 404,
     "unknown-key": 401,
     "body-too-large": 413,
+    "body-memory-full": 503,
     "not-sent-in-time": 503,
     "upstream-timeout": 504,
     "upstream-broken": 502,
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -10,6 +10,7 @@
     type StartedResponse,
     type StreamPosition,
 } from "./AttemptSequence.js";
+import type { BodyMemory } from "./BodyMemory.js";
 import type { CallerConnections } from "./CallerConnections.js";
 import { createCallerResponse, keepConnectionOpen } from "./CallerResponse.js";
 import type { ClientErrors } from "./ClientError.js";
@@ -24,7 +25,7 @@
     type UpstreamFailureReason,
 } from "./Refusal.js";
 import type { RefusalReport } from "./RefusalReport.js";
-import { readBody } from "./RequestBody.js";
+import { type BodyFailure, createRequestBody, type RequestBody } from "./RequestBody.js";
 import { createRequestDeadline } from "./RequestDeadline.js";
 import { connectionCloseOf, onceResponseClosed } from "./ResponseClose.js";
 import { discardResponse, readCompleteResponse, type RelayOutcome, relayStream } from "./ResponseRelay.js";
@@ -48,6 +49,9 @@
 const stallTimeoutFactor = 2.5;
 /** Objective in ms for the gap between events if the route states none. */
 const defaultEventGapMs = 1_000;
+/** Time in ms for which a body may wait for memory: callers give up a request that is not read within 1 s, or a third of their time. */
+const maxMemoryWaitMs = 700;
+const maxMemoryWaitShare = 0.25;
 /** Maximum number of upstreams that a log line names. */
 const maxLoggedUpstreams = 4;
 
@@ -60,6 +64,7 @@
     readonly refusalReport: RefusalReport;
     /** Decides when a caller that is refused for lack of processor time may retry. */
     readonly chooseRetry: () => OverloadRetry;
+    readonly bodyMemory: BodyMemory;
 }
 
 export function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
@@ -72,7 +77,7 @@
             exchange.run().catch((error: unknown) => {
                 options.context.log.failure("request-failed-unexpectedly", { error: String(error) });
                 exchange.refuse(createRefusal("internal"));
-            });
+            }).finally(exchange.releaseBody);
         },
         endWaitingRequests: () => exchanges.forEach(exchange => exchange.endIfWaiting()),
     };
@@ -81,11 +86,13 @@
 interface RequestExchange {
     run(): Promise<void>;
     refuse(refusal: Refusal): void;
+    /** Drops the body, and stops sending it to an upstream that has not read it to its end. */
+    releaseBody(): void;
     endIfWaiting(): void;
 }
 
 function createExchange(
-    { context, freshness, connections, hasFailed, refusalReport, chooseRetry }: RequestHandlerOptions,
+    { context, freshness, connections, hasFailed, refusalReport, chooseRetry, bodyMemory }: RequestHandlerOptions,
     request: http.IncomingMessage,
     response: http.ServerResponse,
 ): RequestExchange {
@@ -103,6 +110,8 @@
     let kind = "unknown";
     let customer: core.CustomerId | undefined;
     let attemptSequence: AttemptSequence | undefined;
+    let requestBody: RequestBody | undefined;
+    let fingerprintOf: () => number | undefined = () => undefined;
     let callerDisconnected = false;
     let hasBeenEnded = false;
     let stage: "admission" | "body" | "origin" | "upstream" = "admission";
@@ -112,6 +121,7 @@
         if (!response.writableFinished) {
             callerDisconnected = true;
             attemptSequence?.cancel("caller-left");
+            stopReading();
             logAbortedResponse();
         }
         const outcome = response.writableFinished ? String(response.statusCode) : "cut";
@@ -170,7 +180,25 @@
         log.failure("request-abandoned", { ...describeRequest(), cause });
     }
 
-    function refuse(refusal: Refusal): void {
+    function releaseBody(): void {
+        if (attemptSequence?.isInProgress()) {
+            // Its outcome is recorded with the fingerprint.
+            fingerprintOf();
+        }
+        attemptSequence?.endWrites();
+        requestBody?.release();
+    }
+
+    /** Drops a body that has not been read to its end. */
+    function stopReading(): void {
+        if (stage === "body") {
+            requestBody?.release();
+        }
+    }
+
+    /** @param inputs what the refusal was decided by. */
+    function refuse(refusal: Refusal, inputs: Readonly<Record<string, number>> = {}): void {
+        stopReading();
         if (callerDisconnected || callerResponse.hasEnded()) {
             return;
         }
@@ -182,6 +210,7 @@
             statusCode: refusal.statusCode,
             retryAfterMs: refusal.retryAfterMs,
             configAgeMs: Math.round(context.follower.ageMs()),
+            ...inputs,
         });
         callerResponse.sendRefusal(refusal, requestHead.requestId);
     }
@@ -220,12 +249,17 @@
         }
         stage = "body";
         const maxBodyBytes = context.follower.snapshot.read().activeConfig?.config.limits.maxBodyBytes ?? 0;
-        const body = await readBody(request, maxBodyBytes);
+        requestBody = createRequestBody(request, {
+            memory: bodyMemory,
+            maxBytes: Math.min(maxBodyBytes, bodyMemory.maxBodyBytes),
+            maxWaitMs: () => Math.min(maxMemoryWaitMs, (deadline.atMs() - clock.nowMs()) * maxMemoryWaitShare),
+        });
+        const read = await requestBody.read();
         if (endsEarly()) {
             return;
         }
-        if (body.isErr()) {
-            return body.error === "too-large" ? refuse(createRefusal("body-too-large")) : abandon("disconnected");
+        if (read.isErr()) {
+            return refuseBody(read.error, maxBodyBytes);
         }
         stage = "origin";
         await nextSocketPoll();
@@ -236,7 +270,20 @@
         if (request.socket.readableEnded) {
             return abandon("half-closed");
         }
-        return serve(requestHead.requestId, allowed.value, body.value);
+        return serve(requestHead.requestId, allowed.value, requestBody);
+    }
+
+    function refuseBody(failure: BodyFailure, configuredMaxBytes: number): void {
+        if (failure === "disconnected" || failure === "released") {
+            abandon("disconnected");
+        }
+        else if (failure === "too-large") {
+            refuse(createRefusal("body-too-large"), { configuredMaxBytes, maxBytes: bodyMemory.maxBodyBytes });
+        }
+        else {
+            const { retryAfterMs, ...inputs } = failure;
+            refuse(createRefusal("body-memory-full", retryAfterMs), inputs);
+        }
     }
 
     /** Whether the caller has left, which is logged, or the deadline has passed. */
@@ -257,7 +304,7 @@
             || timeoutMs + drainEndMarginMs <= drainRemainingMs;
     }
 
-    async function serve(requestId: core.RequestId, allowed: AllowedRequest, body: Buffer): Promise<void> {
+    async function serve(requestId: core.RequestId, allowed: AllowedRequest, body: RequestBody): Promise<void> {
         const { route } = allowed;
         const found = await findPosition(requestId, route);
         if (endsEarly()) {
@@ -271,6 +318,7 @@
         if (pool === undefined) {
             return refuse(createRefusal("no-upstream"));
         }
+        let fingerprint: number | undefined;
         const job: dispatch.Job = {
             requestId,
             route,
@@ -280,15 +328,16 @@
             prompt: requestHead.prompt,
             arrivedMs,
             deadlineMs: deadline.atMs,
-            fingerprint: () => core.hash32(`${path} ${customer ?? ""} ${body.toString("latin1")}`),
+            fingerprint: () => fingerprint ??= core.hash32Bytes(`${path} ${customer ?? ""} `, body.bytes()),
         };
+        fingerprintOf = job.fingerprint;
         stage = "upstream";
         const sequence = createAttemptSequence(context, {
             job,
             isRetryable: route.kind === "stream" ? route.resumable : route.kind === "idempotent",
             method: request.method ?? "GET",
             path,
-            body,
+            body: body.bytes,
             rawHeaders: request.rawHeaders,
             isCancelled,
             isStillAllowed: () => isStillAllowed(job),
@@ -512,7 +561,7 @@
         }
     }
 
-    return { run, refuse, endIfWaiting };
+    return { run, refuse, releaseBody, endIfWaiting };
 }
 
 /** Returns a function of the latest input that computes its result only when the input is another object than before. */
--- a/packages/gateway/src/UpstreamAttempt.ts
+++ b/packages/gateway/src/UpstreamAttempt.ts
@@ -12,7 +12,8 @@
     readonly path: string;
     /** Called once the connection is established, since the remaining time has decreased by then. */
     headers(): string[];
-    readonly body: Buffer;
+    /** Called when the request is written. */
+    body(): Buffer;
     /** Called immediately before the request is written; if it returns false, the request is cancelled unsent. */
     mayWrite(): boolean;
     /** Whether the request is sent only on a connection that the agent has used before. */
@@ -40,6 +41,8 @@
     timeOut(): void;
     /** Closes the connection, which makes the upstream stop; settles the attempt as abandoned. */
     cancel(cause: string): void;
+    /** Closes the connection if not all of the request has been written. */
+    endWrite(): void;
 }
 
 /** Connect timeout in ms; within a region a connection opens in a few ms, and a VM that is down does not respond. */
@@ -96,7 +99,7 @@
             return;
         }
         sent = true;
-        request.end(options.body);
+        request.end(options.body());
     };
     request.on("socket", socket => {
         socket.setNoDelay(true);
@@ -134,6 +137,12 @@
             fail("abandoned", cause);
             request.destroy();
         },
+        endWrite() {
+            if (!request.writableFinished) {
+                fail("abandoned", "not-needed");
+                request.destroy();
+            }
+        },
     };
 }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./AcceptQueueMonitor.js";
 export * from "./AcceptQueueProbe.js";
+export * from "./BodyMemory.js";
 export { exitMarginMs } from "./Drain.js";
 export * from "./Gateway.js";
 export * from "./GatewayContext.js";
