--- a/packages/dispatch/__tests__/unit/EngineAdmission.test.ts
+++ b/packages/dispatch/__tests__/unit/EngineAdmission.test.ts
@@ -6,6 +6,7 @@
 import {
     computeRetryAfterMs,
     type EngineAdmissionInput,
+    isRefusedForUsage,
     maxSlotShare,
     maxSpillWaitMs,
     maxWaitMs,
@@ -29,6 +30,13 @@
         assert.ok(!isAdmitted({ ...input, waitMs: 200, relativeUsage: 1 }));
     });
 
+    it("tells a refusal for the customer's usage from one for lack of capacity", () => {
+        const heavy = { ...input, relativeUsage: 1 };
+        assert.ok(isRefusedForUsage({ ...heavy, waitMs: 200 }, 10));
+        assert.ok(!isRefusedForUsage({ ...heavy, waitMs: 400 }, 10), "the queue is too long for everyone");
+        assert.ok(!isRefusedForUsage({ ...heavy, waitMs: 200 }, 0), "no slot is free for anyone");
+    });
+
     it("does not limit heavy customers more than others while engines are idle", () => {
         assert.ok(isAdmitted({ ...input, waitMs: 250, relativeUsage: 1, meanLoad: 0 }));
     });
--- a/packages/dispatch/__tests__/unit/LargeFleet.test.ts
+++ b/packages/dispatch/__tests__/unit/LargeFleet.test.ts
@@ -91,6 +91,7 @@
     const cachedPrefixes = new Set<string>();
     const counts = { offered: 0, refused: 0, onTime: 0, prefilledAgain: 0 };
     const countsByCustomer = new Map<string, { offered: number; onTime: number; }>();
+    const refusals: { readonly customer: string; readonly reason: string; }[] = [];
     const prefilledSessions = new Set<number>();
     /** Times in ms at which prompts arrived at cold engines. */
     const coldArrivalsMs = new Map<core.UpstreamId, number[]>();
@@ -117,6 +118,7 @@
         const lease = await vm.acquire(jobOf(number, session, customer, arrivedMs), new Set(), false);
         if (lease.isErr()) {
             counts.refused++;
+            refusals.push({ customer, reason: lease.error.reason });
             return;
         }
         if (customer === "c0" && random() < shedShare) {
@@ -171,6 +173,7 @@
     return {
         counts,
         countsByCustomer,
+        refusals,
         coldArrivalsMs,
         restartEngines,
         /** Offers prompts as a Poisson process. */
@@ -187,6 +190,7 @@
         resetCounts(): void {
             Object.assign(counts, { offered: 0, refused: 0, onTime: 0, prefilledAgain: 0 });
             countsByCustomer.clear();
+            refusals.length = 0;
         },
         dispose(): void {
             dispatchers.forEach(dispatcher => dispatcher.dispose());
@@ -283,6 +287,30 @@
         }
     });
 
+    describe("refuses prompts as", () => {
+        async function refusalsOf(sizes: Pick<FleetSizes, "customers" | "load" | "heavyShare">) {
+            const fleet = await createFleet({ vms: 9, engines: 6, sessions: 120, ...sizes }, 20);
+            await fleet.run(8_000);
+            fleet.resetCounts();
+            await fleet.run(6_000);
+            fleet.dispose();
+            return fleet.refusals;
+        }
+
+        it("over the share of the customer that demands more than half of the capacity, and of no light customer", async () => {
+            const refusals = await refusalsOf({ customers: 30, load: 1.4, heavyShare: 0.5 });
+            const overShare = refusals.filter(({ reason }) => reason === "over-share");
+            const heavy = refusals.filter(({ customer }) => customer === "c0");
+            assert.ok(overShare.length > heavy.length / 2, `${overShare.length} of ${heavy.length}`);
+            assert.ok(overShare.every(({ customer }) => customer === "c0"));
+        });
+
+        it("an overload if there is no other customer", async () => {
+            const refusals = await refusalsOf({ customers: 1, load: 1.8 });
+            assert.ok(refusals.length > 0 && refusals.every(({ reason }) => reason === "overloaded"));
+        });
+    });
+
     describe("while most engines are cold", () => {
         const coldRatePerS = 15;
         const coldMs = 3_000;
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -7,6 +7,7 @@
 import {
     computeRetryAfterMs,
     type EngineAdmissionInput,
+    isRefusedForUsage,
     isSpillWorthwhile,
     maxSlotShare,
     maxSpillWaitMs,
@@ -100,6 +101,18 @@
     readonly isContinued: boolean;
 }
 
+/** An engine that refused a prompt. */
+interface RefusedEngine {
+    readonly upstream: core.UpstreamId;
+    readonly load: EngineLoad;
+    readonly input: EngineAdmissionInput;
+    /**
+     * Whether its customer has used more than its share: the session's primary engine would have admitted it for a customer
+     * without usage.
+     */
+    readonly isOverShare: boolean;
+}
+
 /** Whether a request may be sent to an upstream of a plain service. */
 interface Permit {
     readonly granted: boolean;
@@ -154,12 +167,7 @@
         return budget;
     }
 
-    function refuseOverload(
-        job: Job,
-        upstream: core.UpstreamId,
-        load: EngineLoad,
-        input: EngineAdmissionInput,
-    ): DispatchRefusal {
+    function refuseOverload(job: Job, { upstream, load, input, isOverShare }: RefusedEngine): DispatchRefusal {
         const retryAfterMs = computeRetryAfterMs(input, random);
         log.failure("admission-refused", {
             requestId: job.requestId,
@@ -173,8 +181,9 @@
             unreadTokens: Math.round(load.unreadTokens),
             running: load.running,
             slowness: load.slowness,
+            isOverShare,
         });
-        return { reason: "overloaded", retryAfterMs };
+        return { reason: isOverShare ? "over-share" : "overloaded", retryAfterMs };
     }
 
     /** Opens a lease on the chosen upstream. Fails if it was deregistered in the meantime. */
@@ -350,7 +359,7 @@
         const sharedParts = sharedPartsOf(prompt).map(({ id, tokens }) => ({ hash: core.hash32(id), tokens }));
         const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
         const prefillTokensPerMs = table.prefillTokensPerMs(job.pool);
-        let refused: { upstream: core.UpstreamId; load: EngineLoad; input: EngineAdmissionInput; } | undefined;
+        let refused: RefusedEngine | undefined;
         let candidateRank = 0;
         for (const state of candidates) {
             if (!state.tryTakeColdPermit()) {
@@ -388,7 +397,7 @@
             if (answer?.limited || answer?.ejected) {
                 state.giveBackColdPermit();
                 // The next candidate takes the place of this one: it is not spilled over to for lack of capacity.
-                refused ??= { upstream: state.upstream.id, load, input: { ...input, waitMs } };
+                refused ??= { upstream: state.upstream.id, load, input: { ...input, waitMs }, isOverShare: false };
                 continue;
             }
             if (answer && candidateRank === 0 && !isOverflow) {
@@ -406,16 +415,18 @@
                 }).mapErr(refusal => () => refusal);
             }
             state.giveBackColdPermit();
-            refused = { upstream: state.upstream.id, load, input: { ...input, waitMs } };
+            const isOverShare = candidateRank === 0
+                ? usage.isAboveMean(customerHashOf(job.customer), clock.nowMs())
+                    && isRefusedForUsage({ ...input, waitMs }, state.upstream.slots - load.running)
+                : refused?.isOverShare === true;
+            refused = { upstream: state.upstream.id, load, input: { ...input, waitMs }, isOverShare };
             const isLast = candidateRank > 0 && !isContinued && !isSpillWorthwhile(input);
             candidateRank++;
             if (isLast || isOverflow || candidateRank >= maxCandidates) {
                 break;
             }
         }
-        return err(() =>
-            refused ? refuseOverload(job, refused.upstream, refused.load, refused.input) : refuseLimited(job)
-        );
+        return err(() => refused ? refuseOverload(job, refused) : refuseLimited(job));
     }
 
     /** The load from this VM's own requests only, for an upstream whose tracker does not answer. */
--- a/packages/dispatch/src/EngineAdmission.ts
+++ b/packages/dispatch/src/EngineAdmission.ts
@@ -64,6 +64,11 @@
     return 1 - reductionOf(relativeUsage, slotLoad);
 }
 
+/** Whether a prompt that is refused would be admitted if its customer had no usage. */
+export function isRefusedForUsage(input: EngineAdmissionInput, freeSlots: number): boolean {
+    return freeSlots > 0 && input.waitMs <= maxWaitMs({ ...input, relativeUsage: 0 });
+}
+
 /** Relative usage, weighted by load, up to which a prompt may spill over when its primary engine has no capacity. */
 const maxSpillUsage = 0.3;
 
--- a/packages/dispatch/src/Job.ts
+++ b/packages/dispatch/src/Job.ts
@@ -48,6 +48,8 @@
     readonly reason:
         | "no-upstream"
         | "overloaded"
+        /** There is capacity, but other customers that have used less are owed it. */
+        | "over-share"
         | "deadline"
         | "retry-budget"
         | "quarantined"
--- a/packages/gateway/src/Refusal.ts
+++ b/packages/gateway/src/Refusal.ts
@@ -33,6 +33,7 @@
 const statusCodes: Readonly<Record<RefusalReason, number>> = {
     "no-upstream": 503,
     "overloaded": 503,
+    "over-share": 429,
     "deadline": 503,
     "retry-budget": 503,
     "quarantined": 503,
