--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -210,7 +210,7 @@
         kind = allowed.value.route.kind;
         customer = allowed.value.customer?.id;
         refusalReport.recordRequest({ customer, prompt: requestHead.prompt });
-        if (!isAcceptedWhileDraining(deadline.timeoutMs())) {
+        if (!isAcceptedWhileDraining()) {
             return refuse(createRefusal("draining"));
         }
         if (context.overload.refusesRequest(context.dispatcher.relativeUsage(customer))) {
@@ -236,6 +236,10 @@
         if (request.socket.readableEnded) {
             return abandon("half-closed");
         }
+        // The body may have arrived late in the drain.
+        if (!isAcceptedWhileDraining()) {
+            return refuse(createRefusal("draining"));
+        }
         return serve(requestHead.requestId, allowed.value, body.value);
     }
 
@@ -251,10 +255,10 @@
      * Whether a request is served while this VM drains. The load balancer sends requests to draining VMs when too few
      * others remain; those whose deadline lies before the end of the drain are served.
      */
-    function isAcceptedWhileDraining(timeoutMs: number): boolean {
+    function isAcceptedWhileDraining(): boolean {
         const drainRemainingMs = context.drainRemainingMs();
         return drainRemainingMs === undefined || (context.drainElapsedMs() ?? 0) <= acceptAllWhileDrainingMs
-            || timeoutMs + drainEndMarginMs <= drainRemainingMs;
+            || deadline.atMs() - clock.nowMs() + drainEndMarginMs <= drainRemainingMs;
     }
 
     async function serve(requestId: core.RequestId, allowed: AllowedRequest, body: Buffer): Promise<void> {
