--- a/packages/gateway/src/Drain.ts
+++ b/packages/gateway/src/Drain.ts
@@ -10,6 +10,8 @@
     /** Calls back at the end of the current turn of the event loop, after the sockets have been polled. */
     readonly onTurnEnd?: (callback: () => void) => void;
     readonly log: telemetry.EventLog;
+    /** Time in ms on the clock from which the grace period runs. */
+    readonly sinceMs: number;
     /** Time in ms from the stop signal until the process is killed. */
     readonly stopGraceMs: number;
     readonly server: http.Server;
@@ -39,12 +41,11 @@
  * the grace period has ended and the requests that remained have been answered, or aborted if their responses had begun.
  */
 export async function drainServer(options: DrainOptions): Promise<void> {
-    const { clock, onTurnEnd = setImmediate, log, stopGraceMs, server, connections, acceptQueue } = options;
+    const { clock, onTurnEnd = setImmediate, log, sinceMs, stopGraceMs, server, connections, acceptQueue } = options;
     const delay = (ms: number): Promise<void> => new Promise(resolve => clock.setTimer(ms, resolve));
     const turnEnd = (): Promise<void> => new Promise(resolve => onTurnEnd(resolve));
     const isQueueEmpty = (): boolean => acceptQueue.longestWaitMs() === 0;
-    const startedMs = clock.nowMs();
-    const endMs = startedMs + stopGraceMs - exitMarginMs;
+    const endMs = sinceMs + stopGraceMs - exitMarginMs;
     const acceptedAtSignal = connections.acceptedCount();
     let idleClosed = 0;
     /** Whether no connections waited to be accepted when the listener was closed; the kernel resets those that wait. */
@@ -88,7 +89,7 @@
         // Unlike the method of HTTP servers, this one leaves open connections untouched.
         net.Server.prototype.close.call(server);
         log.state("listener-closed", {
-            sinceSignalMs: Math.round(clock.nowMs() - startedMs),
+            sinceSignalMs: Math.round(clock.nowMs() - sinceMs),
             turnMs,
             acceptQueueEmpty,
             acceptedCount: connections.acceptedCount() - acceptedAtSignal,
@@ -100,7 +101,7 @@
     }
 
     log.state("draining", { inFlight: connections.inFlightCount(), connections: connections.openCount() });
-    await delay(loadBalancerDelayMs);
+    await delay(Math.min(loadBalancerDelayMs, Math.max(0, endMs - emptyQueueMs - clock.nowMs())));
     await pollUntil(endMs - emptyQueueMs, closeIdle);
     await stopListening();
     await pollUntil(endMs, closeIdle);
@@ -110,7 +111,7 @@
         cut: connections.inFlightCount(),
         connections: connections.openCount(),
         acceptQueueEmpty,
-        durationMs: Math.round(clock.nowMs() - startedMs),
+        durationMs: Math.round(clock.nowMs() - sinceMs),
     });
     options.close();
     // The requests that were cut are logged on the close events of their connections, in a later turn of the event loop.
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -22,8 +22,10 @@
     /**
      * Turns readiness off, waits for the requests in flight and closes the gateway. Resolves when all have finished, or when
      * the grace period has ended and the others have been aborted and logged.
+     *
+     * @param sinceMs time in ms on the clock from which the grace period runs; by default now.
      */
-    drain(): Promise<void>;
+    drain(sinceMs?: number): Promise<void>;
     isReady(): boolean;
     /** Closes all servers and connections immediately and aborts the requests in flight. */
     close(): void;
@@ -40,7 +42,7 @@
 const listenRetryDelayMs = 100;
 const connectionOutcomes = { serve: "served", refuse: "refused", flush: "flushed" } as const;
 
-export function createGateway(dependencies: GatewayContext, onDrainStarted: () => void): Gateway {
+export function createGateway(dependencies: GatewayContext, onDrainStarted: (sinceMs: number) => void): Gateway {
     const context = { ...dependencies, clock: core.createPolledClock(dependencies.clock) };
     const { settings, clock, follower, acceptQueue, log, metrics } = context;
     const freshness = createFreshness(follower, settings);
@@ -213,10 +215,11 @@
             ]);
             return results.find(result => result.isErr()) ?? ok(undefined);
         },
-        async drain() {
-            onDrainStarted();
+        async drain(sinceMs = clock.nowMs()) {
+            onDrainStarted(sinceMs);
             await drainServer({
                 clock,
+                sinceMs,
                 log,
                 stopGraceMs: settings.stopGraceMs,
                 server: callerServer,
