--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -258,7 +258,17 @@
     function isAcceptedWhileDraining(): boolean {
         const drainRemainingMs = context.drainRemainingMs();
         return drainRemainingMs === undefined || (context.drainElapsedMs() ?? 0) <= acceptAllWhileDrainingMs
-            || deadline.atMs() - clock.nowMs() + drainEndMarginMs <= drainRemainingMs;
+            || latestEndMs() - clock.nowMs() + drainEndMarginMs <= drainRemainingMs;
+    }
+
+    /**
+     * The latest time in ms at which a request that is accepted late in a drain can end. A newer configuration may give it more time, up to
+     * its caller's timeout. Buffered requests are answered at the end of the drain even then, streams would be cut.
+     */
+    function latestEndMs(): number {
+        return kind === "stream"
+            ? arrivedMs + (requestHead.callerTimeoutMs ?? Number.POSITIVE_INFINITY)
+            : deadline.atMs();
     }
 
     async function serve(requestId: core.RequestId, allowed: AllowedRequest, body: Buffer): Promise<void> {
