--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -240,7 +240,7 @@
         kind = allowed.value.route.kind;
         customer = allowed.value.customer?.id;
         refusalReport.recordRequest({ customer, prompt: requestHead.prompt });
-        if (!isAcceptedWhileDraining(deadline.timeoutMs())) {
+        if (!isAcceptedWhileDraining()) {
             return refuse(createRefusal("draining"));
         }
         if (context.overload.refusesRequest(context.dispatcher.relativeUsage(customer))) {
@@ -273,6 +273,10 @@
         if (request.socket.readableEnded) {
             return abandon("half-closed");
         }
+        // The body, or the turn of the request, may have come late in the drain.
+        if (!isAcceptedWhileDraining()) {
+            return refuse(createRefusal("draining"));
+        }
         return serve(requestHead.requestId, allowed.value, requestBody);
     }
 
@@ -313,10 +317,20 @@
      * Whether a request is served while this VM drains. The load balancer sends requests to draining VMs when too few
      * others remain; those whose deadline lies before the end of the drain are served.
      */
-    function isAcceptedWhileDraining(timeoutMs: number): boolean {
+    function isAcceptedWhileDraining(): boolean {
         const drainRemainingMs = context.drainRemainingMs();
         return drainRemainingMs === undefined || (context.drainElapsedMs() ?? 0) <= acceptAllWhileDrainingMs
-            || timeoutMs + drainEndMarginMs <= drainRemainingMs;
+            || latestEndMs() - clock.nowMs() + drainEndMarginMs <= drainRemainingMs;
+    }
+
+    /**
+     * The latest time in ms at which a request that is accepted late in a drain can end. A newer configuration may give it more time, up to
+     * its caller's timeout. Buffered requests are answered at the end of the drain even then, streams would be cut.
+     */
+    function latestEndMs(): number {
+        return kind === "stream"
+            ? arrivedMs + (requestHead.callerTimeoutMs ?? Number.POSITIVE_INFINITY)
+            : deadline.atMs();
     }
 
     async function serve(requestId: core.RequestId, allowed: AllowedRequest, body: RequestBody): Promise<void> {
