--- a/packages/core/src/EndResponse.ts
+++ b/packages/core/src/EndResponse.ts
@@ -1,4 +1,5 @@
 import type * as http from "node:http";
+import type * as net from "node:net";
 import { type Clock, setRepeatingTimer } from "./Clock.js";
 
 /** Time in ms for which the rest of a request body is read and discarded while nothing arrives, and in all. */
@@ -60,3 +61,24 @@
     response.write(body);
     request.on("data", discard).on("end", end).on("close", end).resume();
 }
+
+/**
+ * Ends a connection and discards what still arrives on it, until its client closes it too, or nothing has arrived for 2 s, or
+ * after 30 s or 64 MiB. A connection that is closed at once is reset when more bytes arrive, and its client may lose a response that
+ * it has not read to its end (RFC 9112, section 9.6).
+ *
+ * @param error the error with which the connection is then destroyed, if any.
+ */
+export function closeGracefully(socket: net.Socket, clock: Clock, error?: Error): void {
+    if (socket.destroyed || socket.writableEnded) {
+        return;
+    }
+    socket.resume().end(() => {
+        if (socket.destroyed) {
+            return;
+        }
+        const earlierBytes = socket.bytesRead;
+        const destroy = (): void => void socket.destroy(error);
+        socket.once("end", destroy).once("close", startLinger(clock, () => socket.bytesRead - earlierBytes, destroy));
+    });
+}
--- a/packages/gateway/src/CallerConnections.ts
+++ b/packages/gateway/src/CallerConnections.ts
@@ -19,6 +19,8 @@
     inFlightCount(): number;
     /** Whether a response has ended and the kernel has not accepted all of it. */
     hasUnsentResponses(): boolean;
+    /** Whether a connection stays open only until its caller has received the last response. */
+    hasClosing(): boolean;
     /** Number of open connections on which bytes have arrived. */
     openCount(): number;
     /** Number of connections accepted so far. */
@@ -50,6 +52,7 @@
         inFlightOn: socket => [...inFlight].filter(({ req }) => req.socket === socket),
         inFlightCount: () => inFlight.size,
         hasUnsentResponses: () => [...inFlight].some(({ writableEnded }) => writableEnded),
+        hasClosing: () => [...sockets].some(({ writableEnded, destroyed }) => writableEnded && !destroyed),
         openCount: () => [...sockets].filter(({ destroyed, bytesRead }) => !destroyed && bytesRead > 0).length,
         acceptedCount: () => acceptedCount,
     };
--- a/packages/gateway/src/ClientError.ts
+++ b/packages/gateway/src/ClientError.ts
@@ -1,3 +1,4 @@
+import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
 import type * as net from "node:net";
 import type { CallerConnections } from "./CallerConnections.js";
@@ -20,6 +21,7 @@
 /** @param onTurnEnd calls back at the end of the current turn of the event loop, after the sockets have been polled. */
 export function createClientErrors(
     connections: CallerConnections,
+    clock: core.Clock,
     log: telemetry.EventLog,
     onTurnEnd: (callback: () => void) => void = setImmediate,
 ): ClientErrors {
@@ -37,7 +39,7 @@
     }
 
     function fail(error: NodeJS.ErrnoException, socket: net.Socket): void {
-        if (socket.destroyed) {
+        if (socket.destroyed || socket.writableEnded) {
             return;
         }
         const responses = connections.inFlightOn(socket);
@@ -60,9 +62,12 @@
         if (status !== undefined && socket.writable) {
             socket.write(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`);
         }
-        if (!isAwaited || socket.readableEnded) {
+        if (socket.readableEnded) {
             socket.destroy(error);
         }
+        else if (!isAwaited) {
+            core.closeGracefully(socket, clock, error);
+        }
     }
 
     return {
--- a/packages/gateway/src/Drain.ts
+++ b/packages/gateway/src/Drain.ts
@@ -62,7 +62,7 @@
     /** Closes idle connections. Returns whether no others are open or wait to be accepted. */
     function closeIdle(): boolean {
         // Node.js counts a connection as idle as soon as its response has ended, even if its caller has not received all of it.
-        if (!connections.hasUnsentResponses()) {
+        if (!connections.hasUnsentResponses() && !connections.hasClosing()) {
             const openCount = connections.openCount();
             server.closeIdleConnections();
             idleClosed += openCount - connections.openCount();
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -45,7 +45,7 @@
     const { settings, clock, follower, acceptQueue, log, metrics } = context;
     const freshness = createFreshness(follower, settings);
     const callerConnections = createCallerConnections();
-    const clientErrors = createClientErrors(callerConnections, log);
+    const clientErrors = createClientErrors(callerConnections, clock, log);
     let isClosed = false;
     const refusalReport = createRefusalReport(context);
     const chooseRetry = createOverloadRetryChooser(context);
@@ -117,6 +117,8 @@
             metrics.count("connections", { outcome: connectionOutcomes[verdict] });
             refusalReport.recordConnection(verdict);
             if (verdict === "serve") {
+                // The HTTP server calls this after the last response.
+                socket.destroySoon = () => core.closeGracefully(socket, clock);
                 defaultListeners.forEach(listener => listener.call(server, socket));
                 return;
             }
