--- a/packages/gateway/src/CallerConnections.ts
+++ b/packages/gateway/src/CallerConnections.ts
@@ -52,7 +52,10 @@
         inFlightOn: socket => [...inFlight].filter(({ req }) => req.socket === socket),
         inFlightCount: () => inFlight.size,
         hasUnsentResponses: () => [...inFlight].some(({ writableEnded }) => writableEnded),
-        hasClosing: () => [...sockets].some(({ writableEnded, destroyed }) => writableEnded && !destroyed),
+        hasClosing: () =>
+            [...sockets].some(({ writableEnded, destroyed }) => writableEnded && !destroyed)
+            // A response that begins before its request has arrived in full is a refusal.
+            || [...inFlight].some(({ headersSent, req }) => headersSent && !req.complete),
         openCount: () => [...sockets].filter(({ destroyed, bytesRead }) => !destroyed && bytesRead > 0).length,
         acceptedCount: () => acceptedCount,
     };
--- a/packages/gateway/src/Drain.ts
+++ b/packages/gateway/src/Drain.ts
@@ -105,7 +105,10 @@
     await stopListening();
     await pollUntil(endMs, closeIdle);
     options.endWaitingRequests();
-    await pollUntil(clock.nowMs() + answerTransferMs, () => !connections.hasUnsentResponses());
+    await pollUntil(
+        clock.nowMs() + answerTransferMs,
+        () => !connections.hasUnsentResponses() && !connections.hasClosing(),
+    );
     log.state("drained", {
         cut: connections.inFlightCount(),
         connections: connections.openCount(),
