--- a/packages/gateway/src/CallerConnections.ts
+++ b/packages/gateway/src/CallerConnections.ts
@@ -26,6 +26,8 @@
     inFlightCount(): number;
     /** Whether a response has ended and the kernel has not accepted all of it. */
     hasUnsentResponses(): boolean;
+    /** Whether a connection stays open only until its caller has received the last response. */
+    hasClosing(): boolean;
     /** Number of open connections on which bytes have arrived. */
     openCount(): number;
     /** Number of connections accepted so far. */
@@ -89,6 +91,10 @@
         inFlightOn: socket => [...inFlight].filter(({ req }) => req.socket === socket),
         inFlightCount: () => inFlight.size,
         hasUnsentResponses: () => [...inFlight].some(({ writableEnded }) => writableEnded),
+        hasClosing: () =>
+            [...sockets].some(({ writableEnded, destroyed }) => writableEnded && !destroyed)
+            // A response that begins before its request has arrived in full is a refusal.
+            || [...inFlight].some(({ headersSent, req }) => headersSent && !req.complete),
         openCount: () => [...sockets].filter(({ destroyed, bytesRead }) => !destroyed && bytesRead > 0).length,
         acceptedCount: () => acceptedCount,
     };
