--- a/packages/core/src/EndResponse.ts
+++ b/packages/core/src/EndResponse.ts
@@ -73,6 +73,8 @@
     if (socket.destroyed || socket.writableEnded) {
         return;
     }
+    // The HTTP parser would create a request for each one that arrives, however many there are.
+    socket.removeAllListeners("data").on("data", () => undefined);
     socket.resume().end(() => {
         if (socket.destroyed) {
             return;
