--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -177,7 +177,7 @@
     }
 
     /** Ends a request without a response, since its caller has left. */
-    function abandon(cause: "disconnected" | "half-closed"): void {
+    function abandon(cause: "disconnected" | "half-closed" | "response-closed-connection"): void {
         log.failure("request-abandoned", { ...describeRequest(), cause });
     }
 
@@ -273,6 +273,10 @@
         if (request.socket.readableEnded) {
             return abandon("half-closed");
         }
+        // An earlier response on the connection has closed it, as those without a length do.
+        if (request.socket.writableEnded) {
+            return abandon("response-closed-connection");
+        }
         // The body, or the turn of the request, may have come late in the drain.
         if (!isAcceptedWhileDraining()) {
             return refuse(createRefusal("draining"));
