--- a/packages/dispatch/__tests__/unit/LargeFleet.test.ts
+++ b/packages/dispatch/__tests__/unit/LargeFleet.test.ts
@@ -7,8 +7,8 @@
 import * as dispatch from "../../src/index.js";
 import { fleetChanges, pool, prefillTokensPerMs, route } from "./EngineFixtures.js";
 
-const sharedTokens = 6_300;
-const ownTokens = 2_890;
+const longPrompt = { sharedTokens: 6_300, ownTokens: 2_890 };
+const shortPrompt = { sharedTokens: 200, ownTokens: 100 };
 /** Time in ms from the end of the prefill of a prompt to its first event. */
 const firstEventDelayMs = 70;
 
@@ -28,12 +28,19 @@
     readonly shedShare?: number;
     /** Requests per second that a cold engine accepts from all VMs. */
     readonly coldRatePerS?: number;
+    readonly prompt?: typeof longPrompt;
 }
 
 /** Time in ms until an engine sheds an attempt. */
 const shedDelayMs = 5;
 
-const jobOf = (number: number, session: number, customer: string, arrivedMs: number): dispatch.Job => ({
+const jobOf = (
+    number: number,
+    session: number,
+    customer: string,
+    arrivedMs: number,
+    { sharedTokens, ownTokens }: typeof longPrompt,
+): dispatch.Job => ({
     requestId: core.requestId(`r${number}`),
     route,
     pool,
@@ -56,7 +63,8 @@
     seed: number,
 ) {
     const { vms, engines, sessions, customers, load, slots = 128, runMs = 300 } = sizes;
-    const { heavyShare = 0, shedShare = 0, coldRatePerS = 0 } = sizes;
+    const { heavyShare = 0, shedShare = 0, coldRatePerS = 0, prompt = longPrompt } = sizes;
+    const { sharedTokens, ownTokens } = prompt;
     const clock = testing.createVirtualClock();
     const random = testing.createSeededRandom(seed);
     const log = testing.createRecordingLog();
@@ -115,7 +123,7 @@
     ): Promise<void> {
         const arrivedMs = clock.nowMs();
         const vm = dispatchers[Math.floor(random() * vms)]!;
-        const lease = await vm.acquire(jobOf(number, session, customer, arrivedMs), new Set(), false);
+        const lease = await vm.acquire(jobOf(number, session, customer, arrivedMs, prompt), new Set(), false);
         if (lease.isErr()) {
             counts.refused++;
             refusals.push({ customer, reason: lease.error.reason });
@@ -177,9 +185,10 @@
         coldArrivalsMs,
         restartEngines,
         /** Offers prompts as a Poisson process. */
-        async run(durationMs: number): Promise<void> {
+        async run(durationMs: number, offeredLoad = load): Promise<void> {
             const prefillMs = ownTokens / prefillTokensPerMs;
-            const meanGapMs = Math.max(prefillMs, (prefillMs + firstEventDelayMs + runMs) / slots) / engines / load;
+            const meanGapMs = Math.max(prefillMs, (prefillMs + firstEventDelayMs + runMs) / slots) / engines
+                / offeredLoad;
             const endMs = clock.nowMs() + durationMs;
             for (let number = 0; clock.nowMs() < endMs; number++) {
                 void offer(number);
@@ -235,7 +244,7 @@
             );
         }
         const onTime = totalOnTime / seeds.length;
-        const capacity = (durationMs * engines * prefillTokensPerMs) / ownTokens;
+        const capacity = (durationMs * engines * prefillTokensPerMs) / longPrompt.ownTokens;
         assert.ok(onTime >= capacity * 0.9, `${Math.round(onTime)} of ${Math.round(capacity)} on time`);
     });
 
@@ -317,7 +326,16 @@
         // The bounds of the rule on cold upstreams.
         const coldOvershoot = 1.5;
         const coldSlack = 5;
-        const uncachedPerS = (prefillTokensPerMs * 1_000) / (sharedTokens + ownTokens);
+        const uncachedPerS = (prefillTokensPerMs * 1_000) / (longPrompt.sharedTokens + longPrompt.ownTokens);
+
+        function checkLimit(coldArrivalsMs: ReadonlyMap<core.UpstreamId, readonly number[]>, ratePerS: number): void {
+            coldArrivalsMs.forEach((times, id) =>
+                times.forEach(startMs => {
+                    const within = times.filter(atMs => atMs >= startMs && atMs < startMs + 1_000).length;
+                    assert.ok(within <= ratePerS * coldOvershoot + coldSlack, `${id}: ${within} in one second`);
+                })
+            );
+        }
 
         for (const vms of [9, 60]) {
             it(`does not leave the cold engines idle while prompts are refused, and keeps within their limit, ${vms} VMs`, async () => {
@@ -335,12 +353,35 @@
                 fleet.coldArrivalsMs.forEach((times, id) => {
                     const perS = times.length / (coldMs / 1_000);
                     assert.ok(perS >= uncachedPerS / 2, `${id}: ${perS}/s, ${refused} of ${offered} refused`);
-                    times.forEach(startMs => {
-                        const within = times.filter(atMs => atMs >= startMs && atMs < startMs + 1_000).length;
-                        assert.ok(within <= coldRatePerS * coldOvershoot + coldSlack, `${id}: ${within} in one second`);
-                    });
                 });
+                checkLimit(fleet.coldArrivalsMs, coldRatePerS);
             });
         }
+
+        it("sends a cold engine no more than its limit when all VMs of a large fleet turn to it at once", async () => {
+            const ratePerS = 16;
+            const fleet = await createFleet(
+                {
+                    vms: 78,
+                    engines: 6,
+                    sessions: 120,
+                    customers: 30,
+                    load: 2,
+                    coldRatePerS: ratePerS,
+                    prompt: shortPrompt,
+                },
+                19,
+            );
+            fleet.restartEngines(5, 8_000);
+            // The warm engine has capacity for all.
+            await fleet.run(2_000, 0.1);
+            await fleet.run(2_000);
+            fleet.dispose();
+            assert.ok(
+                [...fleet.coldArrivalsMs.values()].some(({ length }) => length > ratePerS),
+                "no engine is near its limit",
+            );
+            checkLimit(fleet.coldArrivalsMs, ratePerS);
+        });
     });
 });
--- a/packages/dispatch/src/CustomerUsage.ts
+++ b/packages/dispatch/src/CustomerUsage.ts
@@ -36,7 +36,7 @@
                 sums.delete(hash);
             }
         });
-        const largest = Math.max(0, ...values);
+        const largest = values.reduce((highest, value) => Math.max(highest, value), 0);
         const counted = values.filter(value => value >= largest * negligibleShare);
         const total = counted.reduce((sum, value) => sum + value, 0);
         summary = { largest, mean: total / Math.max(1, counted.length), count: counted.length };
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -142,6 +142,7 @@
         stateOf: table.stateOfHash,
         prefillTokensPerMs: table.prefillTokensPerMs,
         cacheTokens: table.cacheTokens,
+        coldRatePerS: table.coldRatePerS,
     }));
     const trackedLoad = createTrackedLoad(clock);
 
@@ -451,14 +452,14 @@
                 budget.addRequest();
             }
             const { warm, cold } = table.usableUpstreams(job.pool, options.catalog.read(), avoided, origin);
-            const primary = warm.length > 0 ? warm : cold;
-            if (primary.length === 0) {
+            const preferred = warm.length > 0 ? warm : cold;
+            if (preferred.length === 0) {
                 return err(refuseWithoutUpstream(job, origin));
             }
             if (isRetry && !budget.tryTakeRetry()) {
                 return err({ reason: "retry-budget", retryAfterMs: overloadRetryAfterMs });
             }
-            const candidates = table.withoutEjected(primary);
+            const candidates = table.withoutEjected(preferred);
             if (!job.prompt) {
                 return acquireService(job, candidates);
             }
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -58,6 +58,7 @@
     /** Time in ms until which the upstream is left out because its limit is exhausted. */
     readonly postponedUntilMs: number;
     postpone(untilMs: number): void;
+    isCold(): boolean;
     /** Takes one of this VM's permits for a cold upstream; false if there is none. A warm upstream needs none. */
     tryTakeColdPermit(): boolean;
     /** Returns the permit of a request that was not sent. */
@@ -113,6 +114,8 @@
     expectedRunMs(job: Job): number;
     /** Capacity in tokens of the KV cache of an engine of the pool. */
     cacheTokens(pool: core.PoolId): number;
+    /** Requests per second that a cold upstream of the pool accepts from all VMs; 0 if there is no limit. */
+    coldRatePerS(pool: core.PoolId): number;
     dispose(): void;
 }
 
@@ -122,7 +125,7 @@
  */
 const firstEventsPerReport = 2;
 /** Share of a cold upstream's rate limit that the fleet uses. The rest is for VMs that are not known yet. */
-const coldRateShare = 0.8;
+export const coldRateShare = 0.8;
 /** VM count assumed while no other VM is known, so that VMs that have just started cannot overload a cold upstream. */
 const assumedVmCount = 10;
 /**
@@ -166,6 +169,10 @@
         return poolOf(pool)?.engine?.cacheTokens ?? 0;
     }
 
+    function coldRatePerS(pool: core.PoolId): number {
+        return Math.max(0, poolOf(pool)?.coldRatePerS ?? 0);
+    }
+
     const subscription = options.catalog.changes.subscribe(snapshot => {
         snapshot.upstreamsByPool.forEach((list, pool) =>
             largestPoolSize.set(pool, Math.max(largestPoolSize.get(pool) ?? 0, list.length))
@@ -235,6 +242,7 @@
             unreachableMs: Number.NEGATIVE_INFINITY,
             postponedUntilMs: Number.NEGATIVE_INFINITY,
             postpone: untilMs => void (state.postponedUntilMs = untilMs),
+            isCold: () => state.coldUntilMs > clock.nowMs(),
             tryTakeColdPermit: () => coldLimiterOf(state)?.tryTake(clock.nowMs()) ?? true,
             giveBackColdPermit: () => coldLimiterOf(state)?.giveBack(),
             backlog: createBacklog(() => prefillTokensPerMs(upstream.pool)),
@@ -436,15 +444,16 @@
     /** Undefined if the upstream is warm or has no limit. */
     function coldLimiterOf(state: MutableState): TokenBucket | undefined {
         const nowMs = clock.nowMs();
-        const ratePerS = poolOf(state.upstream.pool)?.coldRatePerS ?? 0;
-        if (state.coldUntilMs <= nowMs || ratePerS <= 0) {
+        if (state.coldUntilMs <= nowMs || coldRatePerS(state.upstream.pool) === 0) {
             state.coldLimiter = undefined;
             return undefined;
         }
-        const vmCount = fleet.vmCount() > 1 ? fleet.vmCount() : assumedVmCount;
+        const ownRatePerS = (): number =>
+            coldRatePerS(state.upstream.pool) * coldRateShare
+            / (fleet.vmCount() > 1 ? fleet.vmCount() : assumedVmCount);
         // The bucket has a capacity of one: with a larger one, several VMs could send their bursts in the same second. The VMs
         // learn of a cold upstream at the same time, so the random content spreads their first requests.
-        state.coldLimiter ??= createTokenBucket(() => (ratePerS * coldRateShare) / vmCount, 1, nowMs, random());
+        state.coldLimiter ??= createTokenBucket(ownRatePerS, 1, nowMs, random());
         return state.coldLimiter;
     }
 
@@ -487,6 +496,7 @@
         expectedRunMs: ({ pool, prompt }) =>
             (prompt?.maxOutputTokens ?? 0) * (msPerToken.get(pool) ?? initialMsPerToken),
         cacheTokens,
+        coldRatePerS,
         dispose() {
             subscription.unsubscribe();
             removeGauges.forEach(remove => remove());
--- a/packages/dispatch/src/UpstreamTracker.ts
+++ b/packages/dispatch/src/UpstreamTracker.ts
@@ -8,8 +8,9 @@
 import { createPrefixCache, type PrefixCache } from "./PrefixCache.js";
 import { createPromptQueue, type PromptQueue } from "./PromptQueue.js";
 import { createSlowness, type Slowness } from "./Slowness.js";
+import { createTokenBucket, type TokenBucket } from "./TokenBucket.js";
 import { createUpstreamHealth, type UpstreamHealth } from "./UpstreamHealth.js";
-import type { UpstreamState } from "./UpstreamTable.js";
+import { coldRateShare, type UpstreamState } from "./UpstreamTable.js";
 
 export interface UpstreamTrackerOptions {
     readonly clock: core.Clock;
@@ -21,10 +22,12 @@
     readonly prefillTokensPerMs: (pool: core.PoolId) => number;
     /** Capacity in tokens of the KV cache of an engine of the pool. */
     readonly cacheTokens: (pool: core.PoolId) => number;
+    /** Requests per second that a cold upstream of the pool accepts; 0 if there is no limit. */
+    readonly coldRatePerS: (pool: core.PoolId) => number;
 }
 
 /** What this VM knows itself of an upstream that it tracks. */
-type TrackedState = Pick<UpstreamState, "upstream" | "learnedMs" | "limit">;
+type TrackedState = Pick<UpstreamState, "upstream" | "learnedMs" | "limit" | "isCold">;
 
 /** State of an upstream from the questions and reports of all VMs. */
 interface TrackedUpstream {
@@ -39,6 +42,8 @@
     readonly health: UpstreamHealth;
     /** The limit that the upstream states, for the requests of all VMs. */
     readonly limit: LimitState;
+    /** Bounds the requests of all VMs while it is cold. */
+    readonly coldLimiter: TokenBucket;
     /** Times in ms at which the requests in flight are expected to end. */
     expectedEndsMs: number[];
     lastAskedMs: number;
@@ -100,6 +105,11 @@
                 log.state("tracked-upstream-ejected", { upstream: upstream.id, forMs, failureShare });
             }),
             limit: createLimitState(() => 1),
+            coldLimiter: createTokenBucket(
+                () => options.coldRatePerS(upstream.pool) * coldRateShare,
+                Math.max(1, options.coldRatePerS(upstream.pool) * (1 - coldRateShare)),
+                nowMs,
+            ),
             expectedEndsMs: [],
             lastAskedMs: nowMs,
         };
@@ -123,6 +133,11 @@
         return question.ownTokens + sharedTokens - sharedCachedTokens;
     }
 
+    /** Takes a permit if the upstream is cold. */
+    function tryTakeColdPermit({ upstream, coldLimiter }: TrackedUpstream, known: TrackedState): boolean {
+        return !known.isCold() || options.coldRatePerS(upstream.pool) === 0 || coldLimiter.tryTake(clock.nowMs());
+    }
+
     // After a takeover the cache content is unknown, so all shared parts count as cached for a grace time.
     function isAssumedCached({ isTakenOver, trackedSinceMs }: TrackedUpstream, nowMs: number): boolean {
         return isTakenOver && nowMs - trackedSinceMs < takeoverGraceMs;
@@ -151,7 +166,7 @@
                 : 0;
             const ejected = state.health.isEjected(nowMs);
             const hasCapacity = !ejected && running < state.upstream.slots * question.maxSlotShare
-                && waitMs + prefixPrefillMs <= question.longestWaitMs;
+                && waitMs + prefixPrefillMs <= question.longestWaitMs && tryTakeColdPermit(state, known);
             [question.statedLimit, known.limit.current(nowMs)]
                 .forEach(limit => state.limit.adopt(limit, nowMs));
             const granted = hasCapacity && state.limit.tryTake(nowMs);
