--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -101,6 +101,8 @@
     /** The same, together with upstreams to which no connection could be opened. */
     const excluded = new Set<core.UpstreamId>();
     const attempts = new Set<Attempt>();
+    /** The same, together with those that failed: an upstream may respond before it has read the request. */
+    const startedAttempts = new Set<Attempt>();
     const attemptedUpstreams: core.UpstreamId[] = [];
     /** Agents of the connections on which the upstreams of leases have stated their run. */
     const verifiedAgents = new WeakMap<dispatch.Lease, http.Agent>();
@@ -243,6 +245,7 @@
             mayWrite: () => lease.mayWrite() && request.isStillAllowed(),
         }, clock);
         attempts.add(attempt);
+        startedAttempts.add(attempt);
         attemptedUpstreams.push(upstream.id);
         const cancelTimer = startResponseTimer(attempt, lease, onUnresponsive);
         inProgressCount++;
@@ -380,7 +383,7 @@
         upstreams: () => attemptedUpstreams,
         cancel: cause => attempts.forEach(attempt => attempt.cancel(cause)),
         isInProgress: () => inProgressCount > 0,
-        endWrites: () => attempts.forEach(attempt => attempt.endWrite()),
+        endWrites: () => startedAttempts.forEach(attempt => attempt.endWrite()),
     };
 }
 
