gateway, dispatch: a line says what enters at a VM, on new and on open connections

On-call could not tell from the logs whether the load of a full VM arrives on new connections, which the overload guard judges, or on open ones, nor where the callers of one customer enter, nor whether refused callers come back to the same VM. The line requests-entered says so every 2 s, with the customers that send most. customer-usage names customers together with their hashes, so that lines of different VMs can be matched.

--- a/packages/dispatch/src/UsageReport.ts
+++ b/packages/dispatch/src/UsageReport.ts
@@ -53,7 +53,8 @@
         const nowMs = clock.nowMs();
         const heaviest = [...costs]
             .map(([customerHash, ofCustomer]) => ({
-                name: names.get(customerHash) ?? String(customerHash),
+                // Other VMs know the customer by its hash only.
+                name: `${names.get(customerHash) ?? ""}#${customerHash}`,
                 relative: usage.relative(customerHash, nowMs),
                 ofCustomer,
             }))
--- a/packages/gateway/src/CallerConnections.ts
+++ b/packages/gateway/src/CallerConnections.ts
@@ -14,6 +14,8 @@
     earlierResponses(response: http.ServerResponse): Promise<void> | undefined;
     /** Records that all of a response has been handed to its connection. */
     recordEnded(response: http.ServerResponse): void;
+    /** Whether no earlier request has arrived on the connection of a response. */
+    isFirst(response: http.ServerResponse): boolean;
     /** Whether no later request has arrived on the connection of a response. */
     isLatest(response: http.ServerResponse): boolean;
     /** Whether a connection is closed after the responses so far, as the latest one states. No later request on it is served. */
@@ -45,6 +47,7 @@
     let acceptedCount = 0;
     const inFlight = new Set<http.ServerResponse>();
     const latestResponses = new WeakMap<net.Socket, http.ServerResponse>();
+    const firstResponses = new WeakSet<http.ServerResponse>();
     const turns = new WeakMap<http.ServerResponse, Turn>();
     /** Resolve once all responses on a connection have ended; missing while none is open. */
     const openResponses = new WeakMap<net.Socket, Promise<void>>();
@@ -72,6 +75,9 @@
         },
         recordRequest(response) {
             inFlight.add(response);
+            if (!latestResponses.has(response.req.socket)) {
+                firstResponses.add(response);
+            }
             latestResponses.set(response.req.socket, response);
             const turn = takeTurn(response);
             turns.set(response, turn);
@@ -82,6 +88,7 @@
         },
         earlierResponses: response => turns.get(response)?.earlier,
         recordEnded: response => turns.get(response)?.end(),
+        isFirst: response => firstResponses.has(response),
         isLatest: response => latestResponses.get(response.req.socket) === response,
         isClosing(socket) {
             const latest = latestResponses.get(socket);
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -10,6 +10,7 @@
 import { createClientErrors } from "./ClientError.js";
 import { refuseConnection, type RefusedConnection } from "./ConnectionRefusal.js";
 import { drainServer } from "./Drain.js";
+import { createEntryReport } from "./EntryReport.js";
 import { createFreshness } from "./Freshness.js";
 import type { GatewayContext } from "./GatewayContext.js";
 import type { GatewaySettings } from "./GatewaySettings.js";
@@ -61,6 +62,7 @@
     const clientErrors = createClientErrors(callerConnections, pipelineLimit.isPaused, clock, log);
     let isClosed = false;
     const refusalReport = createRefusalReport(context);
+    const entryReport = createEntryReport({ ...context, connections: callerConnections });
     const chooseRetry = createOverloadRetryChooser(context);
     const bodyMemory = createBodyMemory({
         clock,
@@ -78,6 +80,7 @@
         connections: callerConnections,
         hasFailed: clientErrors.hasFailed,
         refusalReport,
+        entryReport,
         chooseRetry,
         bodyMemory,
         responseMemory,
@@ -174,6 +177,7 @@
             const verdict = context.overload.judgeConnection();
             metrics.count("connections", { outcome: connectionOutcomes[verdict] });
             refusalReport.recordConnection(verdict);
+            entryReport.recordConnection(verdict);
             if (verdict === "serve") {
                 // The HTTP server calls this after the last response.
                 socket.destroySoon = () => core.closeGracefully(socket, clock);
@@ -251,6 +255,7 @@
         subscription.unsubscribe();
         removeGauges.forEach(remove => remove());
         refusalReport.dispose();
+        entryReport.dispose();
         [callerServer, readinessServer, metricsServer].forEach(server => {
             server.close();
             server.closeAllConnections();
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -14,6 +14,7 @@
 import type { CallerConnections } from "./CallerConnections.js";
 import { createCallerResponse, keepConnectionOpen } from "./CallerResponse.js";
 import type { ClientErrors } from "./ClientError.js";
+import type { EntryReport } from "./EntryReport.js";
 import type { Freshness } from "./Freshness.js";
 import type { GatewayContext } from "./GatewayContext.js";
 import type { OverloadRetry } from "./OverloadRetry.js";
@@ -70,6 +71,7 @@
     readonly connections: CallerConnections;
     readonly hasFailed: ClientErrors["hasFailed"];
     readonly refusalReport: RefusalReport;
+    readonly entryReport: EntryReport;
     /** Decides when a caller that is refused for lack of processor time may retry. */
     readonly chooseRetry: () => OverloadRetry;
     readonly bodyMemory: BodyMemory;
@@ -105,8 +107,8 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
 ): RequestExchange {
-    const { context, freshness, connections, hasFailed, refusalReport, chooseRetry, bodyMemory, responseMemory } =
-        options;
+    const { context, freshness, connections, hasFailed, chooseRetry, bodyMemory, responseMemory } = options;
+    const { refusalReport, entryReport } = options;
     const { clock, codec, log, metrics } = context;
     const arrivedMs = clock.nowMs();
     const path = request.url ?? "/";
@@ -225,6 +227,9 @@
         }
         metrics.count("refusals", { reason: refusal.reason });
         refusalReport.recordRefusal(refusal.reason, { customer, prompt: requestHead.prompt });
+        if (customer !== undefined) {
+            entryReport.recordRefusal(customer);
+        }
         log.failure("request-refused", {
             ...describeRequest(),
             reason: refusal.reason,
@@ -260,6 +265,7 @@
         kind = allowed.value.route.kind;
         customer = allowed.value.customer?.id;
         refusalReport.recordRequest({ customer, prompt: requestHead.prompt });
+        entryReport.recordRequest({ customer, isFirst: connections.isFirst(response) });
         if (!isAcceptedWhileDraining()) {
             return refuse(createRefusal("draining"));
         }
