gateway: a VM that refuses connections is not ready while others have room, and says when callers go elsewhere

A customer that enters at one VM gets far less than half of what it asks for, others are served.

Cause: the load balancer binds a caller to a VM that is ready, and sends its retry there again. A VM that refused nine of ten new connections stayed ready, and told callers to return after 25 to 75 ms, in the belief that another VM would get them. A fit over their intervals of 2 s at full utilization gives 7.2 ms for a request and 3.6 ms for a refusal: at second 14, edge-tw-north-b-21 refused 497 and served 65 in 2 s, where 277 requests alone would fit. So refusals and the retries that they cause take the processor time that requests need, beside a fleet that is idle.

Change: while at least three VMs of the zone, and half of them, refuse nothing, a VM that refuses is not ready, refuses two of ten at most, and its Retry-After is the time until the load balancer has noticed. Otherwise nothing changes.

The model of the zone now has callers that leave after 1 s, flushes and these costs.

--- a/packages/gateway/__tests__/unit/AcceptQueueLoad.test.ts
+++ b/packages/gateway/__tests__/unit/AcceptQueueLoad.test.ts
@@ -5,6 +5,7 @@
 import { describe, it } from "node:test";
 import { createAcceptQueueMonitor } from "../../src/AcceptQueueMonitor.js";
 import { createAcceptQueueProbe } from "../../src/AcceptQueueProbe.js";
+import { createEntryRelief } from "../../src/EntryRelief.js";
 import { createOverloadGuard } from "../../src/OverloadGuard.js";
 
 const serveMs = 8;
@@ -45,7 +46,8 @@
     let turnEnds: (() => void)[] = [];
     const probe = createAcceptQueueProbe({ endpoint, clock, log, connect: join });
     const acceptQueue = createAcceptQueueMonitor({ clock, log, probe, onTurnEnd: callback => turnEnds.push(callback) });
-    const guard = createOverloadGuard({ clock, log, random, utilization: () => 0.5, acceptQueue });
+    const relief = createEntryRelief({ clock, log, peerLoads: () => [] });
+    const guard = createOverloadGuard({ clock, log, random, utilization: () => 0.5, acceptQueue, relief });
     const servedWaitsMs: number[] = [];
     let refused = 0;
     const startMs = clock.nowMs();
--- a/packages/gateway/__tests__/unit/ConnectionRefusal.test.ts
+++ b/packages/gateway/__tests__/unit/ConnectionRefusal.test.ts
@@ -35,7 +35,7 @@
                     codec,
                     maxHeaderBytes,
                     log,
-                    chooseRetry: () => ({ ...planOverloadRetry([]), retryAfterMs: undefined }),
+                    chooseRetry: () => ({ ...planOverloadRetry([]), retryAfterMs: undefined, reliefMs: undefined }),
                     onRefused: connection => void refusals.push(connection.isAbandoned),
                 });
                 resolve(socket);
--- a/packages/gateway/__tests__/unit/EntryZone.ts
+++ b/packages/gateway/__tests__/unit/EntryZone.ts
@@ -1,20 +1,24 @@
 import * as core from "@peridotloft/core";
 import * as testing from "@peridotloft/testing";
+import * as assert from "node:assert/strict";
 import { createAcceptQueueMonitor } from "../../src/AcceptQueueMonitor.js";
+import { createEntryRelief } from "../../src/EntryRelief.js";
 import { createOverloadGuard } from "../../src/OverloadGuard.js";
 import { createOverloadRetryChooser, type PeerLoad } from "../../src/OverloadRetry.js";
 
 /** Time in ms that a VM of a third of a core takes to serve a request, and to accept and refuse a connection. */
-const serveMs = 9;
-const refuseMs = 3;
+const serveMs = 7.2;
+const refuseMs = 3.6;
 /** Requests per second that one VM can serve. */
-export const vmCapacityPerS = 1_000 / serveMs;
+const vmCapacityPerS = 1_000 / serveMs;
 /** Time in ms for which a response occupies its connection. */
 const responseMs = 500;
 /** Share of the connections that their callers keep open after a response. */
 const keptShare = 0.7;
 /** Time in ms after which callers close idle connections. */
 const idleTimeoutMs = 4_000;
+/** Time in ms after which callers close a connection on which their request has not been read. */
+const callerPatienceMs = 1_000;
 /** Interval in ms at which the load balancer asks VMs whether they are ready, and the misses that take one out. */
 const readinessIntervalMs = 1_000;
 const maxMisses = 2;
@@ -22,25 +26,46 @@
 const peerLoadAgeMs = 1_000;
 
 /** A caller that sends requests at a rate, over connections that the balancer assigns to one VM. */
-export interface CallerLoad {
+interface CallerLoad {
     readonly name: string;
     readonly perS: number;
 }
 
+/** Requests that a caller sent in one second, and those of them that began. */
+interface SecondOfLoad {
+    readonly sent: number;
+    readonly begun: number;
+}
+
 interface Connection {
     readonly vm: EntryVm;
     idleSinceMs: number;
 }
 
-interface Request {
-    readonly caller: Caller;
+interface SentRequest {
     readonly sentMs: number;
+    hasBegun: boolean;
+}
+
+/** One attempt to get a request served. */
+interface Attempt {
+    readonly caller: Caller;
+    readonly request: SentRequest;
     readonly isRetry: boolean;
+    /** Whether the caller has closed the connection before its request was read. */
+    isAbandoned: boolean;
 }
 
 interface Caller extends CallerLoad {
     readonly idle: Connection[];
-    readonly requests: { readonly sentMs: number; hasBegun: boolean; }[];
+    readonly requests: SentRequest[];
+}
+
+/** What happens to attempts at a VM. */
+interface AttemptListener {
+    onServed(attempt: Attempt, connection: Connection): void;
+    /** @param retryAfterMs time in ms after which the caller may retry; 0 if it got no response. */
+    onNotServed(attempt: Attempt, retryAfterMs: number): void;
 }
 
 type EntryVm = ReturnType<typeof createEntryVm>;
@@ -51,11 +76,11 @@
     clock: testing.VirtualClock,
     random: core.Random,
     peerLoads: () => readonly PeerLoad[],
-    answer: (request: Request, connection: Connection, retryAfterMs: number | undefined) => void,
+    { onServed, onNotServed }: AttemptListener,
 ) {
     const log = testing.createRecordingLog();
-    const waiting: Request[] = [];
-    let arrived: { readonly request: Request; readonly connection: Connection; }[] = [];
+    const waiting: Attempt[] = [];
+    let arrived: { readonly attempt: Attempt; readonly connection: Connection; }[] = [];
     let turnEnds: (() => void)[] = [];
     let busyMs = 0;
     let turnEndMs = Number.NEGATIVE_INFINITY;
@@ -64,11 +89,13 @@
     let measuredBusyMs = 0;
 
     const acceptQueue = createAcceptQueueMonitor({ clock, log, onTurnEnd: callback => turnEnds.push(callback) });
+    const relief = createEntryRelief({ clock, log, peerLoads });
     const guard = createOverloadGuard({
         clock,
         log,
         random,
         acceptQueue,
+        relief,
         utilization() {
             const nowMs = clock.nowMs();
             const busyNowMs = busyMs - Math.max(0, turnEndMs - nowMs);
@@ -77,32 +104,41 @@
             return utilization;
         },
     });
-    const chooseRetry = createOverloadRetryChooser({ clock, random, peerLoads });
+    const chooseRetry = createOverloadRetryChooser({ clock, random, peerLoads, relief });
 
-    /** Runs one turn; returns its length in ms and the responses at its end. */
-    function runTurn(): { readonly lengthMs: number; readonly respond: () => void; } {
+    /** Accepts one connection; returns the time in ms that it takes and what its caller notices afterwards. */
+    function accept(attempt: Attempt): { readonly costMs: number; readonly notify: () => void; } {
+        acceptQueue.recordAccepted();
+        const verdict = guard.judgeConnection();
+        if (verdict === "flush") {
+            const flushed = [attempt, ...waiting.splice(0)].filter(({ isAbandoned }) => !isAbandoned);
+            acceptQueue.recordFlushed();
+            return { costMs: 0, notify: () => flushed.forEach(closed => onNotServed(closed, 0)) };
+        }
+        if (verdict === "serve" && !attempt.isAbandoned) {
+            arrived.push({ attempt, connection: { vm, idleSinceMs: 0 } });
+            return { costMs: 0, notify: () => undefined };
+        }
+        if (verdict === "refuse") {
+            acceptQueue.recordRefused(attempt.isAbandoned);
+        }
+        return {
+            costMs: refuseMs,
+            notify: () => !attempt.isAbandoned && onNotServed(attempt, chooseRetry().retryAfterMs ?? 0),
+        };
+    }
+
+    /** Runs one turn of the event loop; returns its length in ms and what callers notice at its end. */
+    function runTurn(): { readonly lengthMs: number; readonly notify: () => void; } {
         const served = arrived;
         arrived = [];
-        let lengthMs = served.length * serveMs;
-        let refused: Request | undefined;
-        const accepted = waiting.shift();
-        if (accepted) {
-            acceptQueue.recordAccepted();
-            if (guard.judgeConnection() === "serve") {
-                arrived.push({ request: accepted, connection: { vm, idleSinceMs: 0 } });
-            }
-            else {
-                lengthMs += refuseMs;
-                refused = accepted;
-            }
-        }
+        const next = waiting.shift();
+        const accepted = next && accept(next);
         return {
-            lengthMs,
-            respond() {
-                served.forEach(({ request, connection }) => answer(request, connection, undefined));
-                if (refused) {
-                    answer(refused, { vm, idleSinceMs: 0 }, chooseRetry().retryAfterMs ?? 0);
-                }
+            lengthMs: served.length * serveMs + (accepted?.costMs ?? 0),
+            notify() {
+                served.forEach(({ attempt, connection }) => onServed(attempt, connection));
+                accepted?.notify();
             },
         };
     }
@@ -112,11 +148,11 @@
             return;
         }
         isBusy = true;
-        const { lengthMs, respond } = runTurn();
+        const { lengthMs, notify } = runTurn();
         busyMs += lengthMs;
         turnEndMs = clock.nowMs() + lengthMs;
         clock.setTimer(lengthMs, () => {
-            respond();
+            notify();
             const callbacks = turnEnds;
             turnEnds = [];
             callbacks.forEach(callback => callback());
@@ -128,12 +164,18 @@
     const vm = {
         name,
         guard,
-        connect(request: Request): void {
-            waiting.push(request);
+        connect(attempt: Attempt): void {
+            waiting.push(attempt);
+            clock.setTimer(callerPatienceMs, () => {
+                if (waiting.includes(attempt)) {
+                    attempt.isAbandoned = true;
+                    onNotServed(attempt, 0);
+                }
+            });
             work();
         },
-        send(request: Request, connection: Connection): void {
-            arrived.push({ request, connection });
+        send(attempt: Attempt, connection: Connection): void {
+            arrived.push({ attempt, connection });
             work();
         },
         dispose(): void {
@@ -145,7 +187,7 @@
 }
 
 /** The VMs of an availability zone behind a load balancer that binds each caller to one of those that are ready. */
-export function createEntryZone(vmCount: number, callerLoads: readonly CallerLoad[], seed: number) {
+function createEntryZone(vmCount: number, callerLoads: readonly CallerLoad[], seed: number) {
     const clock = testing.createVirtualClock();
     const random = testing.createSeededRandom(seed);
     const misses = new Map<EntryVm, number>();
@@ -161,21 +203,11 @@
                     refusedShare: guard.refusedShare(),
                     ageMs: peerLoadAgeMs,
                 })),
-            answer,
+            { onServed, onNotServed },
         ));
 
-    function answer(request: Request, connection: Connection, retryAfterMs: number | undefined): void {
-        const { caller, sentMs, isRetry } = request;
-        if (retryAfterMs !== undefined) {
-            if (!isRetry) {
-                clock.setTimer(retryAfterMs, () => vmOf(caller).connect({ caller, sentMs, isRetry: true }));
-            }
-            return;
-        }
-        const sent = caller.requests.find(other => other.sentMs === sentMs);
-        if (sent) {
-            sent.hasBegun = true;
-        }
+    function onServed({ caller, request }: Attempt, connection: Connection): void {
+        request.hasBegun = true;
         clock.setTimer(responseMs, () => {
             if (random() < keptShare) {
                 connection.idleSinceMs = clock.nowMs();
@@ -184,6 +216,15 @@
         });
     }
 
+    /** Tries once more, on a new connection. */
+    function onNotServed({ caller, request, isRetry }: Attempt, retryAfterMs: number): void {
+        if (!isRetry) {
+            clock.setTimer(retryAfterMs, () => connect({ caller, request, isRetry: true, isAbandoned: false }));
+        }
+    }
+
+    const connect = (attempt: Attempt): void => vmOf(attempt.caller).connect(attempt);
+
     function vmOf({ name }: Caller): EntryVm {
         const inRotation = vms.filter(vm => (misses.get(vm) ?? 0) < maxMisses);
         const usable = inRotation.length * 2 < vms.length ? vms : inRotation;
@@ -193,14 +234,15 @@
 
     function sendRequest(caller: Caller): void {
         const sentMs = clock.nowMs();
-        const request = { caller, sentMs, isRetry: false };
-        caller.requests.push({ sentMs, hasBegun: false });
+        const request = { sentMs, hasBegun: false };
+        const attempt = { caller, request, isRetry: false, isAbandoned: false };
+        caller.requests.push(request);
         const connection = caller.idle.pop();
         if (connection && sentMs - connection.idleSinceMs < idleTimeoutMs) {
-            connection.vm.send(request, connection);
+            connection.vm.send(attempt, connection);
         }
         else {
-            vmOf(caller).connect(request);
+            connect(attempt);
         }
     }
 
@@ -238,7 +280,35 @@
     };
 }
 
-export interface SecondOfLoad {
-    readonly sent: number;
-    readonly begun: number;
+/** The span in s over which the shares of customers are compared, and the share of what it asks for that one is owed at least. */
+const windowS = 6;
+const minShare = 0.5;
+
+/** The smallest share of the requests sent in such a span that began. */
+function worstShare(load: readonly SecondOfLoad[]): number {
+    const shares = load.slice(0, 1 - windowS).map((_, start) => {
+        const window = load.slice(start, start + windowS);
+        const sum = (count: (second: SecondOfLoad) => number) =>
+            window.reduce((total, second) => total + count(second), 0);
+        return sum(({ begun }) => begun) / sum(({ sent }) => sent);
+    });
+    return Math.min(...shares);
+}
+
+/**
+ * Checks that no caller is starved in a zone of nearly idle VMs while one sends `overload` times what the VM to which it is bound
+ * can serve.
+ */
+export async function checkShares(overload: number, seed: number): Promise<void> {
+    const vmCount = 20;
+    const zone = createEntryZone(vmCount, [
+        { name: "large", perS: overload * vmCapacityPerS },
+        ...Array.from({ length: 3 * vmCount }, (_, index) => ({ name: `small-${index}`, perS: 5 })),
+    ], seed);
+    const loads = await zone.play(20);
+    zone.dispose();
+    loads.forEach((load, name) => {
+        const share = worstShare(load);
+        assert.ok(share >= minShare, `seed ${seed}: ${share.toFixed(2)} of ${name}`);
+    });
 }
--- a/packages/gateway/__tests__/unit/OverloadGuard.test.ts
+++ b/packages/gateway/__tests__/unit/OverloadGuard.test.ts
@@ -22,6 +22,7 @@
         log: testing.createRecordingLog(),
         random: () => 0.5,
         acceptQueue: { waitMs: () => 0, acceptedWhileBusy: () => 0, abandonedShare: () => 0 },
+        relief: { isRequested: () => false, update: () => undefined },
         ...options,
     });
 
@@ -63,6 +64,28 @@
         assert.equal(guard.judgeConnection(), "serve");
     });
 
+    it("is not ready, and refuses few connections, while the load balancer can send callers to other VMs", async () => {
+        const { clock, advance } = createLateClock();
+        const shares: number[] = [];
+        let utilization = 1;
+        const guard = createGuard({
+            clock,
+            utilization: () => utilization,
+            random: () => 0.3,
+            relief: {
+                isRequested: () => (shares.at(-1) ?? 0) > 0,
+                update: share => void shares.push(share),
+            },
+        });
+        await advance(2_500);
+        assert.ok(guard.isOverloaded());
+        assert.equal(guard.refusedShare(), 0.2);
+        assert.equal(guard.judgeConnection(), "serve");
+        utilization = 0.5;
+        await advance(1_000);
+        assert.ok(!guard.isOverloaded());
+    });
+
     describe("while connections wait to be accepted", () => {
         let waitMs: number;
         let abandonedShare: number;
--- a/packages/gateway/src/OverloadGuard.ts
+++ b/packages/gateway/src/OverloadGuard.ts
@@ -1,6 +1,7 @@
 import type * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
 import type { AcceptQueueMonitor } from "./AcceptQueueMonitor.js";
+import type { EntryRelief } from "./EntryRelief.js";
 
 /**
  * What happens to a new connection. Its request does not run unless the connection is served.
@@ -50,6 +51,11 @@
 const refusedShareDecrease = 0.04;
 /** Largest share of refused connections; some are always served, so that a decrease of the load is detected. */
 const maxRefusedShare = 0.9;
+/**
+ * The same while the load balancer is asked to send callers elsewhere. A refusal costs half as much processor time as a request,
+ * so a VM that refuses nine of ten spends most of its time on it.
+ */
+const maxReliefRefusedShare = 0.2;
 /** Lag in ms at which heavy customers are refused; latency objectives leave about this much time to a VM. */
 const heavyCustomerLagMs = 100;
 /** Weight of the latest interval in the moving average of the utilization. */
@@ -87,10 +93,11 @@
     /** Returns the event loop utilization since its previous call, 0 to 1. */
     readonly utilization: () => number;
     readonly acceptQueue: Pick<AcceptQueueMonitor, "waitMs" | "acceptedWhileBusy" | "abandonedShare">;
+    readonly relief: Pick<EntryRelief, "isRequested" | "update">;
 }
 
 export function createOverloadGuard(options: OverloadGuardOptions): OverloadGuard {
-    const { clock, log, random, utilization, acceptQueue } = options;
+    const { clock, log, random, utilization, acceptQueue, relief } = options;
     let smoothedUtilization = 0;
     let refusedShare = 0;
     let earlyFlushesUntilMs = Number.NEGATIVE_INFINITY;
@@ -106,15 +113,17 @@
     const isLagging = (): boolean => lastLagMs >= heavyCustomerLagMs;
     const isBehind = (): boolean => isLagging() || acceptQueue.waitMs() >= unreadyAcceptWaitMs;
 
+    const maxShare = (): number => relief.isRequested() ? maxReliefRefusedShare : maxRefusedShare;
+
     function currentRefusedShare(waitMs: number): number {
         const isQueueLong = waitMs >= refuseAcceptWaitMs && acceptQueue.acceptedWhileBusy() >= minAcceptedWhileBusy;
-        return isQueueLong ? maxRefusedShare : refusedShare;
+        return isQueueLong ? maxShare() : refusedShare;
     }
 
     function adjustRefusedShare(): void {
         const previousShare = refusedShare;
         if (isLagging() || smoothedUtilization >= highUtilization) {
-            refusedShare = Math.min(maxRefusedShare, refusedShare + refusedShareIncrease);
+            refusedShare = Math.min(maxShare(), refusedShare + refusedShareIncrease);
         }
         else if (smoothedUtilization < lowUtilization) {
             refusedShare = Math.max(0, refusedShare - refusedShareDecrease);
@@ -134,6 +143,7 @@
         cancelTimer = clock.setTimer(sampleIntervalMs, tick);
         smoothedUtilization += utilizationWeight * (utilization() - smoothedUtilization);
         adjustRefusedShare();
+        relief.update(refusedShare);
         if (isBehind() === overloaded) {
             changeSinceMs = undefined;
             return;
@@ -151,7 +161,7 @@
     }
 
     return {
-        isOverloaded: () => overloaded,
+        isOverloaded: () => overloaded || relief.isRequested(),
         refusesRequest(relativeUsage) {
             const lag = lagMs();
             return lag >= refuseAllLagMs || (lag >= heavyCustomerLagMs && relativeUsage >= heavyCustomerUsage);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./AcceptQueueProbe.js";
 export * from "./BodyMemory.js";
 export { exitMarginMs } from "./Drain.js";
+export * from "./EntryRelief.js";
 export * from "./Gateway.js";
 export * from "./GatewayContext.js";
 export * from "./GatewaySettings.js";
