gateway: AttemptMemory holds the memory for responses of one request

Moved out of RequestExchange without a change of behaviour: which reservation is the latest, which is kept while a further attempt runs, and when both are released.

--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -4,6 +4,7 @@
 import { ok, type Result } from "neverthrow";
 import type * as http from "node:http";
 import { type AllowedRequest, allowRequest, choosePool } from "./Admission.js";
+import { createAttemptMemory } from "./AttemptMemory.js";
 import {
     type AttemptSequence,
     createAttemptSequence,
@@ -29,7 +30,7 @@
 import { createRequestBody } from "./RequestBody.js";
 import { createRequestDeadline } from "./RequestDeadline.js";
 import { connectionCloseOf, onceResponseClosed } from "./ResponseClose.js";
-import { firstBytes, type ResponseMemory, type ResponseReservation } from "./ResponseMemory.js";
+import type { ResponseMemory } from "./ResponseMemory.js";
 import {
     discardResponse,
     readCompleteResponse,
@@ -38,7 +39,7 @@
     type ResponseFailure,
 } from "./ResponseRelay.js";
 import { createStreamState, type StreamState } from "./StreamState.js";
-import type { BodyFailure, BufferMemory, WholeBody } from "./WholeBody.js";
+import type { BodyFailure, WholeBody } from "./WholeBody.js";
 
 /** Serves the requests of callers. Never throws. */
 export interface RequestHandler {
@@ -125,11 +126,7 @@
     let customer: core.CustomerId | undefined;
     let attemptSequence: AttemptSequence | undefined;
     let requestBody: WholeBody | undefined;
-    /** Memory of the response to the latest attempt, and of an earlier one that is kept. */
-    let responseMemoryNow: ResponseReservation | undefined;
-    let keptResponseMemory: ResponseReservation | undefined;
-    /** Whether the first bytes of a response are reserved before the request is sent, as for all but streams. */
-    let hasFirstBytes = false;
+    const attemptMemory = createAttemptMemory(responseMemory, log);
     let fingerprintOf: () => number | undefined = () => undefined;
     let callerDisconnected = false;
     let hasBeenEnded = false;
@@ -137,8 +134,7 @@
 
     onceResponseClosed(response, () => {
         deadline.cancel();
-        responseMemoryNow?.release();
-        keptResponseMemory?.release();
+        attemptMemory.release();
         // Node.js reports a response as finished as well if its connection is destroyed while the kernel has not taken it.
         const isFinished = response.writableFinished && callerResponse.abortReason() === undefined;
         if (!isFinished) {
@@ -402,7 +398,11 @@
             body: body.bytes,
             rawHeaders: request.rawHeaders,
             // Streams are passed on as they arrive.
-            reserveResponse: () => route.kind === "stream" ? undefined : reserveResponse(requestId),
+            // What is reserved after the response has closed would never be returned.
+            reserveResponse: () =>
+                route.kind === "stream" || isCancelled()
+                    ? undefined
+                    : attemptMemory.reserveNext(requestId, maxMemoryWaitMsNow()),
             isCancelled,
             hasBegun: callerResponse.hasBegun,
             isStillAllowed: () => isStillAllowed(job),
@@ -446,48 +446,15 @@
         attemptSequence?.cancel(ifMayHaveRun);
         if (!callerResponse.hasEnded()) {
             // The refusal needs none, and may wait long behind another response on its connection.
-            responseMemoryNow?.release();
-            keptResponseMemory?.release();
+            attemptMemory.release();
         }
         refuse(mayHaveRun ? createUpstreamFailure(ifMayHaveRun) : createRefusal(ifNotRun));
     }
 
-    /** Reserves memory for the response to the next attempt; fails with the time in ms after which the caller may retry. */
-    function reserveResponse(requestId: core.RequestId): Promise<Result<void, number>> | undefined {
-        if (isCancelled()) {
-            // What is reserved after the response has closed would never be returned.
-            return undefined;
-        }
-        if (responseMemoryNow !== keptResponseMemory) {
-            responseMemoryNow?.release();
-        }
-        responseMemoryNow = responseMemory.openReservation();
-        hasFirstBytes = true;
-        return responseMemoryNow.reserveFirst(maxMemoryWaitMsNow())?.then(result =>
-            result.mapErr(({ retryAfterMs, ...inputs }) => {
-                log.failure("response-memory-full", { requestId, retryAfterMs, ...inputs });
-                return retryAfterMs;
-            })
-        );
-    }
-
-    /** Memory for the response to the latest attempt, for which its upstream waits until the deadline. */
-    function latestResponseMemory(): BufferMemory {
-        const reservation = responseMemoryNow ??= responseMemory.openReservation();
-        return {
-            // One that holds a part of the rest would keep it while it waits for more.
-            undeclaredSizes: hasFirstBytes ? [16 * 1024, firstBytes] : [],
-            grow: (_, toBytes) => reservation.growTo(toBytes),
-            shrinkTo: reservation.shrinkTo,
-            release: reservation.release,
-        };
-    }
-
     function onDeadline(): void {
         if (callerResponse.hasEnded()) {
             // The caller has not taken all of it. It may, for as long as no other response waits for the memory.
-            responseMemoryNow?.yieldWhenNeeded(callerResponse.abortUnread);
-            keptResponseMemory?.yieldWhenNeeded(callerResponse.abortUnread);
+            attemptMemory.yieldWhenNeeded(callerResponse.abortUnread);
         }
         end(stage === "body" ? "not-sent-in-time" : "deadline", "upstream-timeout");
     }
@@ -520,7 +487,7 @@
             }
             const { lease, response: upstreamResponse } = result.value;
             lease.recordFirstByte();
-            const body = await readCompleteResponse(upstreamResponse, latestResponseMemory());
+            const body = await readCompleteResponse(upstreamResponse, attemptMemory.latest());
             const statusCode = upstreamResponse.statusCode ?? 502;
             const isFailure = statusCode >= 500;
             lease.end(body.isErr() ? brokenOutcomeOf(body.error) : isFailure ? "failed" : "ok");
@@ -542,8 +509,7 @@
             }
             const headers = codec.callerHeaders(upstreamResponse.rawHeaders);
             if (isFailure && sequence.mayRetry()) {
-                keptResponseMemory?.release();
-                keptResponseMemory = responseMemoryNow;
+                attemptMemory.keepLatest();
                 lastFailure = { statusCode, headers, body: body.value };
                 continue;
             }
@@ -602,7 +568,7 @@
         const statusCode = upstreamResponse.statusCode ?? 502;
         if (statusCode >= 300 && !callerResponse.hasBegun()) {
             lease.recordFirstByte();
-            const body = await readCompleteResponse(upstreamResponse, latestResponseMemory());
+            const body = await readCompleteResponse(upstreamResponse, attemptMemory.latest());
             lease.end(body.isErr() ? brokenOutcomeOf(body.error) : "failed");
             if (body.isOk() && !isCancelled()) {
                 callerResponse.send(statusCode, codec.callerHeaders(upstreamResponse.rawHeaders), body.value);
