gateway: refused callers retry promptly again during entry relief

With two of ten connections refused, a prompt retry is mostly served, and later ones are late by then. So the wait is taken out, with the fields of the log that went with it.

--- a/packages/gateway/__tests__/unit/EntryZone.ts
+++ b/packages/gateway/__tests__/unit/EntryZone.ts
@@ -104,7 +104,7 @@
             return utilization;
         },
     });
-    const chooseRetry = createOverloadRetryChooser({ clock, random, peerLoads, relief });
+    const chooseRetry = createOverloadRetryChooser({ clock, random, peerLoads });
 
     /** Accepts one connection; returns the time in ms that it takes and what its caller notices afterwards. */
     function accept(attempt: Attempt): { readonly costMs: number; readonly notify: () => void; } {
--- a/packages/gateway/src/EntryRelief.ts
+++ b/packages/gateway/src/EntryRelief.ts
@@ -9,8 +9,6 @@
 export interface EntryRelief {
     /** Whether relief is requested: this VM is not ready. */
     isRequested(): boolean;
-    /** Time in ms until the balancer sends callers to other VMs, 0 once it does; undefined if relief is not requested. */
-    remainingMs(): number | undefined;
     /** Decides again, given the share of new connections that this VM refuses, 0 to 1. */
     update(refusedShare: number): void;
 }
@@ -21,8 +19,6 @@
     readonly peerLoads: () => readonly PeerLoad[];
 }
 
-/** Time in ms within which the balancer stops sending callers to a VM that is not ready: it asks twice, a second apart. */
-const rotationMs = 2_000;
 /** Age in ms up to which the load of another VM counts: announcements reach a VM of a large fleet every few seconds. */
 const maxLoadAgeMs = 4_000;
 /** Share of the other VMs of the zone that must refuse nothing. */
@@ -45,8 +41,6 @@
 
     return {
         isRequested: () => requestedMs !== undefined,
-        remainingMs: () =>
-            requestedMs === undefined ? undefined : Math.max(0, requestedMs + rotationMs - clock.nowMs()),
         update(refusedShare) {
             if (refusedShare === 0 && requestedMs === undefined) {
                 return;
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -225,7 +225,7 @@
 
     function recordRefusedConnection({ requestId, refusal, retry, heldMs, isAbandoned }: RefusedConnection): void {
         const { reason, statusCode, retryAfterMs } = refusal;
-        const { knownPeers, freePeers, oldestLoadMs, reliefMs } = retry;
+        const { knownPeers, freePeers, oldestLoadMs } = retry;
         acceptQueue.recordRefused(isAbandoned);
         refusalReport.recordOverloadRetry(retry);
         metrics.count("requests", { kind: "unknown", outcome: String(statusCode) });
@@ -240,7 +240,6 @@
             knownPeers,
             freePeers,
             oldestLoadMs,
-            reliefMs,
             atConnection: true,
         });
     }
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -4,7 +4,6 @@
 import type * as telemetry from "@peridotloft/telemetry";
 import type { AcceptQueueMonitor } from "./AcceptQueueMonitor.js";
 import type { AcceptQueueProbe } from "./AcceptQueueProbe.js";
-import type { EntryRelief } from "./EntryRelief.js";
 import type { GatewaySettings } from "./GatewaySettings.js";
 import type { OverloadGuard } from "./OverloadGuard.js";
 import type { PeerLoad } from "./OverloadRetry.js";
@@ -24,7 +23,6 @@
     readonly acceptQueue: AcceptQueueMonitor;
     readonly acceptQueueProbe: AcceptQueueProbe;
     readonly overload: OverloadGuard;
-    readonly relief: EntryRelief;
     readonly log: telemetry.EventLog;
     readonly metrics: telemetry.Metrics;
     /** Time in ms since the stop signal; undefined before the signal. */
--- a/packages/gateway/src/OverloadRetry.ts
+++ b/packages/gateway/src/OverloadRetry.ts
@@ -1,5 +1,4 @@
 import type * as core from "@peridotloft/core";
-import type { EntryRelief } from "./EntryRelief.js";
 
 /** What this VM knows of the load of another one. */
 export interface PeerLoad {
@@ -24,8 +23,6 @@
 export interface OverloadRetry extends Omit<OverloadRetryPlan, "rangeMs"> {
     /** Undefined for the default. */
     readonly retryAfterMs: number | undefined;
-    /** Time in ms until the load balancer sends callers to other VMs; undefined if it is not asked to. */
-    readonly reliefMs: number | undefined;
 }
 
 /** Age in ms up to which a load counts: a few heartbeats. */
@@ -40,9 +37,6 @@
 /** Largest share by which such a wait is extended, so that callers do not retry at the same time. */
 const busyRetrySpread = 0.3;
 
-/** Time in ms over which callers are spread that return once the load balancer sends them to another VM. */
-const reliefSpreadMs = 500;
-
 /** Time in ms for which a plan is used: there are many refusals and VMs. */
 const planIntervalMs = 100;
 
@@ -76,12 +70,10 @@
     readonly clock: core.Clock;
     readonly random: core.Random;
     readonly peerLoads: () => readonly PeerLoad[];
-    readonly relief: Pick<EntryRelief, "remainingMs">;
 }
 
 /** Returns a function that decides when a refused caller may retry; waits are spread over the range of the plan. */
-export function createOverloadRetryChooser(options: OverloadRetryOptions): () => OverloadRetry {
-    const { clock, random, peerLoads, relief } = options;
+export function createOverloadRetryChooser({ clock, random, peerLoads }: OverloadRetryOptions): () => OverloadRetry {
     let plan: OverloadRetryPlan | undefined;
     let plannedMs = Number.NEGATIVE_INFINITY;
     return () => {
@@ -91,15 +83,6 @@
             plannedMs = nowMs;
         }
         const { rangeMs, ...evidence } = plan;
-        const reliefMs = relief.remainingMs();
-        const waitRangeMs = reliefMs === undefined
-            ? rangeMs
-            : [promptRetryMs[0] + reliefMs, promptRetryMs[0] + reliefMs + reliefSpreadMs] as const;
-        return {
-            ...evidence,
-            reliefMs: reliefMs && Math.round(reliefMs),
-            retryAfterMs: waitRangeMs
-                && Math.round(waitRangeMs[0] + (waitRangeMs[1] - waitRangeMs[0]) * random()),
-        };
+        return { ...evidence, retryAfterMs: rangeMs && Math.round(rangeMs[0] + (rangeMs[1] - rangeMs[0]) * random()) };
     };
 }
--- a/packages/gateway/src/RefusalReport.ts
+++ b/packages/gateway/src/RefusalReport.ts
@@ -72,7 +72,6 @@
                     knownPeers: lastRetry.knownPeers,
                     freePeers: lastRetry.freePeers,
                     oldestLoadMs: lastRetry.oldestLoadMs,
-                    reliefMs: lastRetry.reliefMs,
                 }),
             });
         }
