gateway: the bound on refusals during entry relief holds at any utilization

A share above it that was reached before relief was requested stayed while the utilization was between 0.8 and 0.92. Found by reading the change.

--- a/packages/gateway/src/EntryReport.ts
+++ b/packages/gateway/src/EntryReport.ts
@@ -19,7 +19,7 @@
     recordConnection(verdict: ConnectionVerdict): void;
     recordRequest(request: EnteredRequest): void;
     /** Records that a request was refused after its key had been checked. */
-    recordRefusal(customer: core.CustomerId | undefined): void;
+    recordRefusal(customer: core.CustomerId): void;
     dispose(): void;
 }
 
--- a/packages/gateway/src/OverloadGuard.ts
+++ b/packages/gateway/src/OverloadGuard.ts
@@ -117,7 +117,7 @@
 
     function currentRefusedShare(waitMs: number): number {
         const isQueueLong = waitMs >= refuseAcceptWaitMs && acceptQueue.acceptedWhileBusy() >= minAcceptedWhileBusy;
-        return isQueueLong ? maxShare() : refusedShare;
+        return Math.min(maxShare(), isQueueLong ? maxRefusedShare : refusedShare);
     }
 
     function adjustRefusedShare(): void {
