--- a/packages/gateway/src/OverloadRetry.ts
+++ b/packages/gateway/src/OverloadRetry.ts
@@ -41,8 +41,8 @@
 const planIntervalMs = 100;
 
 /**
- * Plans when refused callers may retry. The load balancer sends a retry to any VM of the zone, so the other zones count only if
- * nothing is known of this one.
+ * Plans when refused callers may retry. A retry stays in the zone: it reaches another VM once the load balancer has taken this one
+ * out, so the other zones count only if nothing is known of this one.
  */
 export function planOverloadRetry(loads: readonly PeerLoad[]): OverloadRetryPlan {
     const recent = loads.filter(({ ageMs }) => ageMs <= maxLoadAgeMs);
