gateway: a stream whose caller has given up is not sent on

The deadline of a caller does not show that it gives up a stream earlier, and its close is read too late in a long turn. The wait of a connection in the accept queue, as far as the probe measured it, counts as time of its first request.

--- a/packages/gateway/__tests__/unit/AttemptSequence.test.ts
+++ b/packages/gateway/__tests__/unit/AttemptSequence.test.ts
@@ -56,6 +56,7 @@
             isCancelled: () => false,
             hasBegun: () => false,
             isStillAllowed: () => true,
+            hasCallerGivenUp: () => false,
         });
         const result = await sequence.nextResponse(undefined);
         assert.equal(result.isErr() && result.error.reason, "no-upstream");
--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -30,6 +30,11 @@
     hasBegun(): boolean;
     /** Checked immediately before each write; false if the configuration no longer allows the request. */
     isStillAllowed(): boolean;
+    /**
+     * Checked immediately before each write: whether the caller no longer waits for a response that has not begun. In a long turn
+     * of the event loop, its disconnect may not be seen before the write.
+     */
+    hasCallerGivenUp(): boolean;
 }
 
 /** Where a stream goes on that has begun. */
@@ -130,6 +135,10 @@
                 lease.value.end("abandoned");
                 return err(createSequenceRefusal(mayHaveRun, "response-memory-full", reserved.error));
             }
+            if (request.hasCallerGivenUp()) {
+                lease.value.end("abandoned");
+                return refuseAbandoned();
+            }
             const result = await awaitFirstResponse(lease.value, position);
             if (result.isOk()) {
                 return ok(result.value);
@@ -137,12 +146,24 @@
             if (request.isCancelled()) {
                 return err(createSequenceRefusal(mayHaveRun, "cancelled", undefined));
             }
+            if (request.hasCallerGivenUp()) {
+                return refuseAbandoned();
+            }
             if (sentTo.size >= job.route.maxAttempts || !core.mayRetry(result.error.verdict, isRetryable)) {
                 return err(createSequenceRefusal(mayHaveRun, "overloaded", retryAfterShedMs));
             }
         }
     }
 
+    function refuseAbandoned(): Result<never, Refusal> {
+        log.failure("caller-gave-up", {
+            requestId: job.requestId,
+            heldMs: Math.round(clock.nowMs() - job.arrivedMs),
+            attempts: sentTo.size,
+        });
+        return err(createSequenceRefusal(mayHaveRun, "deadline", undefined));
+    }
+
     /** @param awaitsSilent whether upstreams that have not stated their run in time are asked again until the request ends. */
     async function acquire(
         avoided: ReadonlySet<core.UpstreamId>,
@@ -252,7 +273,7 @@
                     bodyBytes: request.body().length,
                     lastEventId: position?.lastEventId,
                 }),
-            mayWrite: () => lease.mayWrite() && request.isStillAllowed(),
+            mayWrite: () => lease.mayWrite() && request.isStillAllowed() && !request.hasCallerGivenUp(),
         }, clock);
         attempts.add(attempt);
         startedAttempts.add(attempt);
--- a/packages/gateway/src/CallerConnections.ts
+++ b/packages/gateway/src/CallerConnections.ts
@@ -4,8 +4,14 @@
 
 /** The open connections of callers and the responses in flight on them. */
 export interface CallerConnections {
-    /** Records an accepted connection, whether its requests are served or refused. */
-    recordAccepted(socket: net.Socket): void;
+    /**
+     * Records an accepted connection, whether its requests are served or refused.
+     *
+     * @param waitMs time in ms for which it has waited to be accepted.
+     */
+    recordAccepted(socket: net.Socket, waitMs?: number): void;
+    /** Time in ms for which the connection of a response waited to be accepted; 0 if it is not the first on its connection. */
+    acceptWaitMs(response: http.ServerResponse): number;
     recordRequest(response: http.ServerResponse): void;
     /**
      * Resolves once the responses to all earlier requests on the connection have ended, or the connection has closed; undefined if
@@ -48,6 +54,7 @@
     const inFlight = new Set<http.ServerResponse>();
     const latestResponses = new WeakMap<net.Socket, http.ServerResponse>();
     const firstResponses = new WeakSet<http.ServerResponse>();
+    const acceptWaitsMs = new WeakMap<net.Socket, number>();
     const turns = new WeakMap<http.ServerResponse, Turn>();
     /** Resolve once all responses on a connection have ended; missing while none is open. */
     const openResponses = new WeakMap<net.Socket, Promise<void>>();
@@ -68,8 +75,9 @@
     }
 
     return {
-        recordAccepted(socket) {
+        recordAccepted(socket, waitMs = 0) {
             acceptedCount++;
+            acceptWaitsMs.set(socket, waitMs);
             sockets.add(socket);
             socket.once("close", () => sockets.delete(socket));
         },
@@ -89,6 +97,7 @@
         earlierResponses: response => turns.get(response)?.earlier,
         recordEnded: response => turns.get(response)?.end(),
         isFirst: response => firstResponses.has(response),
+        acceptWaitMs: response => firstResponses.has(response) ? acceptWaitsMs.get(response.req.socket) ?? 0 : 0,
         isLatest: response => latestResponses.get(response.req.socket) === response,
         isClosing(socket) {
             const latest = latestResponses.get(socket);
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -173,7 +173,7 @@
             if (context.acceptQueueProbe.tryEnd(socket)) {
                 return;
             }
-            callerConnections.recordAccepted(socket);
+            callerConnections.recordAccepted(socket, measuredAcceptWaitMs());
             const verdict = context.overload.judgeConnection();
             metrics.count("connections", { outcome: connectionOutcomes[verdict] });
             refusalReport.recordConnection(verdict);
@@ -200,6 +200,11 @@
         });
     }
 
+    /** Time in ms for which the connection accepted last has waited, as far as it is measured and not only bounded. */
+    function measuredAcceptWaitMs(): number {
+        return Math.min(acceptQueue.longestWaitMs(), context.acceptQueueProbe.waitMs() ?? 0);
+    }
+
     /** Closes the listening socket, so that the kernel resets the connections that wait there, and listens again. */
     function flushAcceptQueue(): void {
         if (!callerServer.listening) {
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -13,6 +13,7 @@
 } from "./AttemptSequence.js";
 import type { BodyMemory } from "./BodyMemory.js";
 import type { CallerConnections } from "./CallerConnections.js";
+import { callerPatienceMs } from "./CallerPatience.js";
 import { createCallerResponse, keepConnectionOpen } from "./CallerResponse.js";
 import type { ClientErrors } from "./ClientError.js";
 import type { EntryReport } from "./EntryReport.js";
@@ -111,7 +112,8 @@
     const { context, freshness, connections, hasFailed, chooseRetry, bodyMemory, responseMemory } = options;
     const { refusalReport, entryReport } = options;
     const { clock, codec, log, metrics } = context;
-    const arrivedMs = clock.nowMs();
+    // Its caller has waited since the connection was opened, not since the VM had the time to accept it.
+    const arrivedMs = clock.nowMs() - connections.acceptWaitMs(response);
     const path = request.url ?? "/";
     const requestHead = codec.readRequestHead(request.rawHeaders);
     const callerResponse = createCallerResponse(
@@ -406,6 +408,7 @@
             isCancelled,
             hasBegun: callerResponse.hasBegun,
             isStillAllowed: () => isStillAllowed(job),
+            hasCallerGivenUp: () => !callerResponse.hasBegun() && clock.nowMs() - arrivedMs >= callerPatienceMs(route),
         });
         attemptSequence = sequence;
         return route.kind === "stream"
