gateway: a full VM passes connections on to VMs of its zone that have room

A caller is bound to one VM by a hash. While other VMs of the zone had room, a VM that was full could only refuse, flush its accept queue or turn its readiness off. VMs announce the processor time that they spare.

--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -64,6 +64,7 @@
             log,
             metrics,
             refusedShare: () => refusedShares.get(address) ?? 0,
+            spareCores: () => refusedShares.has(address) ? 0 : 0.2,
             ...(budgetBytesPerS === undefined ? {} : { budgetBytesPerS }),
         });
     const nodes = addresses.map(address => createNode(address, 1n));
@@ -111,15 +112,17 @@
         assert.equal(nodes[0]!.vmCount(), 6);
     });
 
-    it("announces the share of connections that a VM refuses", async () => {
+    it("announces the share of connections that a VM refuses, and the processor time that it spares", async () => {
         const { clock, nodes, addresses, refusedShares } = createNetwork(4, 1);
         refusedShares.set(addresses[0]!, 0.9);
         await clock.advance(2_000);
         const loads = nodes[3]!.peerLoads();
         assert.ok(loads.every(({ ageMs }) => ageMs <= 700), JSON.stringify(loads));
         assert.deepEqual(
-            loads.map(({ isSameZone, refusedShare }) => [isSameZone, refusedShare]).sort(),
-            [[false, 0], [false, 0], [true, 0.9]],
+            loads.map(({ address, isSameZone, refusedShare, spareCores }) =>
+                [address, isSameZone, refusedShare, spareCores]
+            ).sort(),
+            [[addresses[0]!, true, 0.9, 0], [addresses[1]!, false, 0, 0.2], [addresses[2]!, false, 0, 0.2]],
         );
     });
 
@@ -504,6 +507,7 @@
             usages: [{ customerHash: 9, cost: 12_000 }],
             zoneHash: 42,
             refusedShare: 0.37,
+            spareCores: 0.126,
             earlierRun: { incarnation: 1_764_999_999_000n, silentMs: 700, wasDraining: true },
         };
         const datagrams: Datagram[] = [
--- a/packages/fleet/src/Announcement.ts
+++ b/packages/fleet/src/Announcement.ts
@@ -33,19 +33,25 @@
     readonly zoneHash: number;
     /** Share of new connections that the sender refuses for lack of processor time, 0 to 1. 1 only while it drains. */
     readonly refusedShare: number;
+    /** Processor time in cores that the sender can spare for connections that other VMs pass on; 0 if it takes none. */
+    readonly spareCores: number;
     /** An earlier run at the receiver's address; undefined but in the first announcement to a run. */
     readonly earlierRun: EarlierRun | undefined;
 }
 
+const millicoresPerCore = 1_000;
+
 /** Converts an announcement to its message. */
 export function toAnnouncementMessage(announcement: Announcement, nowMs: number) {
-    const { incarnation, sampling, crashEvidence, usages, members, zoneHash, refusedShare, earlierRun } = announcement;
+    const { incarnation, sampling, crashEvidence, usages, members, zoneHash, refusedShare, spareCores, earlierRun } =
+        announcement;
     return {
         incarnation,
         sampling,
         members: members.map(packAddress),
         zone: zoneHash,
         refusedPercent: Math.round(refusedShare * 100),
+        spareMillicores: toUint32(spareCores * millicoresPerCore),
         crashEvidence: toCrashEvidenceMessage(crashEvidence, nowMs),
         usageCustomers: usages.map(({ customerHash }) => customerHash),
         usageCosts: usages.map(({ cost }) => toUint32(cost)),
@@ -76,6 +82,7 @@
         members: message.members.map(unpackAddress),
         zoneHash: message.zone,
         refusedShare: Math.min(message.refusedPercent, 100) / 100,
+        spareCores: message.spareMillicores / millicoresPerCore,
         earlierRun: earlierRun && {
             incarnation: earlierRun.incarnation,
             silentMs: earlierRun.silentMs,
--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -36,14 +36,20 @@
     readonly budgetBytesPerS?: number;
     /** Returns the share of new connections that this VM refuses for lack of processor time, 0 to 1; 1 only while it drains. */
     readonly refusedShare?: () => number;
+    /** Returns the processor time in cores that this VM can spare for connections that other VMs pass on. */
+    readonly spareCores?: () => number;
 }
 
 /** What another VM announced last about its load. */
 export interface PeerLoad {
+    /** Its IPv4 address. */
+    readonly address: string;
     /** Whether it is in the availability zone of this VM. */
     readonly isSameZone: boolean;
     /** Share of new connections that it refuses for lack of processor time, 0 to 1. */
     readonly refusedShare: number;
+    /** Processor time in cores that it can spare for connections that other VMs pass on; 0 if it takes none. */
+    readonly spareCores: number;
     /** Age of the announcement in ms. */
     readonly ageMs: number;
 }
@@ -152,6 +158,7 @@
     earlierRun: EarlierRun | undefined;
     zoneHash: number;
     refusedShare: number;
+    spareCores: number;
     /** Time in ms at which its last announcement arrived. */
     lastAnnouncementMs: number;
 }
@@ -204,6 +211,7 @@
                 earlierRun: undefined,
                 zoneHash: 0,
                 refusedShare: 0,
+                spareCores: 0,
                 lastAnnouncementMs: Number.NEGATIVE_INFINITY,
             });
         }
@@ -286,7 +294,7 @@
         }
     }
 
-    function updatePeer(from: string, { incarnation, zoneHash, refusedShare }: Announcement): void {
+    function updatePeer(from: string, { incarnation, zoneHash, refusedShare, spareCores }: Announcement): void {
         const peer = peers.get(from);
         // An announcement of the run before was delayed, and says nothing of the current one.
         if (!peer || peer.earlierRun?.incarnation === incarnation) {
@@ -301,6 +309,7 @@
         peer.incarnation = incarnation;
         peer.zoneHash = zoneHash;
         peer.refusedShare = refusedShare;
+        peer.spareCores = spareCores;
         peer.lastAnnouncementMs = clock.nowMs();
         if (!peer.isGreeted) {
             welcome(from, peer);
@@ -320,11 +329,17 @@
     }
 
     function encodeAnnouncement(
-        contents: Omit<Announcement, "incarnation" | "zoneHash" | "refusedShare" | "earlierRun">,
+        contents: Omit<Announcement, "incarnation" | "zoneHash" | "refusedShare" | "spareCores" | "earlierRun">,
         earlierRun?: EarlierRun,
     ): Uint8Array {
-        const refusedShare = options.refusedShare?.() ?? 0;
-        const announcement = { incarnation: options.incarnation, zoneHash, refusedShare, earlierRun, ...contents };
+        const announcement = {
+            incarnation: options.incarnation,
+            zoneHash,
+            refusedShare: options.refusedShare?.() ?? 0,
+            spareCores: options.spareCores?.() ?? 0,
+            earlierRun,
+            ...contents,
+        };
         return encodeDatagram({ kind: "announcement", announcement }, clock.nowMs());
     }
 
@@ -382,11 +397,13 @@
 
     function peerLoads(): readonly PeerLoad[] {
         const nowMs = clock.nowMs();
-        return [...peers.values()]
-            .filter(peer => isDirectlyAlive(peer) && Number.isFinite(peer.lastAnnouncementMs))
-            .map(peer => ({
+        return [...peers]
+            .filter(([, peer]) => isDirectlyAlive(peer) && Number.isFinite(peer.lastAnnouncementMs))
+            .map(([address, peer]) => ({
+                address,
                 isSameZone: peer.zoneHash === zoneHash,
                 refusedShare: peer.refusedShare,
+                spareCores: peer.spareCores,
                 ageMs: nowMs - peer.lastAnnouncementMs,
             }));
     }
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -17,6 +17,7 @@
 import { createOverloadRetryChooser } from "./OverloadRetry.js";
 import { createPipelineLimit } from "./PipelineLimit.js";
 import { createRefusalReport } from "./RefusalReport.js";
+import { createZoneRelay } from "./relay/ZoneRelay.js";
 import { createRequestHandler } from "./RequestExchange.js";
 import { createResponseMemory } from "./ResponseMemory.js";
 
@@ -36,6 +37,8 @@
      */
     drain(sinceMs?: number): Promise<void>;
     isReady(): boolean;
+    /** Processor time in cores that this VM can spare for connections that other VMs pass on; 0 if it takes none. */
+    spareCores(): number;
     /** What its callers make it hold: bytes reserved, and numbers of requests and connections. */
     readHolders(): telemetry.LogFields;
     /** Closes all servers and connections immediately and aborts the requests in flight. */
@@ -78,7 +81,7 @@
         context,
         freshness,
         connections: callerConnections,
-        hasFailed: clientErrors.hasFailed,
+        hasFailed: socket => clientErrors.hasFailed(socket) || zoneRelay?.isEnding(socket) === true,
         refusalReport,
         entryReport,
         chooseRetry,
@@ -105,7 +108,16 @@
     });
     callerServer.on("clientError", (error, socket) => clientErrors.handle(error, socket as net.Socket));
     closeIdleAfterPoll(callerServer);
-    refuseConnectionsUnderOverload(callerServer);
+    const serveConnection = refuseConnectionsUnderOverload(callerServer);
+    const zoneRelay = createZoneRelay({
+        context,
+        connections: callerConnections,
+        isReady,
+        serve(socket) {
+            callerConnections.recordAccepted(socket);
+            serveConnection(socket);
+        },
+    });
     const removeGauges = [
         metrics.registerGauge(
             "accept_queue_wait_seconds",
@@ -165,7 +177,8 @@
         }
     });
 
-    function refuseConnectionsUnderOverload(server: http.Server): void {
+    /** Returns a function that serves a connection. */
+    function refuseConnectionsUnderOverload(server: http.Server): (socket: net.Socket) => void {
         const defaultListeners = server.listeners("connection") as ((socket: net.Socket) => void)[];
         server.removeAllListeners("connection");
         server.on("connection", (socket: net.Socket) => {
@@ -174,14 +187,28 @@
                 return;
             }
             callerConnections.recordAccepted(socket);
+            if (zoneRelay?.tryPassOn(socket, () => judgeConnection(socket))) {
+                metrics.count("connections", { outcome: "relayed" });
+            }
+            else {
+                judgeConnection(socket);
+            }
+        });
+        return serveConnection;
+
+        function serveConnection(socket: net.Socket): void {
+            // The HTTP server calls this after the last response.
+            socket.destroySoon = () => core.closeGracefully(socket, clock);
+            defaultListeners.forEach(listener => listener.call(server, socket));
+        }
+
+        function judgeConnection(socket: net.Socket): void {
             const verdict = context.overload.judgeConnection();
             metrics.count("connections", { outcome: connectionOutcomes[verdict] });
             refusalReport.recordConnection(verdict);
             entryReport.recordConnection(verdict);
             if (verdict === "serve") {
-                // The HTTP server calls this after the last response.
-                socket.destroySoon = () => core.closeGracefully(socket, clock);
-                defaultListeners.forEach(listener => listener.call(server, socket));
+                serveConnection(socket);
                 return;
             }
             if (verdict === "flush") {
@@ -197,7 +224,7 @@
                 chooseRetry,
                 onRefused: recordRefusedConnection,
             });
-        });
+        }
     }
 
     /** Closes the listening socket, so that the kernel resets the connections that wait there, and listens again. */
@@ -253,6 +280,7 @@
     function close(): void {
         isClosed = true;
         subscription.unsubscribe();
+        zoneRelay?.close();
         removeGauges.forEach(remove => remove());
         refusalReport.dispose();
         entryReport.dispose();
@@ -264,6 +292,7 @@
 
     return {
         isReady,
+        spareCores: () => zoneRelay?.spareCores() ?? 0,
         readHolders: () => ({
             bodyBytes: bodyMemory.reservedBytes(),
             responseBytes: responseMemory.reservedBytes(),
@@ -277,11 +306,13 @@
                 () => core.bindAddress(wait, () => core.listen(readinessServer, settings.readiness)),
                 () => core.bindAddress(wait, () => core.listen(metricsServer, settings.metrics)),
                 ...bindOthers,
+                ...zoneRelay ? [() => core.bindAddress(wait, zoneRelay.listen)] : [],
                 () => core.bindAddress(wait, listenForCallers),
             ]);
         },
         async drain(sinceMs = clock.nowMs()) {
             onDrainStarted(sinceMs);
+            zoneRelay?.drain();
             await drainServer({
                 clock,
                 sinceMs,
--- a/packages/gateway/src/GatewayContext.ts
+++ b/packages/gateway/src/GatewayContext.ts
@@ -7,6 +7,7 @@
 import type { GatewaySettings } from "./GatewaySettings.js";
 import type { OverloadGuard } from "./OverloadGuard.js";
 import type { PeerLoad } from "./OverloadRetry.js";
+import type { RelayPeerLoad } from "./relay/RelayPeers.js";
 import type { UpstreamConnections } from "./UpstreamConnections.js";
 import type { WireCodec } from "./WireCodec.js";
 
@@ -31,6 +32,8 @@
     drainRemainingMs(): number | undefined;
     /** The loads that other VMs announced last. */
     peerLoads(): readonly PeerLoad[];
+    /** The room for relayed connections that other VMs announced last. */
+    relayPeerLoads(): readonly RelayPeerLoad[];
     /** Whether requests that arrive now are refused, since the state of this process may be inconsistent. */
     refusesNewRequests(): boolean;
 }
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -6,6 +6,14 @@
     readonly port: number;
 }
 
+/** How connections are passed on between the VMs of a zone. */
+export interface RelaySettings {
+    /** Address for connections that other VMs pass on. All VMs use the same port. */
+    readonly endpoint: Endpoint;
+    /** Processor time in cores that the process gets. */
+    readonly cores: number;
+}
+
 /** Settings with which a gateway process starts. */
 export interface GatewaySettings {
     readonly vm: core.VmId;
@@ -30,4 +38,6 @@
     readonly maxResponseMemoryBytes: number;
     /** Number of requests that may wait behind others on their connections. */
     readonly maxPipelinedRequests: number;
+    /** Without it, connections are neither passed on to other VMs nor taken from them. */
+    readonly relay?: RelaySettings | undefined;
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,5 +8,6 @@
 export * from "./GatewaySettings.js";
 export * from "./OverloadGuard.js";
 export type { PeerLoad } from "./OverloadRetry.js";
+export type { RelayPeerLoad } from "./relay/RelayPeers.js";
 export * from "./UpstreamConnections.js";
 export * from "./WireCodec.js";
--- /dev/null
+++ b/packages/gateway/src/relay/EntryRelay.ts
@@ -0,0 +1,277 @@
+import * as core from "@peridotloft/core";
+import type * as telemetry from "@peridotloft/telemetry";
+import * as net from "node:net";
+import { joinConnections, type RelayedEnd, type RelayedPair } from "./RelayedPair.js";
+import { decodeRelayAnswer, encodeRelayRequest, type RelayAnswer, relayAnswerBytes } from "./RelayMessages.js";
+import type { RelayPeers } from "./RelayPeers.js";
+import type { RelayShare } from "./RelayShare.js";
+
+/** Passes new connections of callers on to other VMs of the zone while this one has more than it can serve. */
+export interface EntryRelay {
+    /**
+     * Passes a connection on that was accepted just now, if the load requires it and another VM has room. Nothing is read from it
+     * before that VM has taken it.
+     *
+     * @param onNotTaken called later if no VM took it; the caller's connection is then as it was.
+     * @returns whether it is passed on, or may be.
+     */
+    tryPassOn(caller: net.Socket, onNotTaken: () => void): boolean;
+    /** Passes nothing on any more, and has the VMs that serve relayed connections end them after the responses in flight. */
+    drain(): void;
+    openCount(): number;
+    /** Resets all relayed connections. */
+    close(): void;
+}
+
+export interface EntryRelayOptions {
+    readonly clock: core.Clock;
+    readonly log: telemetry.EventLog;
+    readonly metrics: telemetry.Metrics;
+    readonly share: RelayShare;
+    readonly peers: RelayPeers;
+    /** Port for relayed connections, the same at all VMs. */
+    readonly port: number;
+    /** Address of this VM from which it connects, and by which the others know it. */
+    readonly host: string;
+    /** Number of relayed connections that may be open. */
+    readonly maxOpen: number;
+    /** Bytes that may be held for sides that do not read. */
+    readonly maxHeldBytes: number;
+    /** Time in ms that the connection accepted just now has waited in the accept queue. */
+    readonly acceptWaitMs: () => number;
+    /** Whether a VM counts as alive in the fleet. */
+    readonly isAlive: (address: string) => boolean;
+}
+
+/** What became of the question to a VM whether it takes a connection. */
+type AskOutcome = "accepted" | "no-room" | "unreachable" | "silent" | "caller-left";
+
+/** Time in ms for a VM to take a connection, in which the caller waits. */
+const answerTimeoutMs = 100;
+/** VMs that are asked to take a connection, one after the other. */
+const maxAsked = 2;
+const checkIntervalMs = 1_000;
+/** Time in ms without a byte of a VM that counts as dead, after which its relayed connections are reset. */
+const silentPeerMs = 3_000;
+const reportIntervalMs = 2_000;
+
+/** A VM that serves connections for this one. */
+interface ServingPeer {
+    readonly pairs: Set<RelayedPair>;
+    heardMs: number;
+}
+
+export function createEntryRelay(options: EntryRelayOptions): EntryRelay {
+    const { clock, log, metrics, share, peers, port, host, maxOpen, maxHeldBytes, acceptWaitMs, isAlive } = options;
+    const serving = new Map<string, ServingPeer>();
+    const asking = new Set<net.Socket>();
+    const counts = new Map<string, number>();
+    let openCount = 0;
+    let relayedBytes = 0;
+    let isDraining = false;
+
+    function count(outcome: AskOutcome | RelayedEnd): void {
+        counts.set(outcome, (counts.get(outcome) ?? 0) + 1);
+        metrics.count("relayedConnections", { outcome });
+    }
+
+    const pairsOf = (): readonly RelayedPair[] => [...serving.values()].flatMap(({ pairs }) => [...pairs]);
+
+    /** Resets the connections that hold most, until the rest is within the bound. */
+    function boundHeldBytes(): void {
+        const byHeld = pairsOf().map(pair => ({ pair, bytes: pair.heldBytes() })).sort((a, b) => b.bytes - a.bytes);
+        let heldBytes = byHeld.reduce((sum, { bytes }) => sum + bytes, 0);
+        byHeld.forEach(({ pair, bytes }) => {
+            if (heldBytes > maxHeldBytes) {
+                log.failure("relayed-connection-reset", { cause: "memory", bytes, heldBytes, maxHeldBytes });
+                pair.reset("memory");
+                heldBytes -= bytes;
+            }
+        });
+    }
+
+    function join(caller: net.Socket, peer: net.Socket, address: string): void {
+        const served = serving.get(address) ?? { pairs: new Set(), heardMs: 0 };
+        serving.set(address, served);
+        served.heardMs = clock.nowMs();
+        openCount++;
+        const pair = joinConnections({
+            caller,
+            peer,
+            clock,
+            onBlocked: boundHeldBytes,
+            onPeerBytes: () => served.heardMs = clock.nowMs(),
+            onEnded(end) {
+                openCount--;
+                relayedBytes += countBytes(pair);
+                served.pairs.delete(pair);
+                if (served.pairs.size === 0 && serving.get(address) === served) {
+                    serving.delete(address);
+                }
+                count(end);
+            },
+        });
+        served.pairs.add(pair);
+    }
+
+    function countBytes(pair: RelayedPair): number {
+        const bytes = pair.takeBytes();
+        metrics.count("relayedBytes", {}, bytes);
+        return bytes;
+    }
+
+    /** Asks a VM to take a connection, and a second one if it does not. Returns whether there is a VM to ask. */
+    function ask(caller: net.Socket, tried: readonly string[], sinceMs: number, onNotTaken: () => void): boolean {
+        const address = tried.length < maxAsked ? peers.choose(tried) : undefined;
+        if (address === undefined) {
+            return false;
+        }
+        peers.recordAsked(address);
+        openRelayConnection({
+            clock,
+            host,
+            address,
+            port,
+            request: encodeRelayRequest({ kind: "connection", waitedMs: clock.nowMs() - sinceMs }),
+            sockets: asking,
+            onAnswer(outcome, answer, peer) {
+                peers.recordAnswer(address, answer);
+                if (caller.destroyed || caller.readableEnded) {
+                    count("caller-left");
+                    [caller, peer].forEach(socket => socket.destroy());
+                    return;
+                }
+                count(outcome);
+                if (outcome === "accepted") {
+                    join(caller, peer, address);
+                }
+                else if (isDraining || !ask(caller, [...tried, address], sinceMs, onNotTaken)) {
+                    onNotTaken();
+                }
+            },
+        });
+        return true;
+    }
+
+    /** Resets connections whose serving VM has been lost without a reset. */
+    function resetLost(): void {
+        serving.forEach(({ pairs, heardMs }, address) => {
+            if (!isAlive(address) && clock.nowMs() - heardMs >= silentPeerMs) {
+                log.state("relay-peer-lost", { peer: address, connections: pairs.size });
+                [...pairs].forEach(pair => pair.reset("peer-lost"));
+            }
+        });
+    }
+
+    function announceDrain(): void {
+        serving.forEach((_, address) => {
+            const peer = net.connect({ host: address, port, localAddress: host });
+            // The next announcement follows if this one fails.
+            peer.on("error", () => peer.destroy());
+            peer.setTimeout(checkIntervalMs, () => peer.destroy());
+            peer.resume().end(encodeRelayRequest({ kind: "drain" }));
+        });
+    }
+
+    function report(): void {
+        pairsOf().forEach(pair => relayedBytes += countBytes(pair));
+        if (counts.size > 0 || relayedBytes > 0) {
+            log.state("relayed-connections", {
+                share: share.current(),
+                open: openCount,
+                peers: serving.size,
+                bytes: relayedBytes,
+                outcomes: [...counts].map(([outcome, number]) => `${outcome}=${number}`).join(),
+            });
+        }
+        counts.clear();
+        relayedBytes = 0;
+    }
+
+    const cancelChecks = core.setRepeatingTimer(clock, checkIntervalMs, () => {
+        resetLost();
+        if (isDraining) {
+            announceDrain();
+        }
+    });
+    const cancelReports = core.setRepeatingTimer(clock, reportIntervalMs, report);
+
+    return {
+        tryPassOn(caller, onNotTaken) {
+            if (isDraining || openCount + asking.size >= maxOpen || !share.passesOn()) {
+                return false;
+            }
+            const onEarlyError = (): void => void caller.destroy();
+            const restore = (): void => {
+                caller.off("error", onEarlyError);
+                if (!caller.destroyed) {
+                    onNotTaken();
+                }
+            };
+            caller.on("error", onEarlyError);
+            const isAsked = ask(caller, [], clock.nowMs() - acceptWaitMs(), restore);
+            if (!isAsked) {
+                caller.off("error", onEarlyError);
+            }
+            return isAsked;
+        },
+        drain() {
+            isDraining = true;
+            announceDrain();
+        },
+        openCount: () => openCount,
+        close() {
+            cancelChecks();
+            cancelReports();
+            report();
+            share.dispose();
+            pairsOf().forEach(pair => pair.reset("closed"));
+            asking.forEach(socket => socket.destroy());
+        },
+    };
+}
+
+interface RelayConnectionOptions {
+    readonly clock: core.Clock;
+    readonly host: string;
+    readonly address: string;
+    readonly port: number;
+    readonly request: Buffer;
+    /** The connections that wait for an answer. */
+    readonly sockets: Set<net.Socket>;
+    readonly onAnswer: (outcome: AskOutcome, answer: RelayAnswer | undefined, peer: net.Socket) => void;
+}
+
+/** Opens a connection to another VM, sends a request and reads the answer. */
+function openRelayConnection(options: RelayConnectionOptions): void {
+    const { clock, host, address, port, request, sockets, onAnswer } = options;
+    const peer = net.connect({ host: address, port, localAddress: host, allowHalfOpen: true, noDelay: true });
+    let received = Buffer.alloc(0);
+
+    function settle(outcome: AskOutcome, answer?: RelayAnswer): void {
+        if (!sockets.delete(peer)) {
+            return;
+        }
+        cancelTimer();
+        peer.off("data", onData).off("error", onFailed).off("close", onFailed);
+        if (outcome !== "accepted") {
+            peer.on("error", () => undefined).destroy();
+        }
+        onAnswer(outcome, answer, peer);
+    }
+
+    const onFailed = (): void => settle("unreachable");
+    const onData = (bytes: Buffer): void => {
+        received = Buffer.concat([received, bytes]);
+        if (received.length < relayAnswerBytes) {
+            return;
+        }
+        // Before it has read a request, a VM sends no more than the answer.
+        const answer = received.length === relayAnswerBytes ? decodeRelayAnswer(received) : undefined;
+        settle(answer ? answer.isAccepted ? "accepted" : "no-room" : "unreachable", answer);
+    };
+    const cancelTimer = clock.setTimer(answerTimeoutMs, () => settle("silent"));
+    sockets.add(peer);
+    peer.on("data", onData).on("error", onFailed).on("close", onFailed);
+    peer.write(request);
+}
--- /dev/null
+++ b/packages/gateway/src/relay/RelayMessages.ts
@@ -0,0 +1,61 @@
+/** What a VM asks of another one as it connects to the port for relayed connections. */
+export type RelayRequest =
+    /** To serve the caller whose bytes follow once the request has been accepted. */
+    | { readonly kind: "connection"; readonly waitedMs: number; }
+    /** To end the connections that it serves for the sender, which drains. */
+    | { readonly kind: "drain"; };
+
+/** The answer to the request to serve a caller. */
+export interface RelayAnswer {
+    readonly isAccepted: boolean;
+    /** Processor time in cores that the VM can spare now. */
+    readonly spareCores: number;
+}
+
+export const relayRequestBytes = 8;
+export const relayAnswerBytes = 4;
+
+/** First byte of all messages, and the version of this protocol. */
+const protocolByte = 0xe7;
+const version = 1;
+const kindBytes = { connection: 1, drain: 2 } as const;
+const maxUint16 = 0xffff;
+const maxUint32 = 0xffff_ffff;
+
+export function encodeRelayRequest(request: RelayRequest): Buffer {
+    const bytes = Buffer.alloc(relayRequestBytes);
+    bytes.set([protocolByte, version, kindBytes[request.kind]]);
+    const waitedMs = request.kind === "connection" ? request.waitedMs : 0;
+    bytes.writeUInt32BE(Math.min(maxUint32, Math.max(0, Math.round(waitedMs))), 4);
+    return bytes;
+}
+
+/** Decodes the first `relayRequestBytes` of a connection; undefined if they are no request of this version. */
+export function decodeRelayRequest(bytes: Buffer): RelayRequest | undefined {
+    if (bytes.length < relayRequestBytes || bytes[0] !== protocolByte || bytes[1] !== version) {
+        return undefined;
+    }
+    switch (bytes[2]) {
+        case kindBytes.connection:
+            return { kind: "connection", waitedMs: bytes.readUInt32BE(4) };
+        case kindBytes.drain:
+            return { kind: "drain" };
+        default:
+            return undefined;
+    }
+}
+
+export function encodeRelayAnswer({ isAccepted, spareCores }: RelayAnswer): Buffer {
+    const bytes = Buffer.alloc(relayAnswerBytes);
+    bytes.set([protocolByte, isAccepted ? 1 : 0]);
+    bytes.writeUInt16BE(Math.min(maxUint16, Math.max(0, Math.round(spareCores * 1_000))), 2);
+    return bytes;
+}
+
+/** Decodes the first `relayAnswerBytes` of the response; undefined if they are no answer. */
+export function decodeRelayAnswer(bytes: Buffer): RelayAnswer | undefined {
+    if (bytes.length < relayAnswerBytes || bytes[0] !== protocolByte) {
+        return undefined;
+    }
+    return { isAccepted: bytes[1] === 1, spareCores: bytes.readUInt16BE(2) / 1_000 };
+}
--- /dev/null
+++ b/packages/gateway/src/relay/RelayedPair.ts
@@ -0,0 +1,86 @@
+import * as core from "@peridotloft/core";
+import type * as net from "node:net";
+
+/** How a relayed connection ended, seen from the VM that passed it on. */
+export type RelayedEnd = "closed" | "caller-lost" | "peer-lost" | "memory";
+
+/** A caller's connection and the one to the VM that serves it. */
+export interface RelayedPair {
+    /** Bytes that a side which does not read makes this process hold. */
+    heldBytes(): number;
+    /** Bytes of both directions since the previous call. */
+    takeBytes(): number;
+    /** Resets both connections, so that no response looks complete. */
+    reset(end: RelayedEnd): void;
+}
+
+export interface RelayedPairOptions {
+    readonly caller: net.Socket;
+    readonly peer: net.Socket;
+    readonly clock: core.Clock;
+    /** Called when a side does not read, so that bytes are held. */
+    readonly onBlocked: () => void;
+    /** Called when bytes of the peer arrive. */
+    readonly onPeerBytes: () => void;
+    /** Called once when both connections have closed. */
+    readonly onEnded: (end: RelayedEnd) => void;
+}
+
+/** Copies bytes, half-closes and resets in both directions. A side is not read while the other one does not read. */
+export function joinConnections(options: RelayedPairOptions): RelayedPair {
+    const { caller, peer, clock, onBlocked, onPeerBytes, onEnded } = options;
+    let end: RelayedEnd | undefined;
+    let openCount = 2;
+    let takenBytes = 0;
+
+    function copy(from: net.Socket, to: net.Socket): void {
+        from.on("data", (bytes: Buffer) => {
+            if (to.writable && !to.write(bytes)) {
+                from.pause();
+                onBlocked();
+            }
+        });
+        to.on("drain", () => from.resume());
+    }
+
+    function resetBoth(cause: RelayedEnd): void {
+        end ??= cause;
+        [caller, peer].filter(({ destroyed }) => !destroyed).forEach(socket => socket.resetAndDestroy());
+    }
+
+    function onClosed(): void {
+        if (--openCount === 0) {
+            onEnded(end ?? "closed");
+        }
+    }
+
+    caller.on("error", () => resetBoth("caller-lost"));
+    peer.on("error", () => resetBoth("peer-lost"));
+    caller.once("end", () => peer.end());
+    // The peer has sent its last response, so what the caller still sends is read only to be discarded.
+    peer.once("end", () => core.closeGracefully(caller, clock));
+    caller.once("close", () => {
+        end ??= "closed";
+        peer.destroy();
+        onClosed();
+    });
+    peer.once("close", () => {
+        if (!peer.readableEnded) {
+            resetBoth("peer-lost");
+        }
+        onClosed();
+    });
+    copy(caller, peer);
+    copy(peer, caller);
+    peer.on("data", onPeerBytes);
+
+    return {
+        heldBytes: () => caller.writableLength + peer.writableLength,
+        takeBytes() {
+            const bytes = caller.bytesRead + peer.bytesRead - takenBytes;
+            takenBytes += bytes;
+            return bytes;
+        },
+        reset: resetBoth,
+    };
+}
--- /dev/null
+++ b/packages/gateway/src/relay/ZoneRelay.ts
@@ -0,0 +1,103 @@
+import * as core from "@peridotloft/core";
+import type { Result } from "neverthrow";
+import type * as net from "node:net";
+import type { CallerConnections } from "../CallerConnections.js";
+import type { GatewayContext } from "../GatewayContext.js";
+import { createEntryRelay, type EntryRelay } from "./EntryRelay.js";
+import { createRelayListener, type RelayListener } from "./RelayListener.js";
+import { createRelayPeers } from "./RelayPeers.js";
+import { createRelayRoom } from "./RelayRoom.js";
+import { createRelayShare } from "./RelayShare.js";
+
+/** Both sides of the relay of connections between the VMs of a zone. */
+export interface ZoneRelay extends Pick<EntryRelay, "tryPassOn" | "drain" | "close">, Pick<RelayListener, "isEnding"> {
+    /** Listens for connections that other VMs pass on. */
+    listen(): Promise<Result<void, core.BindFailure>>;
+    /** Processor time in cores that this VM can spare for connections of other VMs; 0 if it takes none. */
+    spareCores(): number;
+}
+
+export interface ZoneRelayOptions {
+    readonly context: GatewayContext;
+    readonly connections: Pick<CallerConnections, "latestOn" | "inFlightOn">;
+    readonly isReady: () => boolean;
+    /** Serves a connection that another VM passed on. `waitedMs` is for how long it had waited there. */
+    readonly serve: (socket: net.Socket, waitedMs: number) => void;
+}
+
+/** Open relayed connections per MB of memory: each takes two descriptors, of which the smallest VMs have 11 per MB. */
+const openPerMb = 2;
+/** Share of the memory that may be held for sides of relayed connections that do not read. */
+const heldShare = 0.04;
+const bytesPerMb = 1_000_000;
+
+/** Undefined if the relay is switched off. */
+export function createZoneRelay({ context, connections, isReady, serve }: ZoneRelayOptions): ZoneRelay | undefined {
+    const { settings, clock, log, metrics, random, overload, acceptQueue, relayPeerLoads } = context;
+    if (!settings.relay) {
+        return undefined;
+    }
+    const { endpoint, cores } = settings.relay;
+    const peers = createRelayPeers({ clock, random, peerLoads: relayPeerLoads });
+    const share = createRelayShare({
+        clock,
+        log,
+        random,
+        utilization: overload.utilization,
+        acceptQueue,
+        peersWithRoom: peers.withRoom,
+    });
+    const room = createRelayRoom({
+        clock,
+        cores,
+        utilization: overload.utilization,
+        isOpen: () => isReady() && share.current() === 0 && overload.refusedShare() === 0,
+    });
+    const entryRelay = createEntryRelay({
+        clock,
+        log,
+        metrics,
+        share,
+        peers,
+        ...endpoint,
+        maxOpen: Math.floor(settings.maxMemoryBytes / bytesPerMb * openPerMb),
+        maxHeldBytes: settings.maxMemoryBytes * heldShare,
+        acceptWaitMs: acceptQueue.waitMs,
+        isAlive: address => relayPeerLoads().some(load => load.address === address),
+    });
+    const listener = createRelayListener({
+        clock,
+        log,
+        metrics,
+        room,
+        serve,
+        isIdle: socket => connections.latestOn(socket) !== undefined && connections.inFlightOn(socket).length === 0,
+    });
+    const removeGauges = [
+        metrics.registerGauge(
+            "relayed_connections_open",
+            "Open connections of callers that this VM has passed on to other VMs.",
+            entryRelay.openCount,
+        ),
+        metrics.registerGauge(
+            "relay_served_connections_open",
+            "Open connections that other VMs have passed on to this one.",
+            listener.openCount,
+        ),
+        metrics.registerGauge("relay_share", "Share of new connections that is passed on, 0 to 1.", share.current),
+        metrics.registerGauge("relay_spare_cores", "Processor time that this VM offers other VMs.", room.spareCores),
+    ];
+
+    return {
+        tryPassOn: entryRelay.tryPassOn,
+        drain: entryRelay.drain,
+        isEnding: listener.isEnding,
+        spareCores: room.spareCores,
+        listen: () => core.listen(listener.server, endpoint),
+        close() {
+            removeGauges.forEach(remove => remove());
+            listener.server.close();
+            entryRelay.close();
+        },
+    };
+}
