--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -119,9 +119,9 @@
         const loads = nodes[3]!.peerLoads();
         assert.ok(loads.every(({ ageMs }) => ageMs <= 700), JSON.stringify(loads));
         assert.deepEqual(
-            loads.map(({ address, isSameZone, refusedShare, spareCores }) =>
-                [address, isSameZone, refusedShare, spareCores]
-            ).sort(),
+            loads.map((
+                { address, isSameZone, refusedShare, spareCores },
+            ) => [address, isSameZone, refusedShare, spareCores]).sort(),
             [[addresses[0]!, true, 0.9, 0], [addresses[1]!, false, 0, 0.2], [addresses[2]!, false, 0, 0.2]],
         );
     });
--- /dev/null
+++ b/packages/gateway/__tests__/unit/EntryRelay.test.ts
@@ -0,0 +1,162 @@
+import * as testing from "@peridotloft/testing";
+import * as assert from "node:assert/strict";
+import { once } from "node:events";
+import * as net from "node:net";
+import { describe, it } from "node:test";
+import * as timers from "node:timers/promises";
+import { joinConnections } from "../../src/relay/RelayedPair.js";
+import {
+    decodeRelayAnswer,
+    decodeRelayRequest,
+    encodeRelayAnswer,
+    encodeRelayRequest,
+} from "../../src/relay/RelayMessages.js";
+import { createRelayPeers } from "../../src/relay/RelayPeers.js";
+import { createRelayRoom } from "../../src/relay/RelayRoom.js";
+import { createRelayShare } from "../../src/relay/RelayShare.js";
+
+const clock = testing.createVirtualClock();
+const random = testing.createSeededRandom(1);
+
+describe("RelayShare", () => {
+    const load = { utilization: 0, waitMs: 0 };
+    let peersWithRoom = 1;
+    const log = testing.createRecordingLog();
+    const share = createRelayShare({
+        clock,
+        log,
+        random,
+        utilization: () => load.utilization,
+        acceptQueue: { waitMs: () => load.waitMs, acceptedWhileBusy: () => 10 },
+        peersWithRoom: () => peersWithRoom,
+    });
+
+    it("passes connections on before any is refused, and none on a VM that has processor time", async () => {
+        load.utilization = 0.75;
+        await clock.advance(1_000);
+        assert.deepEqual([share.current(), share.passesOn()], [0, false]);
+        load.utilization = 0.85;
+        peersWithRoom = 0;
+        await clock.advance(1_000);
+        assert.equal(share.current(), 0);
+        peersWithRoom = 1;
+        await clock.advance(1_000);
+        assert.deepEqual([share.current(), share.passesOn()], [1, true]);
+        load.utilization = 0.5;
+        await clock.advance(3_000);
+        assert.equal(share.current(), 0);
+        assert.deepEqual(log.lines.map(({ event }) => event), ["entry-relay-started", "entry-relay-ended"]);
+    });
+
+    it("passes on what waits in the accept queue, but not what its caller has given up", () => {
+        load.waitMs = 50;
+        assert.equal(share.passesOn(), true);
+        load.waitMs = 1_000;
+        assert.equal(share.passesOn(), false);
+    });
+});
+
+describe("RelayPeers", () => {
+    const peersOf = (
+        ...loads: readonly { address: string; spareCores: number; ageMs?: number; isSameZone?: boolean; }[]
+    ) => createRelayPeers({
+        clock,
+        random,
+        peerLoads: () => loads.map(load => ({ isSameZone: true, ageMs: 100, ...load })),
+    });
+
+    it("prefers VMs with more room and leaves out those without, of other zones and not heard of", () => {
+        const peers = peersOf(
+            { address: "large", spareCores: 0.5 },
+            { address: "small", spareCores: 0.1 },
+            { address: "full", spareCores: 0 },
+            { address: "away", spareCores: 1, isSameZone: false },
+            { address: "old", spareCores: 1, ageMs: 6_000 },
+        );
+        const chosen = Array.from({ length: 1_000 }, () => peers.choose([]));
+        assert.deepEqual(new Set(chosen), new Set(["large", "small"]));
+        assert.ok(chosen.filter(address => address === "small").length < 100);
+        assert.equal(peers.choose(["large"]), "small");
+    });
+
+    it("asks a VM that does not answer a few times, and then none for some time", async () => {
+        const peers = peersOf({ address: "silent", spareCores: 1 });
+        const asked = Array.from({ length: 20 }, () => {
+            const address = peers.choose([]);
+            if (address !== undefined) {
+                peers.recordAsked(address);
+            }
+            return address;
+        });
+        assert.equal(asked.filter(address => address !== undefined).length, 8);
+        asked.slice(0, 8).forEach(() => peers.recordAnswer("silent", undefined));
+        await clock.advance(1_900);
+        assert.equal(peers.withRoom(), 0);
+        await clock.advance(200);
+        assert.equal(peers.withRoom(), 1);
+    });
+});
+
+describe("RelayRoom", () => {
+    it("is not overrun by VMs that choose it at the same moment", () => {
+        const room = createRelayRoom({ clock, cores: 0.243, utilization: () => 0.05, isOpen: () => true });
+        const taken = Array.from({ length: 100 }, () => room.tryTake()).filter(isTaken => isTaken).length;
+        // 0.146 of a core is spare, and each connection takes 4 ms of it within 300 ms.
+        assert.equal(taken, 11);
+        assert.equal(room.spareCores(), 0);
+    });
+});
+
+describe("Messages of the relay", () => {
+    it("are decoded as they were encoded, and other bytes are not", () => {
+        assert.deepEqual(decodeRelayRequest(encodeRelayRequest({ kind: "connection", waitedMs: 70 })), {
+            kind: "connection",
+            waitedMs: 70,
+        });
+        assert.deepEqual(decodeRelayRequest(encodeRelayRequest({ kind: "drain" })), { kind: "drain" });
+        assert.equal(decodeRelayRequest(Buffer.from("GET / HTTP/1.1")), undefined);
+        const answer = { isAccepted: true, spareCores: 0.146 };
+        assert.deepEqual(decodeRelayAnswer(encodeRelayAnswer(answer)), answer);
+    });
+});
+
+describe("A relayed connection", { timeout: 10_000 }, () => {
+    it("holds a bounded number of bytes for a caller that does not read, and its reset reaches both sides", async () => {
+        const server = net.createServer({ allowHalfOpen: true }).listen(0, "127.0.0.1");
+        await once(server, "listening");
+        const connectPair = async (): Promise<readonly [net.Socket, net.Socket]> => {
+            const outer = net.connect((server.address() as net.AddressInfo).port, "127.0.0.1");
+            const [inner] = await once(server, "connection") as [net.Socket];
+            return [outer, inner];
+        };
+        const [caller, callerEnd] = await connectPair();
+        const [serving, peerEnd] = await connectPair();
+        const errors: (string | undefined)[] = [];
+        [caller, serving].forEach(socket => socket.on("error", ({ code }: NodeJS.ErrnoException) => errors.push(code)));
+        let onEnded: (end: string) => void = () => undefined;
+        const ended = new Promise<string>(resolve => onEnded = resolve);
+        const pair = joinConnections({
+            caller: callerEnd,
+            peer: peerEnd,
+            clock,
+            onBlocked: () => undefined,
+            onPeerBytes: () => undefined,
+            onEnded,
+        });
+        caller.pause();
+        const isTaken = Array.from({ length: 400 }, () => serving.write(Buffer.alloc(64 * 1024)));
+        assert.ok(isTaken.includes(false));
+        await timers.setTimeout(300);
+        const heldBytes = pair.heldBytes();
+        const closed = [caller, serving].map(socket =>
+            new Promise<void>(resolve => socket.once("close", () => resolve()))
+        );
+        pair.reset("memory");
+        caller.resume();
+        await Promise.all(closed);
+        server.close();
+        assert.ok(heldBytes > 0 && heldBytes <= 128 * 1024, `${heldBytes} bytes held`);
+        assert.equal(await ended, "memory");
+        assert.ok(errors.includes("ECONNRESET"), errors.join());
+    });
+});
