--- a/packages/gateway/__tests__/unit/EntryRelay.test.ts
+++ b/packages/gateway/__tests__/unit/EntryRelay.test.ts
@@ -109,10 +109,8 @@
 
 describe("Messages of the relay", () => {
     it("are decoded as they were encoded, and other bytes are not", () => {
-        assert.deepEqual(decodeRelayRequest(encodeRelayRequest({ kind: "connection", waitedMs: 70 })), {
-            kind: "connection",
-            waitedMs: 70,
-        });
+        const request = { kind: "connection", waitedMs: 70, catalogAgeMs: 1_200, configVersion: 2 ** 40 } as const;
+        assert.deepEqual(decodeRelayRequest(encodeRelayRequest(request)), request);
         assert.deepEqual(decodeRelayRequest(encodeRelayRequest({ kind: "drain" })), { kind: "drain" });
         assert.equal(decodeRelayRequest(Buffer.from("GET / HTTP/1.1")), undefined);
         const answer = { isAccepted: true, spareCores: 0.146 };
--- a/packages/gateway/src/relay/EntryRelay.ts
+++ b/packages/gateway/src/relay/EntryRelay.ts
@@ -2,7 +2,13 @@
 import type * as telemetry from "@peridotloft/telemetry";
 import * as net from "node:net";
 import { joinConnections, type RelayedEnd, type RelayedPair } from "./RelayedPair.js";
-import { decodeRelayAnswer, encodeRelayRequest, type RelayAnswer, relayAnswerBytes } from "./RelayMessages.js";
+import {
+    type CatalogState,
+    decodeRelayAnswer,
+    encodeRelayRequest,
+    type RelayAnswer,
+    relayAnswerBytes,
+} from "./RelayMessages.js";
 import type { RelayPeers } from "./RelayPeers.js";
 import type { RelayShare } from "./RelayShare.js";
 
@@ -39,6 +45,7 @@
     readonly maxHeldBytes: number;
     /** Time in ms that the connection accepted just now has waited in the accept queue. */
     readonly acceptWaitMs: () => number;
+    readonly readCatalog: () => CatalogState;
     /** Whether a VM counts as alive in the fleet. */
     readonly isAlive: (address: string) => boolean;
 }
@@ -63,6 +70,7 @@
 
 export function createEntryRelay(options: EntryRelayOptions): EntryRelay {
     const { clock, log, metrics, share, peers, port, host, maxOpen, maxHeldBytes, acceptWaitMs, isAlive } = options;
+    const { readCatalog } = options;
     const serving = new Map<string, ServingPeer>();
     const asking = new Set<net.Socket>();
     const counts = new Map<string, number>();
@@ -132,7 +140,7 @@
             host,
             address,
             port,
-            request: encodeRelayRequest({ kind: "connection", waitedMs: clock.nowMs() - sinceMs }),
+            request: encodeRelayRequest({ kind: "connection", waitedMs: clock.nowMs() - sinceMs, ...readCatalog() }),
             sockets: asking,
             onAnswer(outcome, answer, peer) {
                 peers.recordAnswer(address, answer);
--- a/packages/gateway/src/relay/RelayListener.ts
+++ b/packages/gateway/src/relay/RelayListener.ts
@@ -1,16 +1,23 @@
 import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
 import * as net from "node:net";
-import { decodeRelayRequest, encodeRelayAnswer, relayRequestBytes } from "./RelayMessages.js";
+import {
+    type CatalogState,
+    type ConnectionRequest,
+    decodeRelayRequest,
+    encodeRelayAnswer,
+    relayRequestBytes,
+} from "./RelayMessages.js";
 import type { RelayRoom } from "./RelayRoom.js";
 
 /** Takes connections that other VMs of the zone pass on to this one. */
 export interface RelayListener {
     readonly server: net.Server;
-    /** Whether the VM that passed a connection on drains, so that it is closed after the responses in flight. */
+    /** Whether a relayed connection is closed after the responses in flight: its VM drains, or the catalog here is old. */
     isEnding(socket: net.Socket): boolean;
     /** Number of open connections that other VMs passed on to this one. */
     openCount(): number;
+    close(): void;
 }
 
 export interface RelayListenerOptions {
@@ -18,45 +25,78 @@
     readonly log: telemetry.EventLog;
     readonly metrics: telemetry.Metrics;
     readonly room: RelayRoom;
+    readonly readCatalog: () => CatalogState;
     /** Serves a connection like that of a caller. `waitedMs` is for how long it had waited at the other VM. */
     readonly serve: (socket: net.Socket, waitedMs: number) => void;
     /** Whether a connection has had a response and nothing is in flight on it. */
     readonly isIdle: (socket: net.Socket) => boolean;
 }
 
+/**
+ * Age in ms of the catalog from which this VM serves no kept connections of others, which may know a newer one. In calm, the age
+ * stays below what VMs allow when they read the catalog from each other, 2.3 s, and one wait for it, 0.4 s.
+ */
+const maxCatalogAgeMs = 3_000;
+const checkIntervalMs = 500;
 /** Time in ms for the request of another VM to arrive. */
 const requestTimeoutMs = 1_000;
 
 export function createRelayListener(options: RelayListenerOptions): RelayListener {
-    const { clock, log, metrics, room, serve, isIdle } = options;
+    const { clock, log, metrics, room, readCatalog, serve, isIdle } = options;
     const served = new Map<net.Socket, string>();
     const ending = new WeakSet<net.Socket>();
 
-    function take(socket: net.Socket, waitedMs: number): void {
-        if (!room.tryTake()) {
-            metrics.count("relayRequests", { outcome: "no-room" });
+    let wasCatalogOld = false;
+
+    const isCatalogOld = (): boolean => readCatalog().catalogAgeMs > maxCatalogAgeMs;
+
+    /** Whether this VM knows what the sender knows: its callers must not be served by an older configuration than before. */
+    function isUpToDate(request: ConnectionRequest): boolean {
+        const { configVersion, catalogAgeMs } = readCatalog();
+        return configVersion >= request.configVersion
+            && catalogAgeMs <= Math.max(maxCatalogAgeMs, request.catalogAgeMs);
+    }
+
+    function take(socket: net.Socket, request: ConnectionRequest): void {
+        const outcome = !isUpToDate(request) ? "outdated" : room.tryTake() ? "accepted" : "no-room";
+        metrics.count("relayRequests", { outcome });
+        if (outcome !== "accepted") {
             socket.end(encodeRelayAnswer({ isAccepted: false, spareCores: 0 }));
             socket.resume().setTimeout(requestTimeoutMs, () => socket.destroy());
             return;
         }
-        metrics.count("relayRequests", { outcome: "accepted" });
         served.set(socket, socket.remoteAddress ?? "");
         socket.once("close", () => served.delete(socket));
         socket.write(encodeRelayAnswer({ isAccepted: true, spareCores: room.spareCores() }));
-        serve(socket, waitedMs);
+        serve(socket, request.waitedMs);
     }
 
-    /** Ends the connections that a VM which drains has passed on. */
-    function endConnectionsOf(peer: string): void {
-        const connections = [...served].filter(([socket, address]) => address === peer && !ending.has(socket));
+    /** Ends the connections that a VM has passed on; those of all VMs if none is named. */
+    function endConnections(cause: "peer-draining" | "catalog-old", peer?: string): void {
+        const connections = [...served].filter(([socket, address]) =>
+            (peer === undefined || address === peer) && !ending.has(socket)
+        );
         const idle = connections.filter(([socket]) => isIdle(socket));
         connections.forEach(([socket]) => ending.add(socket));
         idle.forEach(([socket]) => core.closeGracefully(socket, clock));
         if (connections.length > 0) {
-            log.state("relayed-connections-ended", { peer, connections: connections.length, idle: idle.length });
+            log.state("relayed-connections-ended", {
+                cause,
+                peer,
+                connections: connections.length,
+                idle: idle.length,
+            });
         }
     }
 
+    const cancelChecks = core.setRepeatingTimer(clock, checkIntervalMs, () => {
+        const isOld = isCatalogOld();
+        if (isOld && !wasCatalogOld) {
+            endConnections("catalog-old");
+        }
+        wasCatalogOld = isOld;
+    });
+
     const server = net.createServer({ allowHalfOpen: true, noDelay: true }, socket => {
         let received = Buffer.alloc(0);
         const fail = (): void => void socket.destroy();
@@ -70,11 +110,11 @@
             socket.off("data", onData).off("end", fail);
             const request = decodeRelayRequest(received);
             if (request?.kind === "connection") {
-                take(socket, request.waitedMs);
+                take(socket, request);
                 return;
             }
             if (request) {
-                endConnectionsOf(socket.remoteAddress ?? "");
+                endConnections("peer-draining", socket.remoteAddress);
             }
             else {
                 log.failure("relay-request-invalid", { peer: socket.remoteAddress });
@@ -87,7 +127,11 @@
 
     return {
         server,
-        isEnding: socket => ending.has(socket),
+        isEnding: socket => ending.has(socket) || (served.has(socket) && isCatalogOld()),
         openCount: () => served.size,
+        close() {
+            cancelChecks();
+            server.close();
+        },
     };
 }
--- a/packages/gateway/src/relay/RelayMessages.ts
+++ b/packages/gateway/src/relay/RelayMessages.ts
@@ -1,10 +1,24 @@
+/** What a VM knows of the catalog that the platform publishes. */
+export interface CatalogState {
+    /** Version of the configuration that is in force at the VM; 0 if it knows none. */
+    readonly configVersion: number;
+    /** Age in ms of its copy of the catalog. */
+    readonly catalogAgeMs: number;
+}
+
 /** What a VM asks of another one as it connects to the port for relayed connections. */
 export type RelayRequest =
     /** To serve the caller whose bytes follow once the request has been accepted. */
-    | { readonly kind: "connection"; readonly waitedMs: number; }
+    | ConnectionRequest
     /** To end the connections that it serves for the sender, which drains. */
     | { readonly kind: "drain"; };
 
+export interface ConnectionRequest extends CatalogState {
+    readonly kind: "connection";
+    /** Time in ms for which the connection has waited. */
+    readonly waitedMs: number;
+}
+
 /** The answer to the request to serve a caller. */
 export interface RelayAnswer {
     readonly isAccepted: boolean;
@@ -12,7 +26,7 @@
     readonly spareCores: number;
 }
 
-export const relayRequestBytes = 8;
+export const relayRequestBytes = 20;
 export const relayAnswerBytes = 4;
 
 /** First byte of all messages, and the version of this protocol. */
@@ -25,11 +39,16 @@
 export function encodeRelayRequest(request: RelayRequest): Buffer {
     const bytes = Buffer.alloc(relayRequestBytes);
     bytes.set([protocolByte, version, kindBytes[request.kind]]);
-    const waitedMs = request.kind === "connection" ? request.waitedMs : 0;
-    bytes.writeUInt32BE(Math.min(maxUint32, Math.max(0, Math.round(waitedMs))), 4);
+    if (request.kind === "connection") {
+        bytes.writeUInt32BE(toUint32(request.waitedMs), 4);
+        bytes.writeUInt32BE(toUint32(request.catalogAgeMs), 8);
+        bytes.writeDoubleBE(request.configVersion, 12);
+    }
     return bytes;
 }
 
+const toUint32 = (value: number): number => Math.min(maxUint32, Math.max(0, Math.round(value)));
+
 /** Decodes the first `relayRequestBytes` of a connection; undefined if they are no request of this version. */
 export function decodeRelayRequest(bytes: Buffer): RelayRequest | undefined {
     if (bytes.length < relayRequestBytes || bytes[0] !== protocolByte || bytes[1] !== version) {
@@ -37,7 +56,12 @@
     }
     switch (bytes[2]) {
         case kindBytes.connection:
-            return { kind: "connection", waitedMs: bytes.readUInt32BE(4) };
+            return {
+                kind: "connection",
+                waitedMs: bytes.readUInt32BE(4),
+                catalogAgeMs: bytes.readUInt32BE(8),
+                configVersion: bytes.readDoubleBE(12),
+            };
         case kindBytes.drain:
             return { kind: "drain" };
         default:
--- a/packages/gateway/src/relay/ZoneRelay.ts
+++ b/packages/gateway/src/relay/ZoneRelay.ts
@@ -33,11 +33,15 @@
 
 /** Undefined if the relay is switched off. */
 export function createZoneRelay({ context, connections, isReady, serve }: ZoneRelayOptions): ZoneRelay | undefined {
-    const { settings, clock, log, metrics, random, overload, acceptQueue, relayPeerLoads } = context;
+    const { settings, clock, log, metrics, random, follower, overload, acceptQueue, relayPeerLoads } = context;
     if (!settings.relay) {
         return undefined;
     }
     const { endpoint, cores } = settings.relay;
+    const readCatalog = () => ({
+        configVersion: follower.snapshot.read().activeConfig?.config.version ?? 0,
+        catalogAgeMs: follower.ageMs(),
+    });
     const peers = createRelayPeers({ clock, random, peerLoads: relayPeerLoads });
     const share = createRelayShare({
         clock,
@@ -63,6 +67,7 @@
         maxOpen: Math.floor(settings.maxMemoryBytes / bytesPerMb * openPerMb),
         maxHeldBytes: settings.maxMemoryBytes * heldShare,
         acceptWaitMs: acceptQueue.waitMs,
+        readCatalog,
         isAlive: address => relayPeerLoads().some(load => load.address === address),
     });
     const listener = createRelayListener({
@@ -70,6 +75,7 @@
         log,
         metrics,
         room,
+        readCatalog,
         serve,
         isIdle: socket => connections.latestOn(socket) !== undefined && connections.inFlightOn(socket).length === 0,
     });
@@ -96,7 +102,7 @@
         listen: () => core.listen(listener.server, endpoint),
         close() {
             removeGauges.forEach(remove => remove());
-            listener.server.close();
+            listener.close();
             entryRelay.close();
         },
     };
