--- a/packages/gateway/__tests__/unit/OverloadGuard.test.ts
+++ b/packages/gateway/__tests__/unit/OverloadGuard.test.ts
@@ -124,6 +124,23 @@
             ]);
         });
 
+        it("serves none of the connections that have waited for longer than callers do", () => {
+            guard = createGuard({
+                clock: late.clock,
+                utilization: () => 0.3,
+                // The load balancer is asked to send callers elsewhere, so few connections are refused.
+                relief: { isRequested: () => true, update: () => undefined },
+                acceptQueue: {
+                    waitMs: () => waitMs,
+                    acceptedWhileBusy: () => accepted,
+                    abandonedShare: () => abandonedShare,
+                },
+            });
+            assert.deepEqual([999, 1_000, 3_000].map(judgeAfter), ["serve", "drop", "drop"]);
+            accepted = 3;
+            assert.equal(judgeAfter(1_000), "serve");
+        });
+
         it("does not take a single long turn for a queue", () => {
             accepted = 3;
             assert.equal(judgeAfter(900), "serve");
--- a/packages/gateway/src/CallerPatience.ts
+++ b/packages/gateway/src/CallerPatience.ts
@@ -1,5 +1,11 @@
 import type * as catalog from "@peridotloft/catalog";
 
+/**
+ * Time in ms within which callers want a request to be read that may be repeated, and the share of their time; the shorter one
+ * counts.
+ */
+const readPatienceMs = 1_000;
+const readPatienceShare = 1 / 3;
 /** Time in ms for which callers wait at least for the next event of a stream. */
 const minStreamPatienceMs = 2_000;
 /** The same as multiples of the route's objective, and of its longest gap between events. */
@@ -21,3 +27,14 @@
         )
         : Number.POSITIVE_INFINITY;
 }
+
+/** Whether the caller of a request has given up before it was read, and sends it again elsewhere. */
+export function isReadTooLate(
+    { kind, resumable }: Pick<catalog.Route, "kind" | "resumable">,
+    waitedMs: number,
+    callerTimeoutMs: number | undefined,
+): boolean {
+    const mayBeRepeated = kind === "stream" ? resumable : kind === "idempotent";
+    return mayBeRepeated
+        && waitedMs >= Math.min(readPatienceMs, (callerTimeoutMs ?? Number.POSITIVE_INFINITY) * readPatienceShare);
+}
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -54,7 +54,7 @@
 const timeoutCheckIntervalMs = 500;
 /** Time in ms after the grace period in which a predecessor that has been killed releases its addresses. */
 const addressReleaseMs = 2_000;
-const connectionOutcomes = { serve: "served", refuse: "refused", flush: "flushed" } as const;
+const connectionOutcomes = { serve: "served", refuse: "refused", drop: "dropped", flush: "flushed" } as const;
 
 export function createGateway(dependencies: GatewayContext, onDrainStarted: (sinceMs: number) => void): Gateway {
     const context = { ...dependencies, clock: core.createPolledClock(dependencies.clock) };
@@ -211,6 +211,11 @@
                 serveConnection(socket);
                 return;
             }
+            if (verdict === "drop") {
+                // Its caller learns by the reset that the request was not read.
+                socket.resetAndDestroy();
+                return;
+            }
             if (verdict === "flush") {
                 socket.resetAndDestroy();
                 flushAcceptQueue();
--- a/packages/gateway/src/OverloadGuard.ts
+++ b/packages/gateway/src/OverloadGuard.ts
@@ -7,10 +7,11 @@
  * What happens to a new connection. Its request does not run unless the connection is served.
  *
  * - `refuse`: the caller gets a 503, which costs a fraction of serving the request.
+ * - `drop`: it is closed unread, since its caller has given up; this costs less than to find that out after reading it.
  * - `flush`: it is closed unread together with all connections that wait in the accept queue. The kernel closes those, so it
  *   costs the same for any number of them.
  */
-export type ConnectionVerdict = "serve" | "refuse" | "flush";
+export type ConnectionVerdict = "serve" | "refuse" | "drop" | "flush";
 
 /** Detects that this process gets less processor time than its load requires, and decides what to refuse then. */
 export interface OverloadGuard {
@@ -115,8 +116,10 @@
 
     const maxShare = (): number => relief.isRequested() ? maxReliefRefusedShare : maxRefusedShare;
 
+    const isQueueing = (): boolean => acceptQueue.acceptedWhileBusy() >= minAcceptedWhileBusy;
+
     function currentRefusedShare(waitMs: number): number {
-        const isQueueLong = waitMs >= refuseAcceptWaitMs && acceptQueue.acceptedWhileBusy() >= minAcceptedWhileBusy;
+        const isQueueLong = waitMs >= refuseAcceptWaitMs && isQueueing();
         return Math.min(maxShare(), isQueueLong ? maxRefusedShare : refusedShare);
     }
 
@@ -178,7 +181,10 @@
                 return "flush";
             }
             const share = currentRefusedShare(waitMs);
-            return share > 0 && random() < share ? "refuse" : "serve";
+            if (share > 0 && random() < share) {
+                return "refuse";
+            }
+            return waitMs >= callerPatienceMs && isQueueing() ? "drop" : "serve";
         },
         refusedShare: () => currentRefusedShare(acceptQueue.waitMs()),
         utilization: () => smoothedUtilization,
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -13,7 +13,7 @@
 } from "./AttemptSequence.js";
 import type { BodyMemory } from "./BodyMemory.js";
 import type { CallerConnections } from "./CallerConnections.js";
-import { callerPatienceMs } from "./CallerPatience.js";
+import { callerPatienceMs, isReadTooLate } from "./CallerPatience.js";
 import { createCallerResponse, keepConnectionOpen } from "./CallerResponse.js";
 import type { ClientErrors } from "./ClientError.js";
 import type { EntryReport } from "./EntryReport.js";
@@ -113,7 +113,8 @@
     const { refusalReport, entryReport } = options;
     const { clock, codec, log, metrics } = context;
     // Its caller has waited since the connection was opened, not since the VM had the time to accept it.
-    const arrivedMs = clock.nowMs() - connections.acceptWaitMs(response);
+    const acceptWaitMs = connections.acceptWaitMs(response);
+    const arrivedMs = clock.nowMs() - acceptWaitMs;
     const path = request.url ?? "/";
     const requestHead = codec.readRequestHead(request.rawHeaders);
     const callerResponse = createCallerResponse(
@@ -408,7 +409,10 @@
             isCancelled,
             hasBegun: callerResponse.hasBegun,
             isStillAllowed: () => isStillAllowed(job),
-            hasCallerGivenUp: () => !callerResponse.hasBegun() && clock.nowMs() - arrivedMs >= callerPatienceMs(route),
+            hasCallerGivenUp: () =>
+                !callerResponse.hasBegun()
+                && (isReadTooLate(route, acceptWaitMs, requestHead.callerTimeoutMs)
+                    || clock.nowMs() - arrivedMs >= callerPatienceMs(route)),
         });
         attemptSequence = sequence;
         return route.kind === "stream"
