--- a/packages/dispatch/src/CustomerUsage.ts
+++ b/packages/dispatch/src/CustomerUsage.ts
@@ -4,6 +4,8 @@
 /** Recent engine usage of each customer, over the whole fleet as far as it is known to this VM. */
 export interface CustomerUsage {
     record(customerHash: number, cost: number, nowMs: number): void;
+    /** Usage of a customer in tokens; a token counts less the longer ago it was used. */
+    tokens(customerHash: number, nowMs: number): number;
     /** Usage of a customer relative to that of the heaviest customer, 0 to 1. */
     relative(customerHash: number, nowMs: number): number;
     /** Whether there are several customers with usage that is not negligible, and one has used more than their mean. */
@@ -51,6 +53,7 @@
             sums.set(customerHash, sum);
             sum.add(cost, nowMs);
         },
+        tokens: usageOf,
         relative(customerHash, nowMs) {
             const { largest } = summarize(nowMs);
             return largest <= 0 ? 0 : Math.min(1, usageOf(customerHash, nowMs) / largest);
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -3,7 +3,7 @@
 import type { TrackerQuestion, TrackerReply } from "@peridotloft/fleet";
 import type * as telemetry from "@peridotloft/telemetry";
 import { err, ok, type Result } from "neverthrow";
-import { createCustomerUsage, customerHashOf } from "./CustomerUsage.js";
+import { customerHashOf } from "./CustomerUsage.js";
 import {
     computeRetryAfterMs,
     type EngineAdmissionInput,
@@ -14,6 +14,7 @@
     maxWaitMs,
     maySpill,
 } from "./EngineAdmission.js";
+import { createFleetUsage } from "./FleetUsage.js";
 import type { FleetView } from "./FleetView.js";
 import { type DispatchRefusal, type Job, type Lease, type Prompt, sharedPartsOf } from "./Job.js";
 import type { StreamOrigin } from "./OriginHistory.js";
@@ -129,14 +130,14 @@
         onBegun: poisonGuard.recordBegun,
         onResponse: poisonGuard.recordResponse,
     });
-    const usage = createCustomerUsage();
+    const usage = createFleetUsage({
+        clock,
+        fleet,
+        onAnnounced: ({ customerHash, cost }) => usageReport.recordAnnounced(customerHash, cost),
+    });
     const budgets = new Map<core.PoolId, RetryBudget>();
     const usageReport = createUsageReport({ clock, log, usage });
     const charges = createUsageCharges({ clock, fleet, usage, report: usageReport });
-    const removeUsageListener = fleet.registerUsageListener(({ customerHash, cost }, weight) => {
-        usage.record(customerHash, cost * weight, clock.nowMs());
-        usageReport.recordAnnounced(customerHash, cost * weight);
-    });
     const removeTracker = fleet.registerTracker(createUpstreamTracker({
         ...options,
         stateOf: table.stateOfHash,
@@ -469,7 +470,7 @@
         },
         relativeUsage,
         dispose() {
-            removeUsageListener();
+            usage.dispose();
             usageReport.dispose();
             removeTracker();
             poisonGuard.dispose();
