fleet: one VM adds up the usage of customers in fleets of more than 12 VMs

Cause: within 5,000 bytes/s an announcement reaches a few of 77 VMs, and receivers multiplied it by the inverse of that share. Change: VMs report absolute usage to the usage collector (rendezvous hashing; VMs follow the one that publishes), which publishes the sums along a tree of VMs that is drawn anew for each version. VMs ask others for a table that they missed.

--- a/packages/dispatch/src/CustomerUsage.ts
+++ b/packages/dispatch/src/CustomerUsage.ts
@@ -1,9 +1,15 @@
 import * as core from "@peridotloft/core";
+import { type UsageAmount, usageTimeConstantMs } from "@peridotloft/fleet";
 import { createDecayingSum, type DecayingSum } from "./LoadModel.js";
 
 /** Recent engine usage of each customer, over the whole fleet as far as it is known to this VM. */
 export interface CustomerUsage {
+    /** Records usage by a request of this VM. */
     record(customerHash: number, cost: number, nowMs: number): void;
+    /** Records usage by requests of other VMs. */
+    recordAnnounced(customerHash: number, cost: number, nowMs: number): void;
+    /** Usage by requests of this VM. */
+    own(nowMs: number): readonly UsageAmount[];
     /** Usage of a customer in tokens; a token counts less the longer ago it was used. */
     tokens(customerHash: number, nowMs: number): number;
     /** Usage of a customer relative to that of the heaviest customer, 0 to 1. */
@@ -12,32 +18,38 @@
     isAboveMean(customerHash: number, nowMs: number): boolean;
 }
 
-/** Time constant in ms of the decay of usage: the platform measures shares over windows of 4 s. */
-const usageTimeConstantMs = 4_000;
 /** Usage relative to that of the heaviest customer below which a customer does not count in the mean. */
 const negligibleShare = 0.01;
 /** Usage in tokens below which a customer's entry is evicted. */
 const negligibleTokens = 1;
 
-export function createCustomerUsage(): CustomerUsage {
-    const sums = new Map<number, DecayingSum>();
+/** @param fleetTotals returns sums over the whole fleet; undefined if only announcements tell of other VMs. */
+export function createCustomerUsage(
+    fleetTotals: () => ReadonlyMap<number, UsageAmount> | undefined = () => undefined,
+): CustomerUsage {
+    const ownSums = new Map<number, DecayingSum>();
+    const announcedSums = new Map<number, DecayingSum>();
     let summary = { largest: 0, mean: 0, count: 0 };
     let summarizedMs = Number.NEGATIVE_INFINITY;
 
+    const valueOf = (sums: ReadonlyMap<number, DecayingSum>, customerHash: number, nowMs: number): number =>
+        sums.get(customerHash)?.value(nowMs) ?? 0;
+    // The sums of the fleet lag behind, so what this VM used itself may be more.
+    const usageOf = (customerHash: number, nowMs: number): number =>
+        Math.max(
+            valueOf(ownSums, customerHash, nowMs) + valueOf(announcedSums, customerHash, nowMs),
+            fleetTotals()?.get(customerHash)?.begunTokens ?? 0,
+        );
+
     // The usage of all customers changes slowly compared with the request rate, so its summary is cached for a short time.
     const summarize = (nowMs: number): typeof summary => {
         if (nowMs - summarizedMs < summaryRefreshMs) {
             return summary;
         }
         summarizedMs = nowMs;
-        const values: number[] = [];
-        sums.forEach((sum, hash) => {
-            const value = sum.value(nowMs);
-            values.push(value);
-            if (value < negligibleTokens) {
-                sums.delete(hash);
-            }
-        });
+        [ownSums, announcedSums].forEach(sums => evictNegligible(sums, nowMs));
+        const hashes = new Set([...ownSums.keys(), ...announcedSums.keys(), ...fleetTotals()?.keys() ?? []]);
+        const values = [...hashes].map(customerHash => usageOf(customerHash, nowMs));
         const largest = values.reduce((highest, value) => Math.max(highest, value), 0);
         const counted = values.filter(value => value >= largest * negligibleShare);
         const total = counted.reduce((sum, value) => sum + value, 0);
@@ -45,14 +57,15 @@
         return summary;
     };
 
-    const usageOf = (customerHash: number, nowMs: number): number => sums.get(customerHash)?.value(nowMs) ?? 0;
-
     return {
-        record(customerHash, cost, nowMs) {
-            const sum = sums.get(customerHash) ?? createDecayingSum(usageTimeConstantMs);
-            sums.set(customerHash, sum);
-            sum.add(cost, nowMs);
-        },
+        record: (customerHash, cost, nowMs) => addTo(ownSums, customerHash, cost, nowMs),
+        recordAnnounced: (customerHash, cost, nowMs) => addTo(announcedSums, customerHash, cost, nowMs),
+        own: nowMs =>
+            [...ownSums].map(([customerHash, sum]) => ({
+                customerHash,
+                begunTokens: sum.value(nowMs),
+                refusedTokens: 0,
+            })),
         tokens: usageOf,
         relative(customerHash, nowMs) {
             const { largest } = summarize(nowMs);
@@ -65,6 +78,16 @@
     };
 }
 
+function addTo(sums: Map<number, DecayingSum>, customerHash: number, cost: number, nowMs: number): void {
+    const sum = sums.get(customerHash) ?? createDecayingSum(usageTimeConstantMs);
+    sums.set(customerHash, sum);
+    sum.add(cost, nowMs);
+}
+
+function evictNegligible(sums: Map<number, DecayingSum>, nowMs: number): void {
+    [...sums].filter(([, sum]) => sum.value(nowMs) < negligibleTokens).forEach(([hash]) => sums.delete(hash));
+}
+
 /** Time in ms for which the summary is cached. */
 const summaryRefreshMs = 50;
 
--- a/packages/dispatch/src/FleetUsage.ts
+++ b/packages/dispatch/src/FleetUsage.ts
@@ -10,16 +10,26 @@
 
 export interface FleetUsageOptions {
     readonly clock: core.Clock;
-    readonly fleet: Pick<FleetView, "registerUsageListener">;
+    readonly fleet: Pick<FleetView, "registerUsageListener" | "registerUsageSource" | "usageTotals">;
     /** Called with the usage that another VM announced, scaled to the whole fleet. */
     readonly onAnnounced?: (usage: fleets.CustomerCost) => void;
 }
 
 export function createFleetUsage({ clock, fleet, onAnnounced }: FleetUsageOptions): FleetUsage {
-    const usage = createCustomerUsage();
+    const usage = createCustomerUsage(fleet.usageTotals);
     const removeListener = fleet.registerUsageListener(({ customerHash, cost }, weight) => {
-        usage.record(customerHash, cost * weight, clock.nowMs());
-        onAnnounced?.({ customerHash, cost: cost * weight });
+        // Sums of the whole fleet include what its VMs announce while they do not know its size yet.
+        if (!fleet.usageTotals()) {
+            usage.recordAnnounced(customerHash, cost * weight, clock.nowMs());
+            onAnnounced?.({ customerHash, cost: cost * weight });
+        }
     });
-    return { ...usage, dispose: removeListener };
+    const removeSource = fleet.registerUsageSource(() => usage.own(clock.nowMs()));
+    return {
+        ...usage,
+        dispose() {
+            removeListener();
+            removeSource();
+        },
+    };
 }
--- a/packages/dispatch/src/FleetView.ts
+++ b/packages/dispatch/src/FleetView.ts
@@ -6,6 +6,8 @@
     | "vmCount"
     | "announceUsage"
     | "registerUsageListener"
+    | "registerUsageSource"
+    | "usageTotals"
     | "announceCrash"
     | "announceResponse"
     | "announceQuarantine"
@@ -28,6 +30,8 @@
     announceQuarantine: () => undefined,
     registerCrashEvidence: () => () => undefined,
     registerUsageListener: () => () => undefined,
+    registerUsageSource: () => () => undefined,
+    usageTotals: () => undefined,
     askTracker: () => Promise.resolve(undefined),
     reportAttempt: () => undefined,
     reportLimit: () => undefined,
--- a/packages/fleet/src/Datagram.ts
+++ b/packages/fleet/src/Datagram.ts
@@ -8,6 +8,17 @@
 import type { StreamOriginAnswer, StreamOriginQuestion, StreamOriginRecord } from "./StreamOriginMessages.js";
 import type { AttemptReport, LimitReport, StatedLimit, TrackerAnswer, TrackerQuestion } from "./TrackerMessages.js";
 import { toUint32 } from "./Uint32.js";
+import {
+    fromUsageReportMessage,
+    fromUsageTableMessage,
+    fromUsageTableQuestionMessage,
+    toUsageReportMessage,
+    toUsageTableMessage,
+    toUsageTableQuestionMessage,
+    type UsageReport,
+    type UsageTable,
+    type UsageTableQuestion,
+} from "./UsageMessages.js";
 
 /** A datagram between VMs. An answer repeats the number of its question. */
 export type Datagram =
@@ -18,7 +29,15 @@
     | { readonly kind: "limit-report"; readonly report: LimitReport; }
     | { readonly kind: "stream-origins"; readonly records: readonly StreamOriginRecord[]; }
     | { readonly kind: "stream-origin-question"; readonly number: number; readonly question: StreamOriginQuestion; }
-    | { readonly kind: "stream-origin-answer"; readonly number: number; readonly answer: StreamOriginAnswer; };
+    | { readonly kind: "stream-origin-answer"; readonly number: number; readonly answer: StreamOriginAnswer; }
+    | { readonly kind: "usage-report"; readonly report: UsageReport; }
+    | {
+        readonly kind: "usage-table";
+        readonly table: UsageTable;
+        /** Last position, in the order of VMs for this table, to which the receiver passes it on. */
+        readonly until: number;
+    }
+    | { readonly kind: "usage-table-question"; readonly question: UsageTableQuestion; };
 
 /** @param nowMs time in ms, relative to which ages are stated. */
 export function encodeDatagram(datagram: Datagram, nowMs: number): Uint8Array {
@@ -115,6 +134,12 @@
                 },
             };
         }
+        case "usage-report":
+            return { case: "usageReport", value: toUsageReportMessage(datagram.report) };
+        case "usage-table":
+            return { case: "usageTable", value: toUsageTableMessage(datagram.table, datagram.until, nowMs) };
+        case "usage-table-question":
+            return { case: "usageTable", value: toUsageTableQuestionMessage(datagram.question) };
     }
 }
 
@@ -220,6 +245,17 @@
             const { number, recorded, seen, complete } = body.value;
             return { kind: "stream-origin-answer", number, answer: { recorded, seen, isComplete: complete } };
         }
+        case "usageReport": {
+            const report = fromUsageReportMessage(body.value);
+            return report && { kind: "usage-report", report };
+        }
+        case "usageTable": {
+            if (body.value.question) {
+                return { kind: "usage-table-question", question: fromUsageTableQuestionMessage(body.value) };
+            }
+            const table = fromUsageTableMessage(body.value, nowMs);
+            return table && { kind: "usage-table", table, until: body.value.until };
+        }
         default:
             return undefined;
     }
--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -19,6 +19,8 @@
 } from "./StreamOriginMessages.js";
 import { createTrackerLink } from "./TrackerLink.js";
 import type { AttemptReport, LimitReport, Tracker, TrackerQuestion, TrackerReply } from "./TrackerMessages.js";
+import { createUsageExchange, type UsageSource } from "./UsageExchange.js";
+import type { UsageAmount } from "./UsageMessages.js";
 
 export interface FleetNodeOptions {
     /** IPv4 address of this VM. */
@@ -66,7 +68,10 @@
     peerLoads(): readonly PeerLoad[];
     /** Adds bootstrap addresses. */
     addSeeds(addresses: readonly string[]): void;
-    /** Announces the usage of a customer to other VMs, within 500 ms as long as the bandwidth suffices. */
+    /**
+     * Announces the usage of a customer to other VMs, within 500 ms as long as the bandwidth suffices. Without effect while
+     * there are `usageTotals`.
+     */
     announceUsage(usage: CustomerCost): void;
     /** Asks the tracker of an upstream; undefined if it does not answer within 40 ms. */
     askTracker(question: TrackerQuestion): Promise<TrackerReply | undefined>;
@@ -84,6 +89,13 @@
     registerStreamOriginHolder(holder: StreamOriginHolder): () => void;
     /** Calls `listener` for the usage that other VMs announce; returns a function that removes it. */
     registerUsageListener(listener: UsageListener): () => void;
+    /** Sets the source of the usage that this VM recorded itself; returns a function that removes it. */
+    registerUsageSource(source: UsageSource): () => void;
+    /**
+     * Usage of the customers with the largest usage, summed over all VMs, by customer hash. Undefined in a small fleet, whose VMs
+     * announce usage to each other.
+     */
+    usageTotals(): ReadonlyMap<number, UsageAmount> | undefined;
     /** Announces to all other VMs that a request or part was in flight at an upstream when the upstream crashed. */
     announceCrash(mark: CrashMark): void;
     /** Announces to all other VMs a response that contradicts a crash mark. */
@@ -169,6 +181,8 @@
     const pendingCosts = new Map<number, number>();
     let remainingInRound: string[] = [];
     let availableBytes = budgetBytesPerS;
+    /** Bytes beyond the limit that were sent before; only in fleets that add up usage. */
+    let owedBytes = 0;
     /** Part of the available bytes that is reserved for announcements. */
     let reservedBytes = 0;
     /** Bytes of questions, answers and reports since the previous tick. */
@@ -233,6 +247,17 @@
         send: sendToPeer,
     });
 
+    const usageExchange = createUsageExchange({
+        address: options.address,
+        incarnation: options.incarnation,
+        clock,
+        random,
+        log,
+        metrics,
+        alivePeers,
+        send: sendToPeer,
+    });
+
     function sendToPeer(datagram: Datagram, address: string): void {
         const bytes = encodeDatagram(datagram, clock.nowMs());
         trackerTrafficBytes += bytes.length + datagramOverheadBytes;
@@ -271,6 +296,12 @@
                 return streamOriginLink.handleQuestion(datagram.number, datagram.question, from);
             case "stream-origin-answer":
                 return streamOriginLink.handleAnswer(datagram.number, datagram.answer, from);
+            case "usage-report":
+                return usageExchange.handleReport(datagram.report, from);
+            case "usage-table":
+                return usageExchange.handleTable(datagram.table, datagram.until);
+            case "usage-table-question":
+                return usageExchange.handleTableQuestion(datagram.question, from);
         }
     }
 
@@ -395,8 +426,10 @@
         const nowMs = clock.nowMs();
         const periodS = (nowMs - lastTickMs) / 1_000;
         // Token bucket: the traffic of questions, answers and reports is deducted, down to the reserve of announcements.
-        availableBytes = Math.min(budgetBytesPerS, availableBytes + budgetBytesPerS * periodS - trackerTrafficBytes);
-        availableBytes = Math.max(availableBytes, reservedBytes);
+        const earnedBytes = availableBytes + budgetBytesPerS * periodS - trackerTrafficBytes - owedBytes;
+        // Tables of usage are sent in bursts, so what goes beyond the limit is deducted later.
+        owedBytes = usageExchange.isActive() ? Math.min(budgetBytesPerS, Math.max(0, reservedBytes - earnedBytes)) : 0;
+        availableBytes = Math.max(Math.min(budgetBytesPerS, earnedBytes), reservedBytes);
         reservedBytes = Math.min(minAnnouncementBytesPerS, reservedBytes + minAnnouncementBytesPerS * periodS);
         evidenceBytes = Math.min(evidenceBytesPerS, evidenceBytes + evidenceBytesPerS * periodS);
         availableWelcomeBytes = Math.min(maxWelcomeBytes, availableWelcomeBytes + welcomeBytesPerS * periodS);
@@ -412,6 +445,7 @@
                 log.state("peer-forgotten", { peer: address, silentMs: peerRemovalMs });
             });
         greetPeers();
+        usageExchange.tick();
         const minIntervalMs = crashEvidence.hasPending()
             ? 0
             : pendingCosts.size > 0
@@ -479,7 +513,9 @@
         peerLoads,
         addSeeds: addresses => addresses.forEach(address => seeds.add(address)),
         announceUsage({ customerHash, cost }) {
-            pendingCosts.set(customerHash, (pendingCosts.get(customerHash) ?? 0) + cost);
+            if (!usageExchange.isActive()) {
+                pendingCosts.set(customerHash, (pendingCosts.get(customerHash) ?? 0) + cost);
+            }
         },
         askTracker: trackerLink.ask,
         reportAttempt: trackerLink.report,
@@ -492,6 +528,8 @@
             usageListeners.add(listener);
             return () => void usageListeners.delete(listener);
         },
+        registerUsageSource: usageExchange.registerSource,
+        usageTotals: usageExchange.totals,
         announceCrash: crashEvidence.announceCrash,
         announceResponse: crashEvidence.announceResponse,
         announceQuarantine: crashEvidence.announceQuarantine,
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -19,3 +19,5 @@
     TrackerQuestion,
     TrackerReply,
 } from "./TrackerMessages.js";
+export type { UsageSource } from "./UsageExchange.js";
+export { type UsageAmount, usageTimeConstantMs } from "./UsageMessages.js";
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -36,6 +36,11 @@
     peerRestarts: ["peer_restarts_total", "Restarts of other VMs, by whether they had been draining before.", [
         "drained",
     ]],
+    usageCollectorChanges: [
+        "usage_collector_changes_total",
+        "Changes of the VM that adds up the usage of customers.",
+        [],
+    ],
     peerMessages: ["peer_messages_total", "Messages between VMs, by direction.", ["direction"]],
     uncaughtErrors: ["uncaught_errors_total", "Exceptions and rejections that no code handled, by kind.", ["kind"]],
 } as const;
