--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -336,7 +336,10 @@
         const overflowLease = lease.isErr() && overflow.length > 0
             ? await askEngines(job, prompt, overflow, { isOverflow: true, isContinued })
             : lease;
-        return (overflowLease.isOk() ? overflowLease : lease).mapErr(refuse => refuse());
+        return (overflowLease.isOk() ? overflowLease : lease).mapErr(refuse => {
+            charges.recordRefused(job);
+            return refuse();
+        });
     }
 
     /**
@@ -370,7 +373,7 @@
             const input = {
                 elapsedMs: clock.nowMs() - job.arrivedMs,
                 objectiveMs: job.route.objectiveMs,
-                relativeUsage: relativeUsage(job.customer),
+                relativeUsage: usage.pressure(customerHashOf(job.customer), clock.nowMs()),
                 meanLoad: trackedLoad.value(),
             };
             const slotLoad = trackedLoad.slotLoad();
--- a/packages/dispatch/src/UsageCharges.ts
+++ b/packages/dispatch/src/UsageCharges.ts
@@ -11,6 +11,8 @@
      * an attempt ends without one for a reason that is not the upstream's.
      */
     createChargedLease(job: Job, lease: Lease): Lease;
+    /** Records that a request was refused for want of capacity. It is not charged. */
+    recordRefused(job: Job): void;
 }
 
 export interface UsageChargesOptions {
@@ -36,6 +38,9 @@
     }
 
     return {
+        recordRefused(job) {
+            usage.recordRefused(customerHashOf(job.customer), tokenCost(job.prompt), clock.nowMs());
+        },
         createChargedLease(job, lease) {
             const cost = tokenCost(job.prompt);
             if (cost === 0) {
