--- a/packages/dispatch/__tests__/unit/UsageReport.test.ts
+++ b/packages/dispatch/__tests__/unit/UsageReport.test.ts
@@ -31,6 +31,8 @@
             `heavy#${customerHashOf(heavy)}=1.00(sent:300,broken:300,announced:100),`
             + `light#${customerHashOf(light)}=0.25(sent:100,begun:100)`,
         ]);
+        // The usage decays with 4 s until the report.
+        assert.deepEqual(lines().map(({ fields }) => fields["believedTokens"]), ["243,61"]);
     });
 
     it("names four customers at most, and states how many there are", async () => {
--- a/packages/dispatch/src/UsageReport.ts
+++ b/packages/dispatch/src/UsageReport.ts
@@ -23,7 +23,7 @@
 export interface UsageReportOptions {
     readonly clock: core.Clock;
     readonly log: telemetry.EventLog;
-    readonly usage: Pick<CustomerUsage, "relative">;
+    readonly usage: Pick<CustomerUsage, "relative" | "tokens">;
 }
 
 type CostKind = "sent" | "announced" | BeginOutcome;
@@ -56,6 +56,7 @@
                 // Other VMs know the customer by its hash only.
                 name: `${names.get(customerHash) ?? ""}#${customerHash}`,
                 relative: usage.relative(customerHash, nowMs),
+                tokens: usage.tokens(customerHash, nowMs),
                 ofCustomer,
             }))
             .sort((left, right) => right.relative - left.relative)
@@ -65,6 +66,7 @@
                 customers: heaviest.map(({ name, relative, ofCustomer }) =>
                     `${name}=${relative.toFixed(2)}(${formatCosts(ofCustomer)})`
                 ).join(),
+                believedTokens: heaviest.map(({ tokens }) => Math.round(tokens)).join(),
                 counted: costs.size,
             });
         }
