dispatch, fleet: wait for, admit to and place at engines by their learned speeds

Cause: one rate for the whole pool, corrected by Slowness for a second or two at the tracker alone. An engine of speed 1.6 counted as 1.43 at most, and sessions were divided equally.

The tracker of an engine learns its rate from what it hears anyway (EngineRate.ts). A rate belongs to one run of an engine. What is used is its ratio to the median of the pool in steps of 1.25, and none below a ratio of 1.35, so equal engines are treated as before.

--- a/packages/bench/src/announcements.ts
+++ b/packages/bench/src/announcements.ts
@@ -47,6 +47,7 @@
             runMs: 400,
             isSpillover: false,
             statedLimit: undefined,
+            learnedRate: undefined,
         });
         answeredQuestions += answer ? 1 : 0;
         // Reports every second attempt on average.
@@ -58,6 +59,8 @@
                 unreachable: false,
                 tookMs: 180,
                 expectedMs: 200,
+                runMs: 900,
+                expectedRunMs: 800,
             });
         }
     };
@@ -85,6 +88,7 @@
                 ejected: false,
                 limited: false,
                 statedLimit: undefined,
+                learnedRate: undefined,
                 unreadTokens: 9_190,
                 newTokens: 2_890,
                 running: 20,
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -25,13 +25,13 @@
     expectedWaitMs,
 } from "./Placement.js";
 import { createPoisonGuard } from "./PoisonGuard.js";
-import { selectByRendezvous } from "./Rendezvous.js";
 import { createRetryBudget, type RetryBudget } from "./RetryBudget.js";
 import { createTrackedLoad } from "./TrackedLoad.js";
 import { type BrokenAttempt, createUpstreamTable, type UpstreamState } from "./UpstreamTable.js";
 import { createUpstreamTracker } from "./UpstreamTracker.js";
 import { createUsageCharges } from "./UsageCharges.js";
 import { createUsageReport } from "./UsageReport.js";
+import { selectByWeightedRendezvous } from "./WeightedRendezvous.js";
 
 export interface DispatcherOptions {
     readonly clock: core.Clock;
@@ -141,6 +141,7 @@
         ...options,
         stateOf: table.stateOfHash,
         prefillTokensPerMs: table.prefillTokensPerMs,
+        learnedRates: table.learnedRates,
         cacheTokens: table.cacheTokens,
         coldRatePerS: table.coldRatePerS,
     }));
@@ -204,6 +205,7 @@
             unreadTokens: Math.round(chosen.load.unreadTokens),
             running: chosen.load.running,
             slowness: chosen.load.slowness,
+            prefillSpeed: state.rate.prefillSpeed(),
             expectedMs: Math.round(chosen.expectedMs),
             tracker: chosen.tracker,
         });
@@ -211,16 +213,18 @@
         return ok(charges.createChargedLease(job, lease));
     }
 
-    /** Asks the tracker of an upstream; both tell each other the limit that the upstream states. */
+    /** Asks the tracker of an upstream; both tell each other the limit that the upstream states, and its learned rate. */
     async function askTracker(
         state: UpstreamState,
-        question: Omit<TrackerQuestion, "upstreamHash" | "statedLimit">,
+        question: Omit<TrackerQuestion, "upstreamHash" | "statedLimit" | "learnedRate">,
     ): Promise<TrackerReply | undefined> {
         const answer = await fleet.askTracker({
             ...question,
             upstreamHash: state.idHash,
             statedLimit: state.limit.current(clock.nowMs()),
+            learnedRate: state.rate.current(),
         });
+        state.rate.adopt(answer?.learnedRate);
         state.limit.adopt(answer?.statedLimit, clock.nowMs());
         return answer;
     }
@@ -351,15 +355,16 @@
         usable: readonly UpstreamState[],
         { isOverflow, isContinued }: { readonly isOverflow: boolean; readonly isContinued: boolean; },
     ): Promise<Result<Lease, () => DispatchRefusal>> {
-        const candidates = selectByRendezvous(
+        const candidates = selectByWeightedRendezvous(
             sessionKey(job),
             withoutPostponed(usable),
             state => state.idHash,
+            state => state.rate.prefillSpeed(),
             maxCandidates + maxUnavailableCandidates,
         );
         const sharedParts = sharedPartsOf(prompt).map(({ id, tokens }) => ({ hash: core.hash32(id), tokens }));
         const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
-        const prefillTokensPerMs = table.prefillTokensPerMs(job.pool);
+        const statedTokensPerMs = table.prefillTokensPerMs(job.pool);
         let refused: RefusedEngine | undefined;
         let candidateRank = 0;
         for (const state of candidates) {
@@ -394,6 +399,7 @@
                 postpone(job, state);
             }
             const load = answer ?? localLoad(prompt, state);
+            const prefillTokensPerMs = statedTokensPerMs * state.rate.prefillSpeed();
             const waitMs = expectedWaitMs(load, prefillTokensPerMs);
             if (answer?.limited || answer?.ejected) {
                 state.giveBackColdPermit();
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -1,13 +1,15 @@
 import type * as catalog from "@peridotloft/catalog";
 import * as core from "@peridotloft/core";
-import type { AttemptReport } from "@peridotloft/fleet";
+import type { AttemptReport, LearnedRate } from "@peridotloft/fleet";
 import type * as telemetry from "@peridotloft/telemetry";
 import type { FleetView } from "./FleetView.js";
 import type { AttemptOutcome, Job, Lease } from "./Job.js";
+import { createKnownRate, type KnownRate } from "./KnownRate.js";
 import type { LimitState } from "./LimitState.js";
 import { type Backlog, createBacklog } from "./LoadModel.js";
 import type { StreamOrigin } from "./OriginHistory.js";
 import { createPrefixCache, type PrefixCache } from "./PrefixCache.js";
+import { createRunTimes } from "./RunTimes.js";
 import { createSlowness } from "./Slowness.js";
 import { createTokenBucket, type TokenBucket } from "./TokenBucket.js";
 import { createUpstreamHealth, isFailure, type UpstreamHealth } from "./UpstreamHealth.js";
@@ -53,6 +55,8 @@
     slowness(nowMs: number): number;
     /** The limit that the upstream states; its permits are this VM's share, for the time in which its tracker does not reply. */
     readonly limit: LimitState;
+    /** The rate of the current run that other VMs, or this one, have learned. */
+    readonly rate: KnownRate;
     /** Whether this VM has had a response of the upstream's current run. */
     readonly hasResponded: boolean;
     /** Time in ms until which the upstream is left out because its limit is exhausted. */
@@ -108,8 +112,10 @@
      * cause, not single faulty upstreams.
      */
     withoutEjected(states: readonly UpstreamState[]): readonly UpstreamState[];
-    /** Prompt tokens that an engine of the pool prefills per ms. */
+    /** Prompt tokens that an engine of the pool prefills per ms, as stated by the configuration. */
     prefillTokensPerMs(pool: core.PoolId): number;
+    /** The rate of each engine of a pool; undefined if this VM does not know it. */
+    learnedRates(pool: core.PoolId): readonly (LearnedRate | undefined)[];
     /** Expected time in ms from the first event of a prompt to its last. */
     expectedRunMs(job: Job): number;
     /** Capacity in tokens of the KV cache of an engine of the pool. */
@@ -152,6 +158,7 @@
     let lastColdUntilMs = Number.NEGATIVE_INFINITY;
     const largestPoolSize = new Map<core.PoolId, number>();
     const msPerToken = new Map<core.PoolId, number>();
+    const runTimes = createRunTimes();
 
     function poolOf(id: core.PoolId): catalog.Pool | undefined {
         return options.catalog.read().activeConfig?.pools.get(id);
@@ -213,6 +220,15 @@
         )
     );
 
+    const removeSpeedGauges = ([["faster", 1], ["slower", -1]] as const).map(([name, sign]) =>
+        metrics.registerGauge(
+            `upstreams_${name}`,
+            `Engines that are known to prefill prompts ${name} than most of their pool.`,
+            () =>
+                [...states.values()].filter(({ rate }) => Math.sign(rate.current()?.prefillStep ?? 0) === sign).length,
+        )
+    );
+
     // The catalog's clock includes steps of the wall clock, which this clock does not.
     function coldUntilMsOf({ coldUntilMs, learnedMs }: catalog.KnownUpstream): number {
         return clock.nowMs() + coldUntilMs - learnedMs;
@@ -227,6 +243,7 @@
         // The VMs share the cache of an engine; this VM assumes an equal share for the prompts that it sends.
         const localCacheTokens = (): number => cacheTokens(upstream.pool) / Math.max(1, fleet.vmCount());
         const slowness = createSlowness();
+        const rate = createKnownRate(upstream);
         const statements = createUpstreamStatements(() => 1 / Math.max(1, fleet.vmCount()));
         const state: MutableState = {
             upstream,
@@ -238,6 +255,9 @@
             coldLimiter: undefined,
             statements,
             limit: statements.limit,
+            rate,
+            unreportedRunMs: 0,
+            unreportedExpectedRunMs: 0,
             hasResponded: false,
             unreachableMs: Number.NEGATIVE_INFINITY,
             postponedUntilMs: Number.NEGATIVE_INFINITY,
@@ -245,7 +265,7 @@
             isCold: () => state.coldUntilMs > clock.nowMs(),
             tryTakeColdPermit: () => coldLimiterOf(state)?.tryTake(clock.nowMs()) ?? true,
             giveBackColdPermit: () => coldLimiterOf(state)?.giveBack(),
-            backlog: createBacklog(() => prefillTokensPerMs(upstream.pool)),
+            backlog: createBacklog(() => prefillTokensPerMs(upstream.pool) * rate.prefillSpeed()),
             cache: createPrefixCache(localCacheTokens),
             health: createUpstreamHealth((forMs, failureShare) => {
                 metrics.count("ejections");
@@ -335,8 +355,8 @@
         if (job.prompt) {
             state.cache.touch(job.prompt.parts);
         }
-        const report = (observed: Omit<AttemptReport, "upstreamHash" | "ticket">): void => {
-            fleet.reportAttempt({ upstreamHash: state.idHash, ticket, ...observed });
+        const report = (observed: Omit<AttemptReport, "upstreamHash" | "ticket" | "runMs" | "expectedRunMs">): void => {
+            fleet.reportAttempt({ upstreamHash: state.idHash, ticket, ...observed, ...takeRuns(state) });
         };
         const recordBegun = (): void => {
             if (begunMs === undefined) {
@@ -386,6 +406,7 @@
                 markPrefilled();
                 if (outcome === "ok") {
                     recordRunTime(job, clock.nowMs() - openedMs);
+                    recordRun(state, job, begunMs);
                 }
                 if (job.prompt && isFailure(outcome)) {
                     report({ failed: true, unreachable: outcome === "connect-failed", tookMs: 0, expectedMs: 0 });
@@ -441,6 +462,26 @@
         }
     }
 
+    /** Records the time of a response after its first event, to be told to the engine's tracker with the next report. */
+    function recordRun(state: MutableState, job: Job, begunMs: number | undefined): void {
+        if (!job.prompt || begunMs === undefined) {
+            return;
+        }
+        const runMs = clock.nowMs() - begunMs;
+        const expectedRunMs = runTimes.record(job, runMs);
+        if (expectedRunMs !== undefined) {
+            state.unreportedRunMs += runMs;
+            state.unreportedExpectedRunMs += expectedRunMs;
+        }
+    }
+
+    function takeRuns(state: MutableState): Pick<AttemptReport, "runMs" | "expectedRunMs"> {
+        const runs = { runMs: state.unreportedRunMs, expectedRunMs: state.unreportedExpectedRunMs };
+        state.unreportedRunMs = 0;
+        state.unreportedExpectedRunMs = 0;
+        return runs;
+    }
+
     /** Undefined if the upstream is warm or has no limit. */
     function coldLimiterOf(state: MutableState): TokenBucket | undefined {
         const nowMs = clock.nowMs();
@@ -493,13 +534,15 @@
             return healthy.length * 2 >= list.length ? healthy : list;
         },
         prefillTokensPerMs,
+        learnedRates: pool =>
+            [...states.values()].filter(({ upstream }) => upstream.pool === pool).map(({ rate }) => rate.current()),
         expectedRunMs: ({ pool, prompt }) =>
             (prompt?.maxOutputTokens ?? 0) * (msPerToken.get(pool) ?? initialMsPerToken),
         cacheTokens,
         coldRatePerS,
         dispose() {
             subscription.unsubscribe();
-            removeGauges.forEach(remove => remove());
+            [...removeGauges, ...removeSpeedGauges].forEach(remove => remove());
         },
     };
 }
@@ -511,6 +554,9 @@
     localRunning: number;
     localQueuedTokens: number;
     hasResponded: boolean;
+    /** Measured and expected times in ms of responses after their first event, since the last report to the tracker. */
+    unreportedRunMs: number;
+    unreportedExpectedRunMs: number;
     /** Time in ms at which a connection to it last failed. */
     unreachableMs: number;
     postponedUntilMs: number;
--- a/packages/dispatch/src/UpstreamTracker.ts
+++ b/packages/dispatch/src/UpstreamTracker.ts
@@ -1,14 +1,24 @@
 import type * as catalog from "@peridotloft/catalog";
 import * as core from "@peridotloft/core";
-import type { AttemptReport, SharedPart, Tracker, TrackerAnswer, TrackerQuestion } from "@peridotloft/fleet";
+import type {
+    AttemptReport,
+    LearnedRate,
+    SharedPart,
+    Tracker,
+    TrackerAnswer,
+    TrackerQuestion,
+} from "@peridotloft/fleet";
 import type * as telemetry from "@peridotloft/telemetry";
+import { createEngineRate, type EngineRate } from "./EngineRate.js";
 import type { PromptPart } from "./Job.js";
+import { isSameRate } from "./KnownRate.js";
 import { createLimitState, type LimitState } from "./LimitState.js";
 import { baseFirstEventMs, expectedWaitMs } from "./Placement.js";
 import { createPrefixCache, type PrefixCache } from "./PrefixCache.js";
 import { createPromptQueue, type PromptQueue } from "./PromptQueue.js";
 import { createSlowness, type Slowness } from "./Slowness.js";
 import { createTokenBucket, type TokenBucket } from "./TokenBucket.js";
+import { createTypicalRates } from "./TypicalRate.js";
 import { createUpstreamHealth, type UpstreamHealth } from "./UpstreamHealth.js";
 import { coldRateShare, type UpstreamState } from "./UpstreamTable.js";
 
@@ -18,8 +28,10 @@
     readonly metrics: telemetry.Metrics;
     /** Undefined if this VM does not know the upstream. */
     readonly stateOf: (upstreamHash: number) => TrackedState | undefined;
-    /** Prompt tokens that an engine of the pool prefills per ms. */
+    /** Prompt tokens that an engine of the pool prefills per ms, as stated by the configuration. */
     readonly prefillTokensPerMs: (pool: core.PoolId) => number;
+    /** The rate of each engine of a pool; undefined if this VM does not know it. */
+    readonly learnedRates: (pool: core.PoolId) => readonly (LearnedRate | undefined)[];
     /** Capacity in tokens of the KV cache of an engine of the pool. */
     readonly cacheTokens: (pool: core.PoolId) => number;
     /** Requests per second that a cold upstream of the pool accepts; 0 if there is no limit. */
@@ -27,7 +39,7 @@
 }
 
 /** What this VM knows itself of an upstream that it tracks. */
-type TrackedState = Pick<UpstreamState, "upstream" | "learnedMs" | "limit" | "isCold">;
+type TrackedState = Pick<UpstreamState, "upstream" | "learnedMs" | "limit" | "rate" | "isCold">;
 
 /** State of an upstream from the questions and reports of all VMs. */
 interface TrackedUpstream {
@@ -39,6 +51,7 @@
     /** Shared prompt parts in its prefix cache. */
     readonly cache: PrefixCache;
     readonly slowness: Slowness;
+    readonly rate: EngineRate;
     readonly health: UpstreamHealth;
     /** The limit that the upstream states, for the requests of all VMs. */
     readonly limit: LimitState;
@@ -63,6 +76,7 @@
 export function createUpstreamTracker(options: UpstreamTrackerOptions): Tracker {
     const { clock, log, metrics } = options;
     const trackedUpstreams = new Map<number, TrackedUpstream>();
+    const typicalRateOf = createTypicalRates(clock, options.learnedRates);
     const startedMs = clock.nowMs();
     let lastSweepMs = startedMs;
 
@@ -87,7 +101,7 @@
         return created;
     }
 
-    function createState({ upstream, learnedMs }: TrackedState): TrackedUpstream {
+    function createState({ upstream, learnedMs, rate }: TrackedState): TrackedUpstream {
         const nowMs = clock.nowMs();
         const slowness = createSlowness();
         return {
@@ -95,11 +109,17 @@
             isTakenOver: nowMs - learnedMs >= takeoverGraceMs || learnedMs - startedMs < takeoverGraceMs,
             trackedSinceMs: nowMs,
             queue: createPromptQueue(
-                () => options.prefillTokensPerMs(upstream.pool) / slowness.value(clock.nowMs()),
+                () => options.prefillTokensPerMs(upstream.pool) * rate.prefillSpeed() / slowness.value(clock.nowMs()),
                 baseFirstEventMs,
             ),
             cache: createPrefixCache(() => options.cacheTokens(upstream.pool) * sharedCacheShare),
             slowness,
+            rate: createEngineRate({
+                statedTokensPerMs: () => options.prefillTokensPerMs(upstream.pool),
+                known: rate,
+                typical: () => typicalRateOf(upstream.pool),
+                onStep: (next, previous) => recordStep(upstream, next, previous),
+            }),
             health: createUpstreamHealth((forMs, failureShare) => {
                 metrics.count("ejections");
                 log.state("tracked-upstream-ejected", { upstream: upstream.id, forMs, failureShare });
@@ -115,6 +135,20 @@
         };
     }
 
+    function recordStep(upstream: catalog.KnownUpstream, next: LearnedRate, previous: LearnedRate | undefined): void {
+        metrics.count("engineSpeedChanges");
+        log.state("engine-speed", {
+            upstream: upstream.id,
+            upstreamStartedWallMs: upstream.startedWallMs,
+            prefillStep: next.prefillStep,
+            previousPrefillStep: previous?.prefillStep ?? 0,
+            prefillTokensPerMs: next.prefillTokensPerMs,
+            generationStep: next.generationStep,
+            previousGenerationStep: previous?.generationStep ?? 0,
+            generationSpeed: next.generationSpeed,
+        });
+    }
+
     function evictIdle(): void {
         const nowMs = clock.nowMs();
         if (nowMs - lastSweepMs >= idleEvictionMs) {
@@ -153,12 +187,13 @@
             const state = track(question.upstreamHash, known);
             const nowMs = clock.nowMs();
             state.lastAskedMs = nowMs;
+            state.rate.adopt(question.learnedRate);
             state.expectedEndsMs = state.expectedEndsMs.filter(expectedEndMs => expectedEndMs > nowMs);
             const running = state.expectedEndsMs.length;
             const unreadTokens = state.queue.queuedTokens(nowMs);
             const newTokens = uncachedTokens(state, question, nowMs);
             const slowness = state.slowness.value(nowMs);
-            const prefillTokensPerMs = options.prefillTokensPerMs(state.upstream.pool);
+            const prefillTokensPerMs = options.prefillTokensPerMs(state.upstream.pool) * known.rate.prefillSpeed();
             const load = { unreadTokens, newTokens, running, slowness };
             const waitMs = expectedWaitMs(load, prefillTokensPerMs);
             const prefixPrefillMs = question.isSpillover
@@ -171,28 +206,39 @@
                 .forEach(limit => state.limit.adopt(limit, nowMs));
             const granted = hasCapacity && state.limit.tryTake(nowMs);
             const statedLimit = state.limit.current(nowMs);
-            const answer = { ...load, granted, ejected, limited: hasCapacity && !granted, statedLimit };
+            const currentRate = known.rate.current();
+            const learnedRate = isSameRate(question.learnedRate, currentRate) ? undefined : currentRate;
+            const answer = { ...load, granted, ejected, limited: hasCapacity && !granted, statedLimit, learnedRate };
             if (!granted) {
                 return { ...answer, ticket: 0 };
             }
-            state.expectedEndsMs.push(nowMs + waitMs + newTokens / prefillTokensPerMs + question.runMs);
+            const runMs = question.runMs / known.rate.generationSpeed();
+            state.expectedEndsMs.push(nowMs + waitMs + newTokens / prefillTokensPerMs + runMs);
+            // An engine may have cached more than this model of its cache, but hardly less.
+            const isCacheKnown = state.cache.cachedTokens(partsOf(question)) === sumOfTokens(question.sharedParts);
             state.cache.touch(partsOf(question));
             state.health.recordDispatch(nowMs);
-            return { ...answer, ticket: state.queue.add(newTokens, nowMs) };
+            const ticket = state.queue.add(newTokens, nowMs);
+            state.rate.recordAdmitted(ticket, isCacheKnown ? newTokens : undefined, nowMs);
+            return { ...answer, ticket };
         },
-        recordReport({ upstreamHash, ticket, failed, unreachable, tookMs, expectedMs }: AttemptReport) {
-            const state = stateOf(upstreamHash);
+        recordReport(report: AttemptReport) {
+            const { ticket, failed, unreachable, tookMs, expectedMs } = report;
+            const state = stateOf(report.upstreamHash);
             if (!state) {
                 return;
             }
             const nowMs = clock.nowMs();
             state.health.record(unreachable ? "connect-failed" : failed ? "failed" : "ok", nowMs);
+            state.rate.recordRuns(report.runMs, report.expectedRunMs);
             if (failed) {
                 state.queue.remove(ticket);
+                state.rate.remove(ticket);
             }
             else {
                 state.queue.confirm(ticket, nowMs);
                 state.slowness.record(tookMs, expectedMs, nowMs);
+                state.rate.recordFirstEvent(ticket, tookMs, nowMs);
             }
         },
         recordLimit: ({ upstreamHash, statedLimit }) =>
@@ -209,6 +255,7 @@
     slowness: 1,
     ticket: 0,
     statedLimit: undefined,
+    learnedRate: undefined,
 };
 
 function sumOfTokens(parts: readonly SharedPart[]): number {
--- a/packages/fleet/__tests__/integration/LongTurn.test.ts
+++ b/packages/fleet/__tests__/integration/LongTurn.test.ts
@@ -16,12 +16,14 @@
     runMs: 400,
     isSpillover: false,
     statedLimit: undefined,
+    learnedRate: undefined,
 };
 const answer: fleet.TrackerAnswer = {
     granted: true,
     ejected: false,
     limited: false,
     statedLimit: undefined,
+    learnedRate: undefined,
     unreadTokens: 0,
     newTokens: 0,
     running: 0,
--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -17,12 +17,14 @@
     runMs: 400,
     isSpillover: false,
     statedLimit: undefined,
+    learnedRate: undefined,
 };
 const unknownAnswer: fleet.TrackerAnswer = {
     granted: true,
     ejected: false,
     limited: false,
     statedLimit: undefined,
+    learnedRate: undefined,
     unreadTokens: 0,
     newTokens: 0,
     running: 0,
@@ -470,6 +472,8 @@
                             unreachable: false,
                             tookMs: 180,
                             expectedMs: 200,
+                            runMs: 900,
+                            expectedRunMs: 800,
                         });
                     }
                     node.announceUsage(usage);
@@ -488,6 +492,38 @@
 });
 
 describe("Datagram", () => {
+    const learnedRate: fleet.LearnedRate = {
+        runHash: 18,
+        prefillTokensPerMs: 37.5,
+        generationSpeed: 1.5,
+        prefillStep: -2,
+        generationStep: 1,
+        atMs: 8_000,
+    };
+
+    describe("ignores a learned rate that no engine can have", () => {
+        [
+            { prefillTokensPerMs: 0 },
+            { prefillTokensPerMs: -1 },
+            { prefillTokensPerMs: Number.NaN },
+            { generationSpeed: Number.POSITIVE_INFINITY },
+            { prefillStep: 17 },
+            { generationStep: -17 },
+        ].forEach(invalid =>
+            it(JSON.stringify(invalid, (_, value) => typeof value === "number" ? String(value) : value), () => {
+                const datagram: Datagram = {
+                    kind: "question",
+                    number: 1,
+                    question: { ...emptyQuestion, learnedRate: { ...learnedRate, ...invalid } },
+                };
+                assert.deepEqual(decodeDatagram(encodeDatagram(datagram, 10_000), 10_000), {
+                    ...datagram,
+                    question: emptyQuestion,
+                });
+            })
+        );
+    });
+
     it("decodes what it encodes", () => {
         const announcement = {
             incarnation: 1_765_000_000_000n,
@@ -520,6 +556,7 @@
                     runMs: 6,
                     isSpillover: true,
                     statedLimit: { limitPerS: 8.7, atMs: 9_000 },
+                    learnedRate: { ...learnedRate, prefillTokensPerMs: undefined },
                 },
             },
             {
@@ -535,11 +572,21 @@
                     ticket: 11,
                     limited: true,
                     statedLimit: { limitPerS: undefined, atMs: 9_500 },
+                    learnedRate,
                 },
             },
             {
                 kind: "report",
-                report: { upstreamHash: 11, ticket: 12, failed: true, unreachable: true, tookMs: 13, expectedMs: 14 },
+                report: {
+                    upstreamHash: 11,
+                    ticket: 12,
+                    failed: true,
+                    unreachable: true,
+                    tookMs: 13,
+                    expectedMs: 14,
+                    runMs: 16,
+                    expectedRunMs: 17,
+                },
             },
             { kind: "limit-report", report: { upstreamHash: 15, statedLimit: { limitPerS: undefined, atMs: 9_700 } } },
         ];
--- a/packages/fleet/src/Datagram.ts
+++ b/packages/fleet/src/Datagram.ts
@@ -5,6 +5,7 @@
     DatagramSchema,
     type StatedLimit as StatedLimitMessage,
 } from "./gen/announcement_pb.js";
+import { fromLearnedRateMessage, toLearnedRateMessage } from "./LearnedRateMessage.js";
 import type { StreamOriginAnswer, StreamOriginQuestion, StreamOriginRecord } from "./StreamOriginMessages.js";
 import type { AttemptReport, LimitReport, StatedLimit, TrackerAnswer, TrackerQuestion } from "./TrackerMessages.js";
 import { toUint32 } from "./Uint32.js";
@@ -46,6 +47,7 @@
                     runMs: toUint32(question.runMs),
                     away: question.isSpillover,
                     statedLimit: toStatedLimitMessage(question.statedLimit, nowMs),
+                    learnedRate: toLearnedRateMessage(question.learnedRate, nowMs),
                 },
             };
         }
@@ -64,11 +66,13 @@
                     ticket: answer.ticket,
                     limited: answer.limited,
                     statedLimit: toStatedLimitMessage(answer.statedLimit, nowMs),
+                    learnedRate: toLearnedRateMessage(answer.learnedRate, nowMs),
                 },
             };
         }
         case "report": {
-            const { upstreamHash, ticket, failed, unreachable, tookMs, expectedMs } = datagram.report;
+            const { upstreamHash, ticket, failed, unreachable, tookMs, expectedMs, runMs, expectedRunMs } =
+                datagram.report;
             return {
                 case: "report",
                 value: {
@@ -78,6 +82,8 @@
                     unreachable,
                     tookMs: toUint32(tookMs),
                     expectedMs: toUint32(expectedMs),
+                    runMs: toUint32(runMs),
+                    expectedRunMs: toUint32(expectedRunMs),
                 },
             };
         }
@@ -160,6 +166,7 @@
                     runMs,
                     isSpillover: away,
                     statedLimit,
+                    learnedRate: fromLearnedRateMessage(body.value.learnedRate, nowMs),
                 },
             };
         }
@@ -181,15 +188,25 @@
                         slowness,
                         ticket,
                         statedLimit,
+                        learnedRate: fromLearnedRateMessage(body.value.learnedRate, nowMs),
                     },
                 }
                 : undefined;
         }
         case "report": {
-            const { upstream, ticket, failed, unreachable, tookMs, expectedMs } = body.value;
+            const { upstream, ticket, failed, unreachable, tookMs, expectedMs, runMs, expectedRunMs } = body.value;
             return {
                 kind: "report",
-                report: { upstreamHash: upstream, ticket, failed, unreachable, tookMs, expectedMs },
+                report: {
+                    upstreamHash: upstream,
+                    ticket,
+                    failed,
+                    unreachable,
+                    tookMs,
+                    expectedMs,
+                    runMs,
+                    expectedRunMs,
+                },
             };
         }
         case "limitReport": {
--- a/packages/fleet/src/TrackerMessages.ts
+++ b/packages/fleet/src/TrackerMessages.ts
@@ -12,6 +12,21 @@
     readonly atMs: number;
 }
 
+/** How fast a run of an upstream has been found to work. */
+export interface LearnedRate {
+    /** Hash of the start time of the run. */
+    readonly runHash: number;
+    /** Prompt tokens that it prefills per ms; undefined if not known. */
+    readonly prefillTokensPerMs: number | undefined;
+    /** Speed of its responses after the first event, relative to the mean of their routes; undefined if not known. */
+    readonly generationSpeed: number | undefined;
+    /** Logarithmic steps of both, relative to the other upstreams of the pool; 0 is as fast as they are. */
+    readonly prefillStep: number;
+    readonly generationStep: number;
+    /** Time in ms of the statement. */
+    readonly atMs: number;
+}
+
 /** Asks the VM that tracks an upstream's load to admit a request there. Ids are 32-bit hashes. */
 export interface TrackerQuestion {
     readonly upstreamHash: number;
@@ -32,6 +47,8 @@
     readonly isSpillover: boolean;
     /** The most recent limit of the upstream that the sender knows; undefined if it knows none. */
     readonly statedLimit: StatedLimit | undefined;
+    /** The most recent rate of the upstream that the sender was told; undefined if there is none. */
+    readonly learnedRate: LearnedRate | undefined;
 }
 
 /** The answer of an upstream's tracker. */
@@ -52,6 +69,8 @@
     readonly running: number;
     /** Ratio of the recently observed time to first event to the expected one; 1 is as expected. */
     readonly slowness: number;
+    /** The rate of the upstream; undefined if it is not known, or that of the question. */
+    readonly learnedRate: LearnedRate | undefined;
     /** Number of the admission, repeated in the report; increases with each one at this upstream. 0 if not admitted. */
     readonly ticket: number;
 }
@@ -73,6 +92,9 @@
     /** Measured and expected time to the first byte in ms; 0 if the attempt failed. */
     readonly tookMs: number;
     readonly expectedMs: number;
+    /** Measured and expected time in ms from the first event to the end, summed over the responses since the previous report. */
+    readonly runMs: number;
+    readonly expectedRunMs: number;
 }
 
 /** Reports a change of the limit that an upstream states to the tracker of the upstream. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -11,6 +11,7 @@
 } from "./StreamOriginMessages.js";
 export type {
     AttemptReport,
+    LearnedRate,
     LimitReport,
     SharedPart,
     StatedLimit,
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -33,6 +33,7 @@
     trackerQuestions: ["tracker_questions_total", "Questions to the trackers of upstreams, by outcome.", [
         "outcome",
     ]],
+    engineSpeedChanges: ["engine_speed_changes_total", "Changes of the learned speed of an engine by a step.", []],
     peerRestarts: ["peer_restarts_total", "Restarts of other VMs, by whether they had been draining before.", [
         "drained",
     ]],
