dispatch: seek the rate of an engine from 0.13 to 7.7 times the stated one, and test that equal engines have no speed

In a trial with an engine that generates between the chunks of a prompt, the effective rate was about half of the rate alone, and that of an engine of speed 0.6 0.26 of it, which was the lowest candidate.

--- a/packages/dispatch/__tests__/unit/EngineSpeeds.test.ts
+++ b/packages/dispatch/__tests__/unit/EngineSpeeds.test.ts
@@ -92,4 +92,11 @@
         const after = expectedSpeeds(fleet, fromLine).get(id) ?? [];
         assert.ok(after.length > 0 && after.every(value => value === 1), after.join());
     });
+
+    it("are not found in a pool of equal ones, whose sessions stay where they were", async () => {
+        const fleet = await createPrefillFleet({ ...sizes, load: 0.9, speeds: [1], delayedShare: 0.15 }, 8);
+        await fleet.run(warmUpMs);
+        fleet.dispose();
+        assert.deepEqual(fleet.log.lines.filter(({ event }) => event === "engine-speed"), []);
+    });
 });
--- a/packages/dispatch/src/PrefillRate.ts
+++ b/packages/dispatch/src/PrefillRate.ts
@@ -34,7 +34,7 @@
 
 /** Candidates are spaced by this factor, with this number of them below and above the stated rate. */
 const candidateSpacing = 1.12;
-const candidatesPerSide = 12;
+const candidatesPerSide = 18;
 /** Responses from which a rate is learned. The first ones only determine the delays of the candidates. */
 const minResponses = 24;
 const delayOnlyResponses = 8;
