dispatch: stale and missing reports do not disturb what is learned of an engine's rate

PrefillRate dropped old prompts only with the report of a first event. A plain service that states a limit has its tracker asked and sends no such reports, so its list grew with each request. A report whose ticket is not known, such as one for an earlier tracker, dropped the prompts that were; now it changes nothing. The new test fails without this (no rate is learned).

--- a/packages/dispatch/__tests__/unit/PrefillRate.test.ts
+++ b/packages/dispatch/__tests__/unit/PrefillRate.test.ts
@@ -37,7 +37,7 @@
         const tookMs = freeMs - arrivedMs + firstEventDelayMs / speed * (0.8 + 0.4 * random());
         rate.recordAdmitted(ticket, newTokens, arrivedMs);
         if (random() >= lostShare) {
-            rate.recordFirstEvent(ticket, tookMs * (random() < delayedShare ? 2.5 : 1), arrivedMs + tookMs);
+            rate.recordFirstEvent(ticket, tookMs * (random() < delayedShare ? 2.5 : 1));
         }
     }
     return (rate.tokensPerMs() ?? 0) / tokensPerMs;
@@ -63,8 +63,18 @@
         const rate = createPrefillRate(statedTokensPerMs);
         Array.from({ length: 10 }, (_, ticket) => {
             rate.recordAdmitted(ticket, 1_000, ticket * 100);
-            rate.recordFirstEvent(ticket, 90, ticket * 100 + 90);
+            rate.recordFirstEvent(ticket, 90);
         });
         assert.equal(rate.tokensPerMs(), undefined);
     });
+
+    it("is learned beside reports with tickets of an earlier tracker", () => {
+        const rate = createPrefillRate(statedTokensPerMs);
+        Array.from({ length: 30 }, (_, ticket) => {
+            rate.recordAdmitted(ticket, 1_000, ticket * 100);
+            rate.recordFirstEvent(ticket + 1_000, 900);
+            rate.recordFirstEvent(ticket, 90);
+        });
+        assert.notEqual(rate.tokensPerMs(), undefined);
+    });
 });
--- a/packages/dispatch/src/EngineRate.ts
+++ b/packages/dispatch/src/EngineRate.ts
@@ -18,7 +18,9 @@
 }
 
 /** The rate of one run of an engine, as its tracker learns it from the responses to all VMs. */
-export interface EngineRate extends Pick<PrefillRate, "recordAdmitted" | "recordFirstEvent" | "remove"> {
+export interface EngineRate extends Pick<PrefillRate, "recordAdmitted" | "remove"> {
+    /** @param tookMs time in ms from the admission to the first event. */
+    recordFirstEvent(ticket: number, tookMs: number, nowMs: number): void;
     /** Records the measured and the expected time in ms of responses after their first event. */
     recordRuns(runMs: number, expectedRunMs: number): void;
     /** Adopts what another VM knows, unless the rate has been learned here. */
@@ -85,7 +87,7 @@
         },
         remove: ticket => prefill.remove(ticket),
         recordFirstEvent(ticket, tookMs, nowMs) {
-            prefill.recordFirstEvent(ticket, tookMs, nowMs);
+            prefill.recordFirstEvent(ticket, tookMs);
             publish(nowMs);
         },
         recordRuns: generation.record,
--- a/packages/dispatch/src/PrefillRate.ts
+++ b/packages/dispatch/src/PrefillRate.ts
@@ -5,7 +5,7 @@
     /** @param newTokens tokens that the engine must prefill; undefined if it is not known which parts it has cached. */
     recordAdmitted(ticket: number, newTokens: number | undefined, nowMs: number): void;
     /** @param tookMs time in ms from the admission to the first event. */
-    recordFirstEvent(ticket: number, tookMs: number, nowMs: number): void;
+    recordFirstEvent(ticket: number, tookMs: number): void;
     /** Removes a prompt that will not be prefilled. */
     remove(ticket: number): void;
     /** Learned rate in tokens/ms; undefined if there were too few responses. */
@@ -85,15 +85,16 @@
 
     return {
         recordAdmitted(ticket, tokens, atMs) {
-            admitted = [...admitted, { ticket, tokens, atMs }];
+            admitted = [...admitted.filter(entry => atMs - entry.atMs < entryLifetimeMs), { ticket, tokens, atMs }];
         },
-        recordFirstEvent(ticket, tookMs, nowMs) {
+        recordFirstEvent(ticket, tookMs) {
             const current = admitted.find(entry => entry.ticket === ticket);
-            const prompts = admitted.filter(entry => entry.ticket <= ticket);
-            admitted = admitted.filter(entry => entry.ticket > ticket && nowMs - entry.atMs < entryLifetimeMs);
+            // A ticket of an earlier tracker, or a response that arrived after that to a later prompt.
             if (!current) {
                 return;
             }
+            const prompts = admitted.filter(entry => entry.ticket <= ticket);
+            admitted = admitted.filter(entry => entry.ticket > ticket);
             const firstEventMs = current.atMs + tookMs;
             if (prompts.every(isKnown)) {
                 responses++;
