dispatch: engines with few slots are evenly loaded

Cause: a session moves from its primary engine only when that refuses a prompt, from a wait of 0.6 of the objective; engines with 12 slots are overrun in turns while others idle, and what a VM knows of their queues is seconds old (docs/design/even-load.md). Change: a prompt is offered first where its first event is believed soonest, for a short wait only, then to one more engine; trackers state two other queues in each answer.

--- a/packages/bench/src/announcements.ts
+++ b/packages/bench/src/announcements.ts
@@ -85,6 +85,7 @@
                 ejected: false,
                 limited: false,
                 statedLimit: undefined,
+                otherQueues: [],
                 unreadTokens: 9_190,
                 newTokens: 2_890,
                 running: 20,
--- a/packages/dispatch/__tests__/unit/PrefillFleet.ts
+++ b/packages/dispatch/__tests__/unit/PrefillFleet.ts
@@ -8,7 +8,7 @@
 export const longPrompt = { sharedTokens: 6_300, ownTokens: 2_890 };
 export const shortPrompt = { sharedTokens: 200, ownTokens: 100 };
 /** Time in ms from the end of the prefill of a prompt to its first event. */
-const firstEventDelayMs = 70;
+export const firstEventDelayMs = 70;
 
 export interface FleetSizes {
     readonly vms: number;
@@ -223,6 +223,9 @@
         refusals,
         coldArrivalsMs,
         restartEngines,
+        /** Time in ms until each engine has prefilled what was sent to it. */
+        queuesMs: (): readonly number[] =>
+            [...speedById.keys()].map(id => Math.max(0, (engineFreeAtMs.get(id) ?? 0) - clock.nowMs())),
         /** Offers prompts as a Poisson process. */
         async run(durationMs: number, offeredLoad = load): Promise<void> {
             const prefillMs = ownTokens / prefillTokensPerMs;
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -14,6 +14,7 @@
     maxWaitMs,
     maySpill,
 } from "./EngineAdmission.js";
+import { createEngineBalancer } from "./EngineBalancer.js";
 import type { FleetView } from "./FleetView.js";
 import { type DispatchRefusal, type Job, type Lease, type Prompt, sharedPartsOf } from "./Job.js";
 import type { StreamOrigin } from "./OriginHistory.js";
@@ -101,6 +102,25 @@
     readonly isContinued: boolean;
 }
 
+/** The terms on which an engine is asked to admit a prompt. */
+interface OfferTerms {
+    readonly waitLimitMs: number;
+    /** Share of the engine's slots that may be in use. */
+    readonly slotShare: number;
+    /** Whether the prefill of shared parts that are not cached there counts as waiting. */
+    readonly isSpillover: boolean;
+}
+
+/** The reply to an offer: of the engine's tracker, or what this VM decides in its place. */
+interface OfferReply {
+    /** Undefined if the tracker did not answer. */
+    readonly answer: TrackerReply | undefined;
+    readonly load: EngineLoad;
+    /** Expected wait in ms. */
+    readonly waitMs: number;
+    readonly isGranted: boolean;
+}
+
 /** An engine that refused a prompt. */
 interface RefusedEngine {
     readonly upstream: core.UpstreamId;
@@ -129,6 +149,10 @@
         onBegun: poisonGuard.recordBegun,
         onResponse: poisonGuard.recordResponse,
     });
+    const balancer = createEngineBalancer({
+        ...options,
+        slotsOf: pool => options.catalog.read().activeConfig?.pools.get(pool)?.engine?.slots,
+    });
     const usage = createCustomerUsage();
     const budgets = new Map<core.PoolId, RetryBudget>();
     const usageReport = createUsageReport({ clock, log, usage });
@@ -143,6 +167,7 @@
         prefillTokensPerMs: table.prefillTokensPerMs,
         cacheTokens: table.cacheTokens,
         coldRatePerS: table.coldRatePerS,
+        queuesToState: balancer.queuesToState,
     }));
     const trackedLoad = createTrackedLoad(clock);
 
@@ -357,44 +382,30 @@
             state => state.idHash,
             maxCandidates + maxUnavailableCandidates,
         );
-        const sharedParts = sharedPartsOf(prompt).map(({ id, tokens }) => ({ hash: core.hash32(id), tokens }));
-        const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
-        const prefillTokensPerMs = table.prefillTokensPerMs(job.pool);
+        const balanced = isOverflow || isContinued ? undefined : await offerWhereSoonest(job, prompt, candidates);
+        if (balanced) {
+            return balanced;
+        }
         let refused: RefusedEngine | undefined;
         let candidateRank = 0;
         for (const state of candidates) {
             if (!state.tryTakeColdPermit()) {
                 continue;
             }
-            const input = {
-                elapsedMs: clock.nowMs() - job.arrivedMs,
-                objectiveMs: job.route.objectiveMs,
-                relativeUsage: relativeUsage(job.customer),
-                meanLoad: trackedLoad.value(),
-            };
-            const slotLoad = trackedLoad.slotLoad();
+            const input = admissionInputOf(job);
             // A retry has already waited; refusing it, or a stream that has begun, would waste the work done for it so far.
             const waitLimitMs = isContinued
                 ? job.deadlineMs() - clock.nowMs()
                 : candidateRank === 0
                 ? maxWaitMs(input)
                 : maxSpillWaitMs(input);
-            const slotShare = isContinued ? 1 : maxSlotShare({ relativeUsage: input.relativeUsage, slotLoad });
-            const answer = await askTracker(state, {
-                sharedParts,
-                ownTokens: Math.max(0, prompt.inputTokens - sharedTokens),
-                longestWaitMs: Math.max(0, waitLimitMs),
-                maxSlotShare: slotShare,
-                runMs: table.expectedRunMs(job),
+            const { answer, load, waitMs, isGranted } = await offer(job, prompt, state, {
+                waitLimitMs,
+                slotShare: isContinued ? 1 : slotShareOf(input),
                 // Adds the repeated prefill to the wait, except for what has begun already, and for heavy customers, whose
                 // prompts spill over only to idle engines.
                 isSpillover: candidateRank > 0 && !isContinued && maySpill(input),
             });
-            if (answer?.limited) {
-                postpone(job, state);
-            }
-            const load = answer ?? localLoad(prompt, state);
-            const waitMs = expectedWaitMs(load, prefillTokensPerMs);
             if (answer?.limited || answer?.ejected) {
                 state.giveBackColdPermit();
                 // The next candidate takes the place of this one: it is not spilled over to for lack of capacity.
@@ -404,16 +415,8 @@
             if (answer && candidateRank === 0 && !isOverflow) {
                 trackedLoad.record(waitMs, Math.min(1, load.running / state.upstream.slots));
             }
-            const hasCapacity = waitMs <= waitLimitMs && load.running < state.upstream.slots * slotShare;
-            if (answer?.granted ?? (hasCapacity && state.limit.tryTake(clock.nowMs()))) {
-                return grantLease(job, state.upstream.id, {
-                    load,
-                    candidateRank,
-                    isOverflow,
-                    expectedMs: expectedFirstEventMs(load, prefillTokensPerMs),
-                    ticket: answer?.ticket ?? 0,
-                    tracker: answer?.tracker,
-                }).mapErr(refusal => () => refusal);
+            if (isGranted) {
+                return grantEngine(job, state, { answer, load, candidateRank, isOverflow });
             }
             state.giveBackColdPermit();
             const isOverShare = candidateRank === 0
@@ -430,6 +433,111 @@
         return err(() => refused ? refuseOverload(job, refused) : refuseLimited(job));
     }
 
+    function admissionInputOf(job: Job): Omit<EngineAdmissionInput, "waitMs"> {
+        return {
+            elapsedMs: clock.nowMs() - job.arrivedMs,
+            objectiveMs: job.route.objectiveMs,
+            relativeUsage: relativeUsage(job.customer),
+            meanLoad: trackedLoad.value(),
+        };
+    }
+
+    const slotShareOf = ({ relativeUsage: ofCustomer }: Pick<EngineAdmissionInput, "relativeUsage">): number =>
+        maxSlotShare({ relativeUsage: ofCustomer, slotLoad: trackedLoad.slotLoad() });
+
+    /** Asks the tracker of an engine to admit a prompt. */
+    async function offer(job: Job, prompt: Prompt, state: UpstreamState, terms: OfferTerms): Promise<OfferReply> {
+        const { waitLimitMs, slotShare, isSpillover } = terms;
+        const sharedParts = sharedPartsOf(prompt).map(({ id, tokens }) => ({ hash: core.hash32(id), tokens }));
+        const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
+        const answer = await askTracker(state, {
+            sharedParts,
+            ownTokens: Math.max(0, prompt.inputTokens - sharedTokens),
+            longestWaitMs: Math.max(0, waitLimitMs),
+            maxSlotShare: slotShare,
+            runMs: table.expectedRunMs(job),
+            isSpillover,
+        });
+        if (answer?.limited) {
+            postpone(job, state);
+        }
+        const load = answer ?? localLoad(prompt, state);
+        const prefillTokensPerMs = table.prefillTokensPerMs(job.pool);
+        const waitMs = expectedWaitMs(load, prefillTokensPerMs);
+        if (answer) {
+            balancer.recordAnswer(job.pool, state.idHash, waitMs, answer, load.newTokens / prefillTokensPerMs);
+        }
+        const hasCapacity = waitMs <= waitLimitMs && load.running < state.upstream.slots * slotShare;
+        const isGranted = answer?.granted ?? (hasCapacity && state.limit.tryTake(clock.nowMs()));
+        return { answer, load, waitMs, isGranted };
+    }
+
+    function grantEngine(
+        job: Job,
+        state: UpstreamState,
+        { answer, load, candidateRank, isOverflow }:
+            & Pick<OfferReply, "answer" | "load">
+            & Pick<
+                ChosenUpstream,
+                "candidateRank" | "isOverflow"
+            >,
+    ): Result<Lease, () => DispatchRefusal> {
+        return grantLease(job, state.upstream.id, {
+            load,
+            candidateRank,
+            isOverflow,
+            expectedMs: expectedFirstEventMs(load, table.prefillTokensPerMs(job.pool)),
+            ticket: answer?.ticket ?? 0,
+            tracker: answer?.tracker,
+        }).mapErr(refusal => () => refusal);
+    }
+
+    /**
+     * Offers a prompt to up to two of its candidates, on the condition that its first event is in good time there.
+     *
+     * @returns undefined if the engines are not balanced, or neither takes it: the order of the session decides then.
+     */
+    async function offerWhereSoonest(
+        job: Job,
+        prompt: Prompt,
+        candidates: readonly UpstreamState[],
+    ): Promise<Result<Lease, () => DispatchRefusal> | undefined> {
+        const prefillTokensPerMs = table.prefillTokensPerMs(job.pool);
+        const ownTokens = prompt.parts.at(-1)?.tokens ?? prompt.inputTokens;
+        const offers = balancer.startOffers(
+            job.pool,
+            candidates.map(({ idHash }, rank) => ({
+                idHash,
+                prefillMs: (rank === 0 ? ownTokens : prompt.inputTokens) / prefillTokensPerMs,
+            })),
+            { objectiveMs: job.route.objectiveMs, elapsedMs: clock.nowMs() - job.arrivedMs },
+        );
+        for (let next = offers?.next(); next; next = offers?.next()) {
+            const state = candidates[next.index];
+            const input = admissionInputOf(job);
+            if (!state?.tryTakeColdPermit()) {
+                return undefined;
+            }
+            const reply = await offer(job, prompt, state, {
+                waitLimitMs: Math.min(next.waitLimitMs, maxWaitMs(input)),
+                slotShare: slotShareOf(input),
+                isSpillover: next.index > 0,
+            });
+            if (reply.isGranted) {
+                if (reply.answer && next.index === 0) {
+                    trackedLoad.record(reply.waitMs, Math.min(1, reply.load.running / state.upstream.slots));
+                }
+                return grantEngine(job, state, { ...reply, candidateRank: next.index, isOverflow: false });
+            }
+            state.giveBackColdPermit();
+            if (!reply.answer || reply.answer.limited || reply.answer.ejected) {
+                return undefined;
+            }
+            offers?.recordRefusal(next.index, reply.waitMs);
+        }
+        return undefined;
+    }
+
     /** The load from this VM's own requests only, for an upstream whose tracker does not answer. */
     function localLoad(prompt: Prompt, state: UpstreamState): EngineLoad {
         const nowMs = clock.nowMs();
--- a/packages/dispatch/src/UpstreamTracker.ts
+++ b/packages/dispatch/src/UpstreamTracker.ts
@@ -1,6 +1,13 @@
 import type * as catalog from "@peridotloft/catalog";
 import * as core from "@peridotloft/core";
-import type { AttemptReport, SharedPart, Tracker, TrackerAnswer, TrackerQuestion } from "@peridotloft/fleet";
+import type {
+    AttemptReport,
+    SharedPart,
+    StatedQueue,
+    Tracker,
+    TrackerAnswer,
+    TrackerQuestion,
+} from "@peridotloft/fleet";
 import type * as telemetry from "@peridotloft/telemetry";
 import type { PromptPart } from "./Job.js";
 import { createLimitState, type LimitState } from "./LimitState.js";
@@ -24,6 +31,8 @@
     readonly cacheTokens: (pool: core.PoolId) => number;
     /** Requests per second that a cold upstream of the pool accepts; 0 if there is no limit. */
     readonly coldRatePerS: (pool: core.PoolId) => number;
+    /** Queues of other engines of the pool that are stated in answers. */
+    readonly queuesToState: (pool: core.PoolId) => readonly StatedQueue[];
 }
 
 /** What this VM knows itself of an upstream that it tracks. */
@@ -171,7 +180,8 @@
                 .forEach(limit => state.limit.adopt(limit, nowMs));
             const granted = hasCapacity && state.limit.tryTake(nowMs);
             const statedLimit = state.limit.current(nowMs);
-            const answer = { ...load, granted, ejected, limited: hasCapacity && !granted, statedLimit };
+            const otherQueues = options.queuesToState(state.upstream.pool);
+            const answer = { ...load, granted, ejected, limited: hasCapacity && !granted, statedLimit, otherQueues };
             if (!granted) {
                 return { ...answer, ticket: 0 };
             }
@@ -209,6 +219,7 @@
     slowness: 1,
     ticket: 0,
     statedLimit: undefined,
+    otherQueues: [],
 };
 
 function sumOfTokens(parts: readonly SharedPart[]): number {
--- a/packages/fleet/__tests__/integration/LongTurn.test.ts
+++ b/packages/fleet/__tests__/integration/LongTurn.test.ts
@@ -22,6 +22,7 @@
     ejected: false,
     limited: false,
     statedLimit: undefined,
+    otherQueues: [],
     unreadTokens: 0,
     newTokens: 0,
     running: 0,
--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -23,6 +23,7 @@
     ejected: false,
     limited: false,
     statedLimit: undefined,
+    otherQueues: [],
     unreadTokens: 0,
     newTokens: 0,
     running: 0,
@@ -535,6 +536,7 @@
                     ticket: 11,
                     limited: true,
                     statedLimit: { limitPerS: undefined, atMs: 9_500 },
+                    otherQueues: [{ upstreamHash: 17, waitMs: 18, ageMs: 19 }],
                 },
             },
             {
--- a/packages/fleet/src/Datagram.ts
+++ b/packages/fleet/src/Datagram.ts
@@ -4,9 +4,17 @@
     type Datagram as DatagramMessage,
     DatagramSchema,
     type StatedLimit as StatedLimitMessage,
+    type TrackerAnswer as TrackerAnswerMessage,
 } from "./gen/announcement_pb.js";
 import type { StreamOriginAnswer, StreamOriginQuestion, StreamOriginRecord } from "./StreamOriginMessages.js";
-import type { AttemptReport, LimitReport, StatedLimit, TrackerAnswer, TrackerQuestion } from "./TrackerMessages.js";
+import type {
+    AttemptReport,
+    LimitReport,
+    StatedLimit,
+    StatedQueue,
+    TrackerAnswer,
+    TrackerQuestion,
+} from "./TrackerMessages.js";
 import { toUint32 } from "./Uint32.js";
 
 /** A datagram between VMs. An answer repeats the number of its question. */
@@ -64,6 +72,9 @@
                     ticket: answer.ticket,
                     limited: answer.limited,
                     statedLimit: toStatedLimitMessage(answer.statedLimit, nowMs),
+                    queueUpstreams: answer.otherQueues.map(({ upstreamHash }) => upstreamHash),
+                    queueWaitsMs: answer.otherQueues.map(({ waitMs }) => toUint32(waitMs)),
+                    queueAgesMs: answer.otherQueues.map(({ ageMs }) => toUint32(ageMs)),
                 },
             };
         }
@@ -181,6 +192,7 @@
                         slowness,
                         ticket,
                         statedLimit,
+                        otherQueues: fromQueueLists(body.value),
                     },
                 }
                 : undefined;
@@ -225,6 +237,18 @@
     }
 }
 
+/** The queues that an answer states; none if its lists differ in length. */
+function fromQueueLists({ queueUpstreams, queueWaitsMs, queueAgesMs }: TrackerAnswerMessage): readonly StatedQueue[] {
+    const { length } = queueUpstreams;
+    return queueWaitsMs.length === length && queueAgesMs.length === length
+        ? queueUpstreams.map((upstreamHash, index) => ({
+            upstreamHash,
+            waitMs: queueWaitsMs[index] ?? 0,
+            ageMs: queueAgesMs[index] ?? 0,
+        }))
+        : [];
+}
+
 function toStatedLimitMessage(limit: StatedLimit | undefined, nowMs: number) {
     return limit && {
         ageMs: toUint32(nowMs - limit.atMs),
--- a/packages/fleet/src/TrackerMessages.ts
+++ b/packages/fleet/src/TrackerMessages.ts
@@ -34,6 +34,15 @@
     readonly statedLimit: StatedLimit | undefined;
 }
 
+/** The queue of an engine, as its tracker stated it. */
+export interface StatedQueue {
+    readonly upstreamHash: number;
+    /** Time in ms that a prompt waits there before its prefill begins. */
+    readonly waitMs: number;
+    /** Age of the statement in ms. */
+    readonly ageMs: number;
+}
+
 /** The answer of an upstream's tracker. */
 export interface TrackerAnswer {
     /** Whether the request is admitted. */
@@ -54,6 +63,8 @@
     readonly slowness: number;
     /** Number of the admission, repeated in the report; increases with each one at this upstream. 0 if not admitted. */
     readonly ticket: number;
+    /** Queues of other engines, as far as the answering VM knows them. */
+    readonly otherQueues: readonly StatedQueue[];
 }
 
 /** An answer as the asking VM receives it. */
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -14,6 +14,7 @@
     LimitReport,
     SharedPart,
     StatedLimit,
+    StatedQueue,
     Tracker,
     TrackerAnswer,
     TrackerQuestion,
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -33,6 +33,11 @@
     trackerQuestions: ["tracker_questions_total", "Questions to the trackers of upstreams, by outcome.", [
         "outcome",
     ]],
+    balancedPrompts: [
+        "balanced_prompts_total",
+        "Offers of prompts to the engine with the soonest first event, by whether it is the primary one.",
+        ["offered"],
+    ],
     peerRestarts: ["peer_restarts_total", "Restarts of other VMs, by whether they had been draining before.", [
         "drained",
     ]],
