--- a/packages/bench/src/announcements.ts
+++ b/packages/bench/src/announcements.ts
@@ -89,6 +89,7 @@
                 limited: false,
                 statedLimit: undefined,
                 learnedRate: undefined,
+                otherQueues: [],
                 unreadTokens: 9_190,
                 newTokens: 2_890,
                 running: 20,
--- a/packages/dispatch/__tests__/unit/FleetUsage.test.ts
+++ b/packages/dispatch/__tests__/unit/FleetUsage.test.ts
@@ -50,6 +50,7 @@
     runMs: 1_500,
     isSpillover: false,
     statedLimit: undefined,
+    learnedRate: undefined,
 };
 const tracker: fleets.Tracker = {
     answer: () => ({
@@ -57,6 +58,8 @@
         ejected: false,
         limited: false,
         statedLimit: undefined,
+        learnedRate: undefined,
+        otherQueues: [],
         unreadTokens: 20_000,
         newTokens: 3_000,
         running: 8,
--- a/packages/dispatch/src/UpstreamTracker.ts
+++ b/packages/dispatch/src/UpstreamTracker.ts
@@ -4,6 +4,7 @@
     AttemptReport,
     LearnedRate,
     SharedPart,
+    StatedQueue,
     Tracker,
     TrackerAnswer,
     TrackerQuestion,
@@ -36,6 +37,8 @@
     readonly cacheTokens: (pool: core.PoolId) => number;
     /** Requests per second that a cold upstream of the pool accepts; 0 if there is no limit. */
     readonly coldRatePerS: (pool: core.PoolId) => number;
+    /** Queues of other engines of the pool that are stated in answers. */
+    readonly queuesToState: (pool: core.PoolId) => readonly StatedQueue[];
 }
 
 /** What this VM knows itself of an upstream that it tracks. */
@@ -208,7 +211,9 @@
             const statedLimit = state.limit.current(nowMs);
             const currentRate = known.rate.current();
             const learnedRate = isSameRate(question.learnedRate, currentRate) ? undefined : currentRate;
-            const answer = { ...load, granted, ejected, limited: hasCapacity && !granted, statedLimit, learnedRate };
+            const otherQueues = options.queuesToState(state.upstream.pool);
+            const limited = hasCapacity && !granted;
+            const answer = { ...load, granted, ejected, limited, statedLimit, learnedRate, otherQueues };
             if (!granted) {
                 return { ...answer, ticket: 0 };
             }
@@ -256,6 +261,7 @@
     ticket: 0,
     statedLimit: undefined,
     learnedRate: undefined,
+    otherQueues: [],
 };
 
 function sumOfTokens(parts: readonly SharedPart[]): number {
--- a/packages/fleet/__tests__/integration/LongTurn.test.ts
+++ b/packages/fleet/__tests__/integration/LongTurn.test.ts
@@ -24,6 +24,7 @@
     limited: false,
     statedLimit: undefined,
     learnedRate: undefined,
+    otherQueues: [],
     unreadTokens: 0,
     newTokens: 0,
     running: 0,
--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -25,6 +25,7 @@
     limited: false,
     statedLimit: undefined,
     learnedRate: undefined,
+    otherQueues: [],
     unreadTokens: 0,
     newTokens: 0,
     running: 0,
@@ -580,6 +581,7 @@
                     limited: true,
                     statedLimit: { limitPerS: undefined, atMs: 9_500 },
                     learnedRate,
+                    otherQueues: [{ upstreamHash: 17, waitMs: 18, ageMs: 19 }],
                 },
             },
             {
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -15,6 +15,7 @@
     LimitReport,
     SharedPart,
     StatedLimit,
+    StatedQueue,
     Tracker,
     TrackerAnswer,
     TrackerQuestion,
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -41,6 +41,11 @@
         "outcome",
     ]],
     engineSpeedChanges: ["engine_speed_changes_total", "Changes of the learned speed of an engine by a step.", []],
+    balancedPrompts: [
+        "balanced_prompts_total",
+        "Offers of prompts to the engine with the soonest first event, by whether it is the primary one.",
+        ["offered"],
+    ],
     peerRestarts: ["peer_restarts_total", "Restarts of other VMs, by whether they had been draining before.", [
         "drained",
     ]],
