--- a/packages/gateway/__tests__/unit/EntryRelay.test.ts
+++ b/packages/gateway/__tests__/unit/EntryRelay.test.ts
@@ -2,9 +2,10 @@
 import * as assert from "node:assert/strict";
 import { once } from "node:events";
 import * as net from "node:net";
-import { describe, it } from "node:test";
+import { after, describe, it } from "node:test";
 import * as timers from "node:timers/promises";
 import { joinConnections } from "../../src/relay/RelayedPair.js";
+import { createRelayListener } from "../../src/relay/RelayListener.js";
 import {
     decodeRelayAnswer,
     decodeRelayRequest,
@@ -118,6 +119,40 @@
     });
 });
 
+describe("RelayListener", { timeout: 10_000 }, () => {
+    const catalog = { configVersion: 7, catalogAgeMs: 1_000 };
+    const listener = createRelayListener({
+        clock,
+        log: testing.createRecordingLog(),
+        metrics: testing.createNoopMetrics(),
+        room: { spareCores: () => 0.5, tryTake: () => true },
+        readCatalog: () => catalog,
+        serve: socket => socket.on("error", () => undefined),
+        isIdle: () => false,
+    });
+    after(listener.close);
+
+    async function isTaken(known: Partial<typeof catalog>): Promise<boolean | undefined> {
+        const { port } = listener.server.address() as net.AddressInfo;
+        const socket = net.connect(port, "127.0.0.1");
+        socket.write(encodeRelayRequest({ kind: "connection", waitedMs: 0, ...catalog, ...known }));
+        const [answer] = await once(socket, "data") as [Buffer];
+        socket.destroy();
+        return decodeRelayAnswer(answer)?.isAccepted;
+    }
+
+    it("takes no connection of a VM that knows a newer configuration or catalog", async () => {
+        listener.server.listen(0, "127.0.0.1");
+        await once(listener.server, "listening");
+        assert.deepEqual([await isTaken({}), await isTaken({ configVersion: 8 })], [true, false]);
+        catalog.catalogAgeMs = 5_000;
+        assert.deepEqual([await isTaken({ catalogAgeMs: 1_000 }), await isTaken({ catalogAgeMs: 5_000 })], [
+            false,
+            true,
+        ]);
+    });
+});
+
 describe("A relayed connection", { timeout: 10_000 }, () => {
     it("holds a bounded number of bytes for a caller that does not read, and its reset reaches both sides", async () => {
         const server = net.createServer({ allowHalfOpen: true }).listen(0, "127.0.0.1");
