gateway, router: a response whose encoding has no end of its own is not whole after a reset

Cause: any Transfer-Encoding counted as framing, but the parser of Node.js reads a body whose last encoding is not chunked to the end of its connection, also if that is a reset. Callers got the part as a complete 200, buffered and streamed, and other encodings without the header that names them. A response without a body (204, 304, to HEAD) was expected to end with its connection and was lost: 502 after 0.5 s.

Now core decides both for gateway and router: which heads can be passed on, with the fault (version, status, header name, encoding) in attempt-failed, and when the end of a body is known without that of its connection. upstream_broken_responses_total counts by cause.

--- a/packages/core/src/Headers.ts
+++ b/packages/core/src/Headers.ts
@@ -16,7 +16,42 @@
     return !/[^\t\x20-\x7e\x80-\xff]/.test(value);
 }
 
-/** Whether the head of a response can be passed on. The parser of Node.js accepts others, which its servers refuse to write. */
-export function isResponseHeadValid({ statusCode = 0, rawHeaders }: http.IncomingMessage): boolean {
-    return statusCode >= 200 && statusCode <= 599 && areHeaderNamesValid(rawHeaders);
+/** Why the head of a response cannot be passed on. */
+export type ResponseHeadFault =
+    | "invalid-version"
+    | "invalid-status"
+    | "invalid-header-name"
+    | "unsupported-encoding";
+
+/**
+ * Why the head of a response cannot be passed on; undefined if it can. The parser of Node.js accepts such heads, but its servers
+ * refuse to write them, and it leaves all encodings of a transfer but `chunked` as they are.
+ */
+export function findResponseHeadFault(response: http.IncomingMessage): ResponseHeadFault | undefined {
+    const { httpVersionMajor, statusCode = 0, rawHeaders, headers } = response;
+    if (httpVersionMajor !== 1) {
+        return "invalid-version";
+    }
+    if (statusCode < 200 || statusCode > 599) {
+        return "invalid-status";
+    }
+    if (!areHeaderNamesValid(rawHeaders)) {
+        return "invalid-header-name";
+    }
+    const encoding = headers["transfer-encoding"];
+    return encoding === undefined || isChunked(encoding) || /^identity$/i.test(encoding)
+        ? undefined
+        : "unsupported-encoding";
 }
+
+/** Whether the end of a response's body is known without the end of its connection. */
+export function hasFramedBody(response: http.IncomingMessage): boolean {
+    const { headers, statusCode } = response;
+    // Node.js sets `req` on responses; its types lack it.
+    const { req: request } = response as { readonly req?: http.ClientRequest; };
+    const hasNoBody = statusCode === 204 || statusCode === 304 || request?.method === "HEAD";
+    return hasNoBody || headers["content-length"] !== undefined || isChunked(headers["transfer-encoding"] ?? "");
+}
+
+/** A body whose last encoding is another one ends with its connection. */
+const isChunked = (transferEncoding: string): boolean => /^chunked$/i.test(transferEncoding);
--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -99,7 +99,7 @@
 };
 
 export function createAttemptSequence(context: GatewayContext, request: AttemptRequest): AttemptSequence {
-    const { clock, codec, log } = context;
+    const { clock, codec, log, metrics } = context;
     const { job, isRetryable } = request;
     /** Upstreams to which at least part of the request was sent. */
     const sentTo = new Set<core.UpstreamId>();
@@ -286,6 +286,10 @@
         if (outcome === "silent" || outcome === "broken" || outcome === "connect-failed") {
             context.connections.closeIdle(lease.upstream);
         }
+        if (outcome === "broken") {
+            // Each way in which the parser of Node.js fails has a code of its own.
+            metrics.count("brokenResponses", { cause: cause.startsWith("HPE_") ? "not-http" : cause });
+        }
         excluded.add(lease.upstream.id);
         if (sent) {
             sentTo.add(lease.upstream.id);
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -497,6 +497,7 @@
             sequence.excludeUpstream(lease);
             if (body.isErr()) {
                 context.connections.closeIdle(lease.upstream);
+                countBrokenBody(brokenOutcomeOf(body.error));
                 log.failure("answer-broken", {
                     requestId: job.requestId,
                     upstream: lease.upstream.id,
@@ -518,6 +519,12 @@
         }
     }
 
+    function countBrokenBody(outcome: RelayOutcome | dispatch.AttemptOutcome): void {
+        if (outcome === "broken") {
+            metrics.count("brokenResponses", { cause: "body" });
+        }
+    }
+
     async function serveStream(
         job: dispatch.Job,
         sequence: AttemptSequence,
@@ -542,6 +549,7 @@
             }
             const { upstream } = started.lease;
             sequence.excludeUpstream(started.lease);
+            countBrokenBody(outcome);
             log.failure("stream-broken", {
                 requestId: job.requestId,
                 upstream: upstream.id,
--- a/packages/gateway/src/ResponseRelay.ts
+++ b/packages/gateway/src/ResponseRelay.ts
@@ -1,4 +1,4 @@
-import type * as core from "@peridotloft/core";
+import * as core from "@peridotloft/core";
 import { err, ok, type Result } from "neverthrow";
 import type * as http from "node:http";
 import { readChunks } from "./BodyChunks.js";
@@ -72,7 +72,7 @@
 
 function startTracking(message: http.IncomingMessage): () => Promise<boolean> {
     const { socket } = message;
-    if (isFramed(message)) {
+    if (core.hasFramedBody(message)) {
         return () => Promise.resolve(message.complete);
     }
     const ended = new Promise<boolean>(resolve => {
@@ -83,11 +83,6 @@
     return async () => message.complete && await ended && !socket.errored;
 }
 
-/** Whether the end of the body is known without the end of the connection. */
-function isFramed({ headers }: http.IncomingMessage): boolean {
-    return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-}
-
 /**
  * Bytes of the write that detects a reset. They are harmless: servers skip an empty line before a request, and an
  * upstream that has closed its side reads nothing more.
@@ -176,7 +171,7 @@
                 return;
             }
             // An upstream that crashes right after the head of an unframed response may end its connection without a reset.
-            const isCutOff = !isFramed(message) && !callerResponse.hasBegun();
+            const isCutOff = !core.hasFramedBody(message) && !callerResponse.hasBegun();
             if (!isComplete || isCutOff || splitter.partialEvent().length > 0 || callerResponse.hasEnded()) {
                 resolve("broken");
                 return;
--- a/packages/gateway/src/UpstreamAttempt.ts
+++ b/packages/gateway/src/UpstreamAttempt.ts
@@ -116,11 +116,12 @@
         fail("broken", "unexpected-upgrade");
     });
     request.on("response", response => {
-        if (core.isResponseHeadValid(response)) {
+        const fault = core.findResponseHeadFault(response);
+        if (!fault) {
             settle(ok(response));
             return;
         }
-        fail("broken", "invalid-head");
+        fail("broken", fault);
         request.destroy();
     });
     return {
--- a/packages/router/__tests__/integration/UpstreamCall.test.ts
+++ b/packages/router/__tests__/integration/UpstreamCall.test.ts
@@ -80,6 +80,13 @@
         "malformed",
     ],
     ["a status below 100", respond("HTTP/1.1 099 X\r\ncontent-length: 0\r\n\r\n"), "malformed"],
+    ["another version of the protocol", respond("HTTP/2.0 200 OK\r\ncontent-length: 0\r\n\r\n"), "malformed"],
+    [
+        "an encoding that is not undone here, then a reset",
+        respondAndReset(head("transfer-encoding: chunked, gzip"), "part"),
+        "malformed",
+    ],
+    ["a reset of a body with neither length nor chunks", respondAndReset(head("x: y"), "part"), "truncated"],
     ["a space in the name of a header", respond(head("x a: b\r\ncontent-length: 0")), "malformed"],
     ["body shorter than its Content-Length", respondAndEnd(head("content-length: 9"), "short"), "connection-broken"],
     ["reset within the body", respondAndReset(head("content-length: 9"), "short"), "connection-broken"],
--- a/packages/router/src/UpstreamCall.ts
+++ b/packages/router/src/UpstreamCall.ts
@@ -104,7 +104,7 @@
     });
     request.on("response", response => {
         timers.cancel("first-byte");
-        if (!core.isResponseHeadValid(response)) {
+        if (core.findResponseHeadFault(response)) {
             return abortWith("malformed");
         }
         resolveResponse(ok(createUpstreamResponse(response)));
@@ -121,7 +121,7 @@
         return {
             statusCode: response.statusCode ?? 0,
             headers: headers.pairHeaders(response.rawHeaders),
-            isFramed: isFramed(response),
+            isFramed: core.hasFramedBody(response),
             writtenMs: writtenMs ?? clock.nowMs(),
             cancel() {
                 finishResponse();
@@ -183,13 +183,6 @@
     }
 }
 
-function isFramed(response: IncomingMessage): boolean {
-    return response.headers["content-length"] !== undefined
-        || response.headers["transfer-encoding"]?.toLowerCase().includes("chunked") === true
-        || response.statusCode === 204
-        || response.statusCode === 304;
-}
-
 type TimerName = "deadline" | "connect" | "first-byte";
 
 function createTimers(clock: core.Clock) {
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -19,6 +19,9 @@
     connections: ["connections_total", "Connections of callers, by outcome.", ["outcome"]],
     refusals: ["refusals_total", "Requests refused or failed here, by reason.", ["reason"]],
     attempts: ["upstream_attempts_total", "Requests sent to upstreams, by outcome.", ["outcome"]],
+    brokenResponses: ["upstream_broken_responses_total", "Responses of upstreams that are not passed on, by cause.", [
+        "cause",
+    ]],
     ejections: ["upstream_ejections_total", "Upstreams ejected because of their responses.", []],
     quarantines: ["quarantines_total", "Requests and parts of prompts found to crash upstreams.", []],
     statements: ["upstream_statements_total", "Changes of what upstreams state about themselves, by statement.", [
