--- a/packages/cli/__tests__/integration/Cli.test.ts
+++ b/packages/cli/__tests__/integration/Cli.test.ts
@@ -114,6 +114,85 @@
         });
     });
 
+    describe("validate, for a document that is valid but suspect,", () => {
+        const suspect = (version: number) => ({
+            ...fleet(version),
+            customers: [...fleet(version).customers, { id: "south", rateCostPerS: 10, burstCost: 20 }],
+        });
+        const warning = "customers[1]: warning: customer 'south' has no key, so that no request is its own";
+
+        it("prints warnings with their paths and exits with 0, or with 2 if it is strict", async () => {
+            const file = write("suspect.json", suspect(3));
+            const [lenient, strict, sound] = await Promise.all([
+                run(["validate", file]),
+                run(["validate", file, "--strict"]),
+                run(["validate", write("sound.json", fleet(3)), "--strict"]),
+            ]);
+            assert.deepEqual(lenient, {
+                code: 0,
+                out: `${file}: version 3 is valid, with 1 warning(s)\n`,
+                err: `${file}: ${warning}\n`,
+            });
+            assert.deepEqual([strict.code, strict.err], [2, lenient.err]);
+            assert.deepEqual([sound.code, sound.err], [0, ""]);
+        });
+
+        it("lists what differs from the published document, in a file or on the configuration service", async () => {
+            pages.set("/v1/document", JSON.stringify(fleet(3)));
+            const file = write("draft.json", suspect(4));
+            const published = write("published.json", fleet(3));
+            const exits = await Promise.all(
+                [published, url].map(against => run(["validate", file, "--against", against])),
+            );
+            exits.forEach(({ code, out, err }) => {
+                assert.deepEqual([code, err], [0, `${file}: ${warning}\n`]);
+                assert.deepEqual(out.trim().split("\n"), [
+                    `${file}: version 4 is valid, with 1 warning(s)`,
+                    "version 3 -> 4: 1 change(s)",
+                    "- Customer south is added (rate 10 cost/s, burst 20 cost, no key).",
+                ]);
+            });
+        });
+
+        it("prints findings and changes as JSON", async () => {
+            const args = ["validate", write("draft.json", suspect(3)), "--json", "--against"];
+            const { code, out } = await run([...args, write("published.json", fleet(3))]);
+            const report = JSON.parse(out);
+            assert.deepEqual([code, report.version, report.publishedVersion, report.isValid], [2, 3, 3, false]);
+            assert.deepEqual(report.findings.map(({ level, path }: Record<string, string>) => [level, path]), [
+                ["error", "version"],
+                ["warning", "customers[1]"],
+            ]);
+            assert.deepEqual(
+                report.changes.map(({ section, id, kind }: Record<string, string>) => [section, id, kind]),
+                [
+                    ["customers", "south", "added"],
+                ],
+            );
+        });
+
+        it("prints the errors of an invalid document as JSON", async () => {
+            const { code, out } = await run(["validate", write("bad.json", "{"), "--json"]);
+            const { findings, isValid } = JSON.parse(out);
+            assert.deepEqual([code, isValid, findings.length, findings[0].level], [2, false, 1, "error"]);
+        });
+
+        it("exits with 2 if the published file is invalid, and with 3 if the URL does not respond with a document", async () => {
+            const file = write("draft.json", fleet(4));
+            const exits = await Promise.all(
+                [write("bad.json", "{"), join(folder, "none.json"), "http://127.0.0.1:9", `${url}/x`]
+                    .map(against => run(["validate", file, "--against", against])),
+            );
+            pages.set("/v1/document", "<html>");
+            exits.push(await run(["validate", file, "--against", url]));
+            assert.deepEqual(exits.map(({ code }) => code), [2, 2, 3, 0, 3]);
+        });
+
+        it("states its exit codes in its help", async () => {
+            assert.match((await run(["validate", "--help"])).out, /Exit codes: 0 no errors/);
+        });
+    });
+
     describe("diff", () => {
         it("describes changes of a zone, a rate and a key, and who is affected", async () => {
             const next = fleet(4);
--- a/packages/cli/src/Cli.ts
+++ b/packages/cli/src/Cli.ts
@@ -50,9 +50,22 @@
 function addDocumentCommands(parser: Argv): void {
     parser.command(
         "validate <file>",
-        "check a document and print every error with its path",
-        command => command.positional("file", { type: "string", demandOption: true }),
-        ({ file }) => writeOutput(validate(file)),
+        "check a document before it is published: errors, entries without effect, limits that contradict each other",
+        command =>
+            command
+                .positional("file", { type: "string", demandOption: true })
+                .option("against", {
+                    type: "string",
+                    describe:
+                        "published document to compare with: a file, or the base URL of the configuration service",
+                })
+                .option("strict", { type: "boolean", default: false, describe: "exit with 2 on warnings as well" })
+                .option("json", { type: "boolean", default: false, describe: "print the findings and changes as JSON" })
+                .epilogue(
+                    "Exit codes: 0 no errors (with --strict: and no warnings); 1 failed; 2 errors, or wrong arguments; "
+                        + "3 the URL did not respond, or not as expected.",
+                ),
+        async ({ file, against, strict, json }) => writeOutput(await validate({ file, against, strict, json })),
     );
     parser.command(
         "diff <old> <new>",
@@ -104,6 +117,7 @@
     parser
         .example("$0 router --settings vm-1.json", "run the router of vm-1")
         .example("$0 validate fleet.json", "check a document before it is published")
+        .example("$0 validate draft.json --against published.json", "the same, and show what the draft changes")
         .example("$0 diff published.json draft.json", "show what a draft changes")
         .example("$0 status http://127.0.0.1:7201", "show whether the router is ready, and its document version")
         .example("$0 audit http://127.0.0.1:7201 --json", "print the recent changes as JSON")
--- a/packages/cli/src/DiffCommand.ts
+++ b/packages/cli/src/DiffCommand.ts
@@ -21,14 +21,19 @@
     if (!oldDocument || !newDocument) {
         return fail(exitCodes.failed, ["two documents are needed"]);
     }
-    const changes = describeChanges(oldDocument, newDocument);
-    const heading = `version ${oldDocument.version} -> ${newDocument.version}: ${changes.length} change(s)`;
     const transitionErrors = documents.checkTransition(oldDocument, newDocument).map(error =>
         formatError(newFile, error)
     );
     return {
         exitCode: transitionErrors.length > 0 ? exitCodes.invalid : exitCodes.ok,
-        text: [heading, ...changes.map(change => `- ${change}`)].join("\n"),
+        text: formatChanges(oldDocument, newDocument),
         errors: transitionErrors,
     };
 }
+
+/** Lists the changes between two documents, one a line. */
+export function formatChanges(before: documents.FleetDocument, after: documents.FleetDocument): string {
+    const changes = describeChanges(before, after);
+    const heading = `version ${before.version} -> ${after.version}: ${changes.length} change(s)`;
+    return [heading, ...changes.map(change => `- ${change}`)].join("\n");
+}
--- a/packages/document/src/FleetDocument.ts
+++ b/packages/document/src/FleetDocument.ts
@@ -75,9 +75,9 @@
     kind: z.enum(["engine", "service"]).describe("Model engines, or plain services behind routes."),
     models: z.array(z.string().min(1)).default([]).describe("Model names that an engine pool serves."),
     deadlineMs: durationMs(100, 3_600_000).default(60_000).describe("Time in ms in which a request must end."),
-    firstByteTimeoutMs: durationMs(50, 3_600_000).default(10_000)
+    firstByteTimeoutMs: durationMs(50, 3_600_000).default(constants.defaultUpstreamTimeoutMs)
         .describe("Time in ms in which an upstream must begin its response."),
-    idleTimeoutMs: durationMs(50, 3_600_000).default(10_000)
+    idleTimeoutMs: durationMs(50, 3_600_000).default(constants.defaultUpstreamTimeoutMs)
         .describe("Longest wait in ms for the next chunk of a response."),
     upstreams: z.array(upstreamSchema).min(1, "a pool needs at least one upstream"),
 });
