gateway: no Content-Length on an empty 204, 304 or response to HEAD

A length of 0 is not allowed in a 204, and is not that of the resource in the others (RFC 9110, section 8.6).

document: findWarnings looks customers' keys up in a set, for documents of 10,000 customers and 50,000 keys.

--- a/packages/core/src/Headers.ts
+++ b/packages/core/src/Headers.ts
@@ -49,8 +49,13 @@
     const { headers, statusCode } = response;
     // Node.js sets `req` on responses; its types lack it.
     const { req: request } = response as { readonly req?: http.ClientRequest; };
-    const hasNoBody = statusCode === 204 || statusCode === 304 || request?.method === "HEAD";
-    return hasNoBody || headers["content-length"] !== undefined || isChunked(headers["transfer-encoding"] ?? "");
+    return hasNoBody(statusCode, request?.method) || headers["content-length"] !== undefined
+        || isChunked(headers["transfer-encoding"] ?? "");
+}
+
+/** Whether a response has no body, so that a length in its head is not that of what follows. */
+export function hasNoBody(statusCode: number | undefined, method: string | undefined): boolean {
+    return statusCode === 204 || statusCode === 304 || method === "HEAD";
 }
 
 /** A body whose last encoding is another one ends with its connection. */
--- a/packages/document/src/DocumentWarnings.ts
+++ b/packages/document/src/DocumentWarnings.ts
@@ -11,10 +11,13 @@
 
 /** Lists what is suspect in a valid document. Routers accept it. */
 export function findWarnings(document: FleetDocument): DocumentWarning[] {
+    const keyHolders = new Set<string>(document.keys.map(key => key.customer));
     return [
         ...findIdleVms(document),
         ...findUnusedZones(document),
-        ...document.customers.flatMap((customer, index) => checkCustomer(document, customer, `customers[${index}]`)),
+        ...document.customers.flatMap((customer, index) =>
+            checkCustomer(document, customer, keyHolders, `customers[${index}]`)
+        ),
         ...document.pools.flatMap((pool, index) => checkPool(document, pool, `pools[${index}]`)),
         ...findSharedUrls(document),
         ...findUnmatchedPaths(document),
@@ -36,12 +39,15 @@
     );
 }
 
-function checkCustomer(document: FleetDocument, customer: Customer, path: string): DocumentWarning[] {
-    const { id, burstCost } = customer;
-    const hasKey = document.keys.some(key => key.customer === id);
-    const tooDear = document.routes.filter(({ cost }) => cost > burstCost);
+function checkCustomer(
+    { routes }: FleetDocument,
+    { id, burstCost }: Customer,
+    keyHolders: ReadonlySet<string>,
+    path: string,
+): DocumentWarning[] {
+    const tooDear = routes.filter(({ cost }) => cost > burstCost);
     return [
-        ...warnIf(!hasKey, path, `customer '${id}' has no key, so that no request is its own`),
+        ...warnIf(!keyHolders.has(id), path, `customer '${id}' has no key, so that no request is its own`),
         ...warnIf(
             tooDear.length > 0,
             `${path}.burstCost`,
--- a/packages/gateway/src/CallerResponse.ts
+++ b/packages/gateway/src/CallerResponse.ts
@@ -62,7 +62,8 @@
         if (response.headersSent || response.destroyed) {
             return;
         }
-        writeHead(statusCode, [...headers, "Content-Length", String(body.length)]);
+        const isEmpty = core.hasNoBody(statusCode, response.req.method) && body.length === 0;
+        writeHead(statusCode, isEmpty ? headers : [...headers, "Content-Length", String(body.length)]);
         hasSent = true;
         sentBytes = body.length;
         core.endResponse(response, body, !response.shouldKeepAlive, clock);
