--- a/packages/gateway/src/ConnectionRefusal.ts
+++ b/packages/gateway/src/ConnectionRefusal.ts
@@ -59,6 +59,7 @@
     };
     const stopReading = (): void => {
         hasRead = true;
+        head = "";
         cancelTimer();
         socket.off("data", onData);
         // Discards the body: closing a connection with unread bytes resets it before the caller has read the response.
@@ -86,7 +87,7 @@
         answer(formatRefusal(refusal, codec.refusalHeaders(requestId, refusal.retryAfterMs)));
     };
     const onData = (bytes: Buffer): void => {
-        head += bytes.toString("latin1");
+        head += decodeHead(bytes, options.maxHeaderBytes + headTerminator.length - head.length);
         const end = head.indexOf(headTerminator);
         if (end > options.maxHeaderBytes || (end < 0 && head.length > options.maxHeaderBytes)) {
             closeCause = "head-too-large";
@@ -127,6 +128,15 @@
     socket.on("data", onData);
 }
 
+/**
+ * Decodes what can belong to a head of `maxBytes`, without the body behind it: the id of the request keeps the whole string in memory
+ * for as long as the connection is open.
+ */
+function decodeHead(bytes: Buffer, maxBytes: number): string {
+    const end = bytes.indexOf(headTerminator);
+    return bytes.toString("latin1", 0, end < 0 ? maxBytes + 1 : end + headTerminator.length);
+}
+
 /** A response without a body, of the statuses that the HTTP server itself sends. */
 function formatBareResponse(status: string): string {
     return `HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close${headTerminator}`;
