gateway: parts of a body that wait to be read are joined

Node.js makes a Buffer for each chunk of an encoded body, and parses 64 KiB at a time: over 10,000 Buffers for chunks of one byte, which stay while the body waits for memory.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -9,6 +9,7 @@
 import { closeIdleAfterPoll } from "./CallerResponse.js";
 import { createClientErrors } from "./ClientError.js";
 import { refuseConnection, type RefusedConnection } from "./ConnectionRefusal.js";
+import { CoalescedMessage } from "./CoalescedMessage.js";
 import { drainServer } from "./Drain.js";
 import { createEntryReport } from "./EntryReport.js";
 import { createFreshness } from "./Freshness.js";
@@ -86,6 +87,7 @@
         responseMemory,
     });
     const callerServer = http.createServer({
+        IncomingMessage: CoalescedMessage,
         maxHeaderSize: maxHeaderBytes,
         headersTimeout: defaultHeaderTimeoutMs,
         requestTimeout: 0,
