gateway: what a connection sends is parsed in parts, and a paused one is not parsed further

Node.js parses all that it reads at once, 64 KiB, before a pause takes effect. The rest of a read stays in the connection's buffer while it is paused, and a connection that sends ahead goes on after the others have been polled.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -16,6 +16,7 @@
 import type { GatewayContext } from "./GatewayContext.js";
 import type { GatewaySettings } from "./GatewaySettings.js";
 import { createOverloadRetryChooser } from "./OverloadRetry.js";
+import { parseInParts } from "./ParsedParts.js";
 import { createPipelineLimit } from "./PipelineLimit.js";
 import { createRefusalReport } from "./RefusalReport.js";
 import { createRequestHandler } from "./RequestExchange.js";
@@ -184,6 +185,7 @@
                 // The HTTP server calls this after the last response.
                 socket.destroySoon = () => core.closeGracefully(socket, clock);
                 defaultListeners.forEach(listener => listener.call(server, socket));
+                parseInParts(socket);
                 return;
             }
             if (verdict === "flush") {
--- a/packages/gateway/src/PipelineLimit.ts
+++ b/packages/gateway/src/PipelineLimit.ts
@@ -20,6 +20,8 @@
     readonly log: telemetry.EventLog;
     /** Number of waiting requests from which a connection with two open ones is not read, until one is left. */
     readonly maxWaiting: number;
+    /** Calls back after the sockets have been polled once more. */
+    readonly onTurnEnd?: (callback: () => void) => void;
 }
 
 /** Number of open requests from which a connection is not read, until half of them have ended. */
@@ -30,7 +32,9 @@
     isPaused: boolean;
 }
 
-export function createPipelineLimit({ log, maxWaiting }: PipelineLimitOptions): PipelineLimit {
+export function createPipelineLimit(
+    { log, maxWaiting, onTurnEnd = callback => setImmediate(() => setImmediate(callback)) }: PipelineLimitOptions,
+): PipelineLimit {
     const pipelines = new WeakMap<net.Socket, Pipeline>();
     let waitingCount = 0;
 
@@ -44,7 +48,12 @@
     function resume(socket: net.Socket, pipeline: Pipeline): void {
         pipeline.isPaused = false;
         socket.resume = net.Socket.prototype.resume;
-        socket.resume();
+        // The requests of other connections come before the next ones of this.
+        onTurnEnd(() => {
+            if (!pipeline.isPaused && !socket.destroyed) {
+                socket.resume();
+            }
+        });
     }
 
     function remove(socket: net.Socket, pipeline: Pipeline): void {
