gateway, platform: one budget for what connections hold, on all ports

Nothing bounded what the connections to a process hold together: open requests, heads, unread responses of its own, and their number. The readiness, metrics and relay ports had no bound at all. Each connection has an account now, and a budget without a network decides which ones are ended: those that hold most and progress least first, and none whose only request is served.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -8,8 +8,9 @@
 import { createCallerConnections } from "./CallerConnections.js";
 import { closeIdleAfterPoll } from "./CallerResponse.js";
 import { createClientErrors } from "./ClientError.js";
-import { refuseConnection, type RefusedConnection } from "./ConnectionRefusal.js";
 import { CoalescedMessage } from "./CoalescedMessage.js";
+import { createConnectionAccounts, type Door } from "./ConnectionAccounts.js";
+import { refuseConnection, type RefusedConnection } from "./ConnectionRefusal.js";
 import { drainServer } from "./Drain.js";
 import { createEntryReport } from "./EntryReport.js";
 import { createFreshness } from "./Freshness.js";
@@ -38,6 +39,8 @@
      */
     drain(sinceMs?: number): Promise<void>;
     isReady(): boolean;
+    /** Bounds what the connections to another server of the process hold, together with those to its own. */
+    watchConnections(server: http.Server, door: Door): void;
     /** What its callers make it hold: bytes reserved, and numbers of requests and connections. */
     readHolders(): telemetry.LogFields;
     /** Closes all servers and connections immediately and aborts the requests in flight. */
@@ -76,6 +79,13 @@
         random: context.random,
         maxBytes: settings.maxResponseMemoryBytes,
     });
+    const accounts = createConnectionAccounts({
+        clock,
+        log,
+        metrics,
+        maxBytes: settings.maxConnectionMemoryBytes,
+        maxConnections: settings.maxConnections,
+    });
     const requestHandler = createRequestHandler({
         context,
         freshness,
@@ -85,6 +95,7 @@
         entryReport,
         chooseRetry,
         bodyMemory,
+        recordBody: accounts.recordBody,
         responseMemory,
     });
     const callerServer = http.createServer({
@@ -109,6 +120,7 @@
     callerServer.on("clientError", (error, socket) => clientErrors.handle(error, socket as net.Socket));
     closeIdleAfterPoll(callerServer);
     refuseConnectionsUnderOverload(callerServer);
+    accounts.watchRequests(callerServer);
     const removeGauges = [
         metrics.registerGauge(
             "accept_queue_wait_seconds",
@@ -161,6 +173,8 @@
             },
         );
     });
+    accounts.watch(readinessServer, "readiness");
+    accounts.watch(metricsServer, "metrics");
     const subscription = follower.snapshot.changes.subscribe(({ activeConfig: active }) => {
         if (active) {
             callerServer.headersTimeout = active.config.limits.headerTimeoutMs;
@@ -173,7 +187,7 @@
         server.removeAllListeners("connection");
         server.on("connection", (socket: net.Socket) => {
             acceptQueue.recordAccepted();
-            if (context.acceptQueueProbe.tryEnd(socket)) {
+            if (context.acceptQueueProbe.tryEnd(socket) || !accounts.open(socket, "entry")) {
                 return;
             }
             callerConnections.recordAccepted(socket);
@@ -258,6 +272,7 @@
         isClosed = true;
         subscription.unsubscribe();
         removeGauges.forEach(remove => remove());
+        accounts.dispose();
         refusalReport.dispose();
         entryReport.dispose();
         [callerServer, readinessServer, metricsServer].forEach(server => {
@@ -268,6 +283,7 @@
 
     return {
         isReady,
+        watchConnections: accounts.watch,
         readHolders: () => ({
             bodyBytes: bodyMemory.reservedBytes(),
             responseBytes: responseMemory.reservedBytes(),
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -30,4 +30,8 @@
     readonly maxResponseMemoryBytes: number;
     /** Number of requests that may wait behind others on their connections. */
     readonly maxPipelinedRequests: number;
+    /** Bytes that the connections to all ports may hold together, apart from bodies and passed-on responses. */
+    readonly maxConnectionMemoryBytes: number;
+    /** Number of connections to all ports that may be open. */
+    readonly maxConnections: number;
 }
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -15,6 +15,7 @@
 import type { CallerConnections } from "./CallerConnections.js";
 import { createCallerResponse, keepConnectionOpen } from "./CallerResponse.js";
 import type { ClientErrors } from "./ClientError.js";
+import type { ConnectionAccounts } from "./ConnectionAccounts.js";
 import type { EntryReport } from "./EntryReport.js";
 import type { Freshness } from "./Freshness.js";
 import type { GatewayContext } from "./GatewayContext.js";
@@ -76,6 +77,7 @@
     /** Decides when a caller that is refused for lack of processor time may retry. */
     readonly chooseRetry: () => OverloadRetry;
     readonly bodyMemory: BodyMemory;
+    readonly recordBody: ConnectionAccounts["recordBody"];
     readonly responseMemory: ResponseMemory;
 }
 
@@ -108,7 +110,7 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
 ): RequestExchange {
-    const { context, freshness, connections, hasFailed, chooseRetry, bodyMemory, responseMemory } = options;
+    const { context, freshness, connections, hasFailed, chooseRetry, bodyMemory, recordBody, responseMemory } = options;
     const { refusalReport, entryReport } = options;
     const { clock, codec, log, metrics } = context;
     const arrivedMs = clock.nowMs();
@@ -276,6 +278,7 @@
             memory: bodyMemory,
             maxBytes: Math.min(maxBodyBytes, bodyMemory.maxBodyBytes),
             maxWaitMs: maxMemoryWaitMsNow,
+            onReserved: bytes => recordBody(request, bytes),
         });
         const read = await requestBody.read();
         if (endsEarly()) {
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -17,6 +17,10 @@
 const counters = {
     requests: ["requests_total", "Requests by kind and outcome.", ["kind", "outcome"]],
     connections: ["connections_total", "Connections of callers, by outcome.", ["outcome"]],
+    connectionsEnded: ["connections_ended_total", "Connections closed for what they hold, by port and bound.", [
+        "door",
+        "bound",
+    ]],
     refusals: ["refusals_total", "Requests refused or failed here, by reason.", ["reason"]],
     attempts: ["upstream_attempts_total", "Requests sent to upstreams, by outcome.", ["outcome"]],
     ejections: ["upstream_ejections_total", "Upstreams ejected because of their responses.", []],
