--- a/packages/gateway/src/ConnectionAccounts.ts
+++ b/packages/gateway/src/ConnectionAccounts.ts
@@ -19,6 +19,8 @@
     watch(server: http.Server, door: Door): void;
     /** Records the bytes that are reserved now for the body of a request. */
     recordBody(request: http.IncomingMessage, bytes: number): void;
+    /** Estimated bytes that all connections hold apart from bodies and passed-on responses. */
+    heldBytes(): number;
     dispose(): void;
 }
 
@@ -122,6 +124,7 @@
             watchRequests(server);
         },
         recordBody: (request, bytes) => accounts.get(request.socket)?.recordBody(request, bytes),
+        heldBytes: budget.heldBytes,
         dispose() {
             stopChecks();
             removeGauges.forEach(remove => remove());
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -287,6 +287,7 @@
         readHolders: () => ({
             bodyBytes: bodyMemory.reservedBytes(),
             responseBytes: responseMemory.reservedBytes(),
+            connectionBytes: accounts.heldBytes(),
             pipelinedRequests: pipelineLimit.waitingCount(),
             openConnections: callerConnections.openCount(),
             openResponses: callerConnections.inFlightCount(),
