--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -8,6 +8,8 @@
 import { createCallerConnections } from "./CallerConnections.js";
 import { closeIdleAfterPoll } from "./CallerResponse.js";
 import { createClientErrors } from "./ClientError.js";
+import { CoalescedMessage } from "./CoalescedMessage.js";
+import { createConnectionAccounts, type Door } from "./ConnectionAccounts.js";
 import { refuseConnection, type RefusedConnection } from "./ConnectionRefusal.js";
 import { drainServer } from "./Drain.js";
 import { createEntryReport } from "./EntryReport.js";
@@ -15,6 +17,7 @@
 import type { GatewayContext } from "./GatewayContext.js";
 import type { GatewaySettings } from "./GatewaySettings.js";
 import { createOverloadRetryChooser } from "./OverloadRetry.js";
+import { parseInParts } from "./ParsedParts.js";
 import { createPipelineLimit } from "./PipelineLimit.js";
 import { createRefusalReport } from "./RefusalReport.js";
 import { createZoneRelay } from "./relay/ZoneRelay.js";
@@ -39,6 +42,8 @@
     isReady(): boolean;
     /** Processor time in cores that this VM can spare for connections that other VMs pass on; 0 if it takes none. */
     spareCores(): number;
+    /** Bounds what the connections to another server of the process hold, together with those to its own. */
+    watchConnections(server: http.Server, door: Door): void;
     /** What its callers make it hold: bytes reserved, and numbers of requests and connections. */
     readHolders(): telemetry.LogFields;
     /** Closes all servers and connections immediately and aborts the requests in flight. */
@@ -77,6 +82,13 @@
         random: context.random,
         maxBytes: settings.maxResponseMemoryBytes,
     });
+    const accounts = createConnectionAccounts({
+        clock,
+        log,
+        metrics,
+        maxBytes: settings.maxConnectionMemoryBytes,
+        maxConnections: settings.maxConnections,
+    });
     const requestHandler = createRequestHandler({
         context,
         freshness,
@@ -86,9 +98,11 @@
         entryReport,
         chooseRetry,
         bodyMemory,
+        recordBody: accounts.recordBody,
         responseMemory,
     });
     const callerServer = http.createServer({
+        IncomingMessage: CoalescedMessage,
         maxHeaderSize: maxHeaderBytes,
         headersTimeout: defaultHeaderTimeoutMs,
         requestTimeout: 0,
@@ -114,10 +128,13 @@
         connections: callerConnections,
         isReady,
         serve(socket, waitedMs) {
-            callerConnections.recordAccepted(socket, waitedMs);
-            serveConnection(socket);
+            if (accounts.open(socket, "entry")) {
+                callerConnections.recordAccepted(socket, waitedMs);
+                serveConnection(socket);
+            }
         },
     });
+    accounts.watchRequests(callerServer);
     const removeGauges = [
         metrics.registerGauge(
             "accept_queue_wait_seconds",
@@ -170,6 +187,8 @@
             },
         );
     });
+    accounts.watch(readinessServer, "readiness");
+    accounts.watch(metricsServer, "metrics");
     const subscription = follower.snapshot.changes.subscribe(({ activeConfig: active }) => {
         if (active) {
             callerServer.headersTimeout = active.config.limits.headerTimeoutMs;
@@ -183,7 +202,7 @@
         server.removeAllListeners("connection");
         server.on("connection", (socket: net.Socket) => {
             acceptQueue.recordAccepted();
-            if (context.acceptQueueProbe.tryEnd(socket)) {
+            if (context.acceptQueueProbe.tryEnd(socket) || !accounts.open(socket, "entry")) {
                 return;
             }
             callerConnections.recordAccepted(socket, measuredAcceptWaitMs());
@@ -200,6 +219,7 @@
             // The HTTP server calls this after the last response.
             socket.destroySoon = () => core.closeGracefully(socket, clock);
             defaultListeners.forEach(listener => listener.call(server, socket));
+            parseInParts(socket);
         }
 
         function judgeConnection(socket: net.Socket): void {
@@ -292,6 +312,7 @@
         subscription.unsubscribe();
         zoneRelay?.close();
         removeGauges.forEach(remove => remove());
+        accounts.dispose();
         refusalReport.dispose();
         entryReport.dispose();
         [callerServer, readinessServer, metricsServer].forEach(server => {
@@ -303,9 +324,11 @@
     return {
         isReady,
         spareCores: () => zoneRelay?.spareCores() ?? 0,
+        watchConnections: accounts.watch,
         readHolders: () => ({
             bodyBytes: bodyMemory.reservedBytes(),
             responseBytes: responseMemory.reservedBytes(),
+            connectionBytes: accounts.heldBytes(),
             pipelinedRequests: pipelineLimit.waitingCount(),
             openConnections: callerConnections.openCount(),
             openResponses: callerConnections.inFlightCount(),
--- a/packages/gateway/src/GatewaySettings.ts
+++ b/packages/gateway/src/GatewaySettings.ts
@@ -40,4 +40,8 @@
     readonly maxPipelinedRequests: number;
     /** Without it, connections are neither passed on to other VMs nor taken from them. */
     readonly relay?: RelaySettings | undefined;
+    /** Bytes that the connections to all ports may hold together, apart from bodies and passed-on responses. */
+    readonly maxConnectionMemoryBytes: number;
+    /** Number of connections to all ports that may be open. */
+    readonly maxConnections: number;
 }
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -16,6 +16,7 @@
 import { callerPatienceMs, isReadTooLate } from "./CallerPatience.js";
 import { createCallerResponse, keepConnectionOpen } from "./CallerResponse.js";
 import type { ClientErrors } from "./ClientError.js";
+import type { ConnectionAccounts } from "./ConnectionAccounts.js";
 import type { EntryReport } from "./EntryReport.js";
 import type { Freshness } from "./Freshness.js";
 import type { GatewayContext } from "./GatewayContext.js";
@@ -77,6 +78,7 @@
     /** Decides when a caller that is refused for lack of processor time may retry. */
     readonly chooseRetry: () => OverloadRetry;
     readonly bodyMemory: BodyMemory;
+    readonly recordBody: ConnectionAccounts["recordBody"];
     readonly responseMemory: ResponseMemory;
 }
 
@@ -109,7 +111,7 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
 ): RequestExchange {
-    const { context, freshness, connections, hasFailed, chooseRetry, bodyMemory, responseMemory } = options;
+    const { context, freshness, connections, hasFailed, chooseRetry, bodyMemory, recordBody, responseMemory } = options;
     const { refusalReport, entryReport } = options;
     const { clock, codec, log, metrics } = context;
     // Its caller has waited since the connection was opened, not since the VM had the time to accept it.
@@ -279,6 +281,7 @@
             memory: bodyMemory,
             maxBytes: Math.min(maxBodyBytes, bodyMemory.maxBodyBytes),
             maxWaitMs: maxMemoryWaitMsNow,
+            onReserved: bytes => recordBody(request, bytes),
         });
         const read = await requestBody.read();
         if (endsEarly()) {
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -24,6 +24,10 @@
     relayRequests: ["relay_requests_total", "Connections that other VMs passed on to this one, by outcome.", [
         "outcome",
     ]],
+    connectionsEnded: ["connections_ended_total", "Connections closed for what they hold, by port and bound.", [
+        "door",
+        "bound",
+    ]],
     refusals: ["refusals_total", "Requests refused or failed here, by reason.", ["reason"]],
     attempts: ["upstream_attempts_total", "Requests sent to upstreams, by outcome.", ["outcome"]],
     brokenResponses: ["upstream_broken_responses_total", "Responses of upstreams that are not passed on, by cause.", [
