--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -14,7 +14,7 @@
     maxWaitMs,
     maySpill,
 } from "./EngineAdmission.js";
-import { createEngineBalancer } from "./EngineBalancer.js";
+import { createEngineBalancer, type EngineOffers } from "./EngineBalancer.js";
 import { createFleetUsage } from "./FleetUsage.js";
 import type { FleetView } from "./FleetView.js";
 import { type DispatchRefusal, type Job, type Lease, type Prompt, sharedPartsOf } from "./Job.js";
@@ -391,7 +391,8 @@
             state => state.rate.prefillSpeed(),
             maxCandidates + maxUnavailableCandidates,
         );
-        const balanced = isOverflow || isContinued ? undefined : await offerWhereSoonest(job, prompt, candidates);
+        const offers = isOverflow || isContinued ? undefined : startOffers(job, prompt, candidates);
+        const balanced = offers && await offerWhereSoonest(job, prompt, candidates, offers);
         if (balanced) {
             return balanced;
         }
@@ -505,26 +506,31 @@
         }).mapErr(refusal => () => refusal);
     }
 
+    /** Undefined if the engines of the pool are not balanced. */
+    function startOffers(job: Job, prompt: Prompt, candidates: readonly UpstreamState[]): EngineOffers | undefined {
+        const ownTokens = prompt.parts.at(-1)?.tokens ?? prompt.inputTokens;
+        return balancer.startOffers(
+            job.pool,
+            candidates.map((state, rank) => ({
+                idHash: state.idHash,
+                prefillMs: (rank === 0 ? ownTokens : prompt.inputTokens) / prefillTokensPerMsOf(state),
+            })),
+            { objectiveMs: job.route.objectiveMs, elapsedMs: clock.nowMs() - job.arrivedMs },
+        );
+    }
+
     /**
      * Offers a prompt to up to two of its candidates, on the condition that its first event is in good time there.
      *
-     * @returns undefined if the engines are not balanced, or neither takes it: the order of the session decides then.
+     * @returns undefined if neither takes it: the order of the session decides then.
      */
     async function offerWhereSoonest(
         job: Job,
         prompt: Prompt,
         candidates: readonly UpstreamState[],
+        offers: EngineOffers,
     ): Promise<Result<Lease, () => DispatchRefusal> | undefined> {
-        const ownTokens = prompt.parts.at(-1)?.tokens ?? prompt.inputTokens;
-        const offers = balancer.startOffers(
-            job.pool,
-            candidates.map((state, rank) => ({
-                idHash: state.idHash,
-                prefillMs: (rank === 0 ? ownTokens : prompt.inputTokens) / prefillTokensPerMsOf(state),
-            })),
-            { objectiveMs: job.route.objectiveMs, elapsedMs: clock.nowMs() - job.arrivedMs },
-        );
-        for (let next = offers?.next(); next; next = offers?.next()) {
+        for (let next = offers.next(); next; next = offers.next()) {
             const state = candidates[next.index];
             const input = admissionInputOf(job);
             if (!state?.tryTakeColdPermit()) {
@@ -545,7 +551,7 @@
             if (!reply.answer || reply.answer.limited || reply.answer.ejected) {
                 return undefined;
             }
-            offers?.recordRefusal(next.index, reply.waitMs);
+            offers.recordRefusal(next.index, reply.waitMs);
         }
         return undefined;
     }
