gateway: a VM that its open connections fill closes some of them, so that other VMs serve their callers

The relay passes on new connections only. Change: while all new connections are passed on and the event loop is still busy, one in five responses closes its connection. hasFailed of the request handler is named for what it decides.

--- a/packages/gateway/__tests__/unit/EntryRelay.test.ts
+++ b/packages/gateway/__tests__/unit/EntryRelay.test.ts
@@ -49,6 +49,21 @@
         assert.deepEqual(log.lines.map(({ event }) => event), ["entry-relay-started", "entry-relay-ended"]);
     });
 
+    it("closes some open connections only if passing on all new ones is not enough", async () => {
+        const closedOf = (responses: number): number =>
+            Array.from({ length: responses }, share.closesOpen).filter(isClosed => isClosed).length;
+        load.utilization = 0.9;
+        await clock.advance(200);
+        assert.equal(closedOf(100), 0, `share ${share.current()}`);
+        await clock.advance(800);
+        const closed = closedOf(1_000);
+        assert.ok(closed > 100 && closed < 300, `${closed} of 1,000`);
+        load.utilization = 0.75;
+        assert.equal(closedOf(100), 0);
+        load.utilization = 0.5;
+        await clock.advance(3_000);
+    });
+
     it("passes on what waits in the accept queue, but not what its caller has given up", () => {
         load.waitMs = 50;
         assert.equal(share.passesOn(), true);
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -93,7 +93,8 @@
         context,
         freshness,
         connections: callerConnections,
-        hasFailed: socket => clientErrors.hasFailed(socket) || zoneRelay?.isEnding(socket) === true,
+        closesAfterResponse: socket =>
+            clientErrors.hasFailed(socket) || zoneRelay?.closesAfterResponse(socket) === true,
         refusalReport,
         entryReport,
         chooseRetry,
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -3,6 +3,7 @@
 import * as dispatch from "@peridotloft/dispatch";
 import { ok, type Result } from "neverthrow";
 import type * as http from "node:http";
+import type * as net from "node:net";
 import { type AllowedRequest, allowRequest, choosePool } from "./Admission.js";
 import { createAttemptMemory } from "./AttemptMemory.js";
 import {
@@ -15,7 +16,6 @@
 import type { CallerConnections } from "./CallerConnections.js";
 import { callerPatienceMs, isReadTooLate } from "./CallerPatience.js";
 import { createCallerResponse, keepConnectionOpen } from "./CallerResponse.js";
-import type { ClientErrors } from "./ClientError.js";
 import type { ConnectionAccounts } from "./ConnectionAccounts.js";
 import type { EntryReport } from "./EntryReport.js";
 import type { Freshness } from "./Freshness.js";
@@ -72,7 +72,8 @@
     readonly context: GatewayContext;
     readonly freshness: Freshness;
     readonly connections: CallerConnections;
-    readonly hasFailed: ClientErrors["hasFailed"];
+    /** Whether a connection is closed after the response that begins now, if no later request has arrived on it. */
+    readonly closesAfterResponse: (socket: net.Socket) => boolean;
     readonly refusalReport: RefusalReport;
     readonly entryReport: EntryReport;
     /** Decides when a caller that is refused for lack of processor time may retry. */
@@ -111,7 +112,16 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
 ): RequestExchange {
-    const { context, freshness, connections, hasFailed, chooseRetry, bodyMemory, recordBody, responseMemory } = options;
+    const {
+        context,
+        freshness,
+        connections,
+        closesAfterResponse,
+        chooseRetry,
+        bodyMemory,
+        recordBody,
+        responseMemory,
+    } = options;
     const { refusalReport, entryReport } = options;
     const { clock, codec, log, metrics } = context;
     // Its caller has waited since the connection was opened, not since the VM had the time to accept it.
@@ -123,7 +133,9 @@
         response,
         codec,
         // A connection that is closed after this response loses those of later requests.
-        () => (context.drainElapsedMs() !== undefined || hasFailed(request.socket)) && connections.isLatest(response),
+        () =>
+            connections.isLatest(response)
+            && (context.drainElapsedMs() !== undefined || closesAfterResponse(request.socket)),
         context.clock,
         () => connections.recordEnded(response),
     );
--- a/packages/gateway/src/relay/RelayShare.ts
+++ b/packages/gateway/src/relay/RelayShare.ts
@@ -7,6 +7,11 @@
 export interface RelayShare {
     /** Decides on a connection that was accepted just now. */
     passesOn(): boolean;
+    /**
+     * Decides whether an open connection is closed after the response that begins now. Its caller opens another one, which is passed
+     * on: a VM whose open connections alone take its processor time gets no relief by passing on new ones.
+     */
+    closesOpen(): boolean;
     /** Share of new connections that is passed on, 0 to 1. */
     current(): number;
     dispose(): void;
@@ -30,6 +35,11 @@
 /** Change of the share per interval: it reaches 1 in 0.5 s and falls to 0 in 2.5 s. */
 const increase = 0.2;
 const decrease = 0.04;
+/**
+ * Share of the responses with which open connections are closed. Closing many at once would fill the accept queue with those that
+ * replace them.
+ */
+const closedShare = 0.2;
 /** Wait in ms in the accept queue from which all connections are passed on: a fraction of what latency objectives leave to a VM. */
 const minWaitMs = 30;
 /** Connections accepted in turns in a row from which a wait shows a queue, rather than a single long turn. */
@@ -74,6 +84,8 @@
             }
             return isQueueing() || (share > 0 && random() < share);
         },
+        closesOpen: () =>
+            share >= 1 && utilization() >= highUtilization && peersWithRoom() > 0 && random() < closedShare,
         current: () => share,
         dispose,
     };
--- a/packages/gateway/src/relay/ZoneRelay.ts
+++ b/packages/gateway/src/relay/ZoneRelay.ts
@@ -4,15 +4,17 @@
 import type { CallerConnections } from "../CallerConnections.js";
 import type { GatewayContext } from "../GatewayContext.js";
 import { createEntryRelay, type EntryRelay } from "./EntryRelay.js";
-import { createRelayListener, type RelayListener } from "./RelayListener.js";
+import { createRelayListener } from "./RelayListener.js";
 import { createRelayPeers } from "./RelayPeers.js";
 import { createRelayRoom } from "./RelayRoom.js";
 import { createRelayShare } from "./RelayShare.js";
 
 /** Both sides of the relay of connections between the VMs of a zone. */
-export interface ZoneRelay extends Pick<EntryRelay, "tryPassOn" | "drain" | "close">, Pick<RelayListener, "isEnding"> {
+export interface ZoneRelay extends Pick<EntryRelay, "tryPassOn" | "drain" | "close"> {
     /** Listens for connections that other VMs pass on. */
     listen(): Promise<Result<void, core.BindFailure>>;
+    /** Whether a connection is closed after the response that begins now, so that another VM serves its caller. */
+    closesAfterResponse(socket: net.Socket): boolean;
     /** Processor time in cores that this VM can spare for connections of other VMs; 0 if it takes none. */
     spareCores(): number;
 }
@@ -97,7 +99,13 @@
     return {
         tryPassOn: entryRelay.tryPassOn,
         drain: entryRelay.drain,
-        isEnding: listener.isEnding,
+        closesAfterResponse(socket) {
+            const isMoved = share.closesOpen();
+            if (isMoved) {
+                metrics.count("movedConnections");
+            }
+            return isMoved || listener.isEnding(socket);
+        },
         spareCores: room.spareCores,
         listen: () => core.listen(listener.server, endpoint),
         close() {
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -20,6 +20,11 @@
     relayedConnections: ["relayed_connections_total", "Connections passed on to other VMs, by what became of them.", [
         "outcome",
     ]],
+    movedConnections: [
+        "moved_connections_total",
+        "Open connections that were closed after a response, so that other VMs serve their callers.",
+        [],
+    ],
     relayedBytes: ["relayed_bytes_total", "Bytes copied on relayed connections, in both directions.", []],
     relayRequests: ["relay_requests_total", "Connections that other VMs passed on to this one, by outcome.", [
         "outcome",
