dispatch: a VM whose questions take long makes no offers

Change: no offers while questions take over 15 ms in the mean. Measured: EngineBalancer, EvenLoad and CandidateChoice 12 of 12.

--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -464,6 +464,7 @@
         const { waitLimitMs, slotShare, isSpillover } = terms;
         const sharedParts = sharedPartsOf(prompt).map(({ id, tokens }) => ({ hash: core.hash32(id), tokens }));
         const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
+        const askedMs = clock.nowMs();
         const answer = await askTracker(state, {
             sharedParts,
             ownTokens: Math.max(0, prompt.inputTokens - sharedTokens),
@@ -472,6 +473,7 @@
             runMs: table.expectedRunMs(job),
             isSpillover,
         });
+        balancer.recordQuestionTime(clock.nowMs() - askedMs);
         if (answer?.limited) {
             postpone(job, state);
         }
--- a/packages/dispatch/src/EngineBalancer.ts
+++ b/packages/dispatch/src/EngineBalancer.ts
@@ -41,7 +41,8 @@
  */
 export interface EngineBalancer {
     /**
-     * Starts the offers of a prompt; undefined if the engines of the pool are not balanced.
+     * Starts the offers of a prompt; undefined if the engines of the pool are not balanced, or questions take long now: a VM without
+     * processor time pays for each of them with a turn of its event loop.
      *
      * @param candidates in rendezvous order; the first is the session's primary engine.
      */
@@ -64,6 +65,8 @@
     ): void;
     /** Queues of other engines to be stated in an answer about an engine of a pool. */
     queuesToState(pool: core.PoolId): readonly StatedQueue[];
+    /** Records for how long the answer to a question took in ms. */
+    recordQuestionTime(tookMs: number): void;
 }
 
 export interface EngineBalancerOptions {
@@ -81,6 +84,10 @@
 const maxBalancedSlots = 32;
 /** Engines to which a prompt is offered before the order of its session decides. */
 const maxOffers = 2;
+/** Mean time in ms of a question from which no prompt is offered; between idle VMs it takes 1 to 3 ms. */
+const maxQuestionMs = 15;
+/** Weight of the latest question in that mean. */
+const questionWeight = 0.1;
 /** Candidates that are compared. */
 const comparedCandidates = 3;
 /** Queues of other engines in an answer; each takes about 10 bytes of the control traffic. */
@@ -89,6 +96,7 @@
 export function createEngineBalancer(options: EngineBalancerOptions): EngineBalancer {
     const { clock, random, metrics, slotsOf } = options;
     const view = createEngineLoadView(clock.nowMs);
+    let meanQuestionMs = 0;
     const isBalanced = (pool: core.PoolId): boolean => {
         const slots = slotsOf(pool);
         return slots !== undefined && slots <= maxBalancedSlots;
@@ -96,7 +104,7 @@
 
     return {
         startOffers(pool, candidates, time) {
-            if (!isBalanced(pool)) {
+            if (!isBalanced(pool) || meanQuestionMs > maxQuestionMs) {
                 return undefined;
             }
             const compared = candidates.slice(0, comparedCandidates);
@@ -135,6 +143,7 @@
                 view.recordSent(upstreamHash, prefillMs);
             }
         },
+        recordQuestionTime: tookMs => void (meanQuestionMs += questionWeight * (tookMs - meanQuestionMs)),
         queuesToState: pool => isBalanced(pool) ? view.latest(statedQueues) : [],
     };
 }
