gateway: a connection whose caller gives up while another VM is asked is closed unread

Change: a connection that has waited for 1 s when the other VM takes it is reset; the relay and the accept queue share the bound. Measured: the new case of EntryRelay fails without the check (7 bytes are passed on) and passes with it.

--- a/packages/gateway/__tests__/unit/EntryRelay.test.ts
+++ b/packages/gateway/__tests__/unit/EntryRelay.test.ts
@@ -4,6 +4,7 @@
 import * as net from "node:net";
 import { after, describe, it } from "node:test";
 import * as timers from "node:timers/promises";
+import { createEntryRelay } from "../../src/relay/EntryRelay.js";
 import { joinConnections } from "../../src/relay/RelayedPair.js";
 import { createRelayListener } from "../../src/relay/RelayListener.js";
 import {
@@ -168,6 +169,57 @@
     });
 });
 
+describe("EntryRelay", { timeout: 10_000 }, () => {
+    /** Passes a connection on that has waited in the accept queue; returns what its caller and the serving VM notice. */
+    async function passOn(acceptWaitMs: number): Promise<{ readonly servedBytes: number; readonly isReset: boolean; }> {
+        let servedBytes = 0;
+        const serving = net.createServer(socket => {
+            socket.on("error", () => undefined);
+            socket.once("data", () => {
+                socket.write(encodeRelayAnswer({ isAccepted: true, spareCores: 1 }));
+                socket.on("data", bytes => servedBytes += bytes.length);
+            });
+        }).listen(0, "127.0.0.1");
+        await once(serving, "listening");
+        const relay = createEntryRelay({
+            clock,
+            log: testing.createRecordingLog(),
+            metrics: testing.createNoopMetrics(),
+            share: { passesOn: () => true, closesOpen: () => false, current: () => 1, dispose: () => undefined },
+            peers: {
+                choose: () => "127.0.0.1",
+                recordAsked: () => undefined,
+                recordAnswer: () => undefined,
+                withRoom: () => 1,
+            },
+            host: "127.0.0.1",
+            port: (serving.address() as net.AddressInfo).port,
+            maxOpen: 10,
+            maxHeldBytes: 100_000,
+            acceptWaitMs: () => acceptWaitMs,
+            readCatalog: () => ({ configVersion: 7, catalogAgeMs: 0 }),
+            isAlive: () => true,
+        });
+        const entry = net.createServer(socket => void relay.tryPassOn(socket, () => undefined))
+            .listen(0, "127.0.0.1");
+        await once(entry, "listening");
+        const caller = net.connect((entry.address() as net.AddressInfo).port, "127.0.0.1");
+        let isReset = false;
+        caller.on("error", ({ code }: NodeJS.ErrnoException) => isReset = code === "ECONNRESET");
+        caller.write("request");
+        await timers.setTimeout(200);
+        caller.destroy();
+        relay.close();
+        [entry, serving].forEach(server => server.close());
+        return { servedBytes, isReset };
+    }
+
+    it("closes a connection unread whose caller has given up before another VM has taken it", async () => {
+        assert.deepEqual(await passOn(999), { servedBytes: 7, isReset: false });
+        assert.deepEqual(await passOn(1_000), { servedBytes: 0, isReset: true });
+    });
+});
+
 describe("A relayed connection", { timeout: 10_000 }, () => {
     it("holds a bounded number of bytes for a caller that does not read, and its reset reaches both sides", async () => {
         const server = net.createServer({ allowHalfOpen: true }).listen(0, "127.0.0.1");
--- a/packages/gateway/src/CallerPatience.ts
+++ b/packages/gateway/src/CallerPatience.ts
@@ -4,7 +4,7 @@
  * Time in ms within which callers want a request to be read that may be repeated, and the share of their time; the shorter one
  * counts.
  */
-const readPatienceMs = 1_000;
+export const readPatienceMs = 1_000;
 const readPatienceShare = 1 / 3;
 /** Time in ms for which callers wait at least for the next event of a stream. */
 const minStreamPatienceMs = 2_000;
--- a/packages/gateway/src/relay/EntryRelay.ts
+++ b/packages/gateway/src/relay/EntryRelay.ts
@@ -1,6 +1,7 @@
 import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
 import * as net from "node:net";
+import { readPatienceMs } from "../CallerPatience.js";
 import { joinConnections, type RelayedEnd, type RelayedPair } from "./RelayedPair.js";
 import {
     type CatalogState,
@@ -51,7 +52,7 @@
 }
 
 /** What became of the question to a VM whether it takes a connection. */
-type AskOutcome = "accepted" | "no-room" | "unreachable" | "silent" | "caller-left";
+type AskOutcome = "accepted" | "no-room" | "unreachable" | "silent" | "caller-left" | "too-late";
 
 /** Time in ms for a VM to take a connection, in which the caller waits. */
 const answerTimeoutMs = 100;
@@ -149,6 +150,13 @@
                     [caller, peer].forEach(socket => socket.destroy());
                     return;
                 }
+                if (clock.nowMs() - sinceMs >= readPatienceMs) {
+                    // Turns of this VM's event loop were long meanwhile. Nothing was read, as the reset tells the caller.
+                    count("too-late");
+                    peer.destroy();
+                    caller.resetAndDestroy();
+                    return;
+                }
                 count(outcome);
                 if (outcome === "accepted") {
                     join(caller, peer, address);
--- a/packages/gateway/src/relay/RelayShare.ts
+++ b/packages/gateway/src/relay/RelayShare.ts
@@ -1,6 +1,7 @@
 import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
 import type { AcceptQueueMonitor } from "../AcceptQueueMonitor.js";
+import { readPatienceMs } from "../CallerPatience.js";
 import type { OverloadGuard } from "../OverloadGuard.js";
 
 /** Decides which new connections are passed on to other VMs, ahead of the load at which this VM has to refuse some. */
@@ -44,8 +45,6 @@
 const minWaitMs = 30;
 /** Connections accepted in turns in a row from which a wait shows a queue, rather than a single long turn. */
 const minAcceptedWhileBusy = 4;
-/** Wait in ms after which callers have given up. */
-const callerPatienceMs = 1_000;
 
 export function createRelayShare(options: RelayShareOptions): RelayShare {
     const { clock, log, random, utilization, acceptQueue, peersWithRoom } = options;
@@ -79,7 +78,7 @@
 
     return {
         passesOn() {
-            if (acceptQueue.waitMs() >= callerPatienceMs) {
+            if (acceptQueue.waitMs() >= readPatienceMs) {
                 return false;
             }
             return isQueueing() || (share > 0 && random() < share);
