gateway, dispatch: one constant and one computation in place of two, after a read of the whole change

Change: readPatienceMs and minAcceptedWhileBusy have one place; askEngines hashes once; DispatcherVms.ts serves both fixtures. No behaviour, bound or assertion changes.

--- a/packages/dispatch/__tests__/unit/FairShares.test.ts
+++ b/packages/dispatch/__tests__/unit/FairShares.test.ts
@@ -1,10 +1,9 @@
 import * as catalog from "@peridotloft/catalog";
 import * as core from "@peridotloft/core";
-import * as fleets from "@peridotloft/fleet";
 import * as testing from "@peridotloft/testing";
 import * as assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import * as dispatch from "../../src/index.js";
+import { startDispatcherVms } from "./DispatcherVms.js";
 import { fleetChanges, pool, prefillTokensPerMs, route } from "./EngineFixtures.js";
 
 const vmCount = 40;
@@ -43,25 +42,15 @@
     const snapshot = core.createSnapshotCell(
         catalog.applyChanges(catalog.emptySnapshot, fleetChanges(engineCount, slotsPerEngine), clock.nowMs()),
     );
-    const addresses = Array.from({ length: vmCount }, (_, index) => `10.0.0.${index + 1}`);
-    const nodes = addresses.map((address, index) =>
-        fleets.createFleetNode({
-            address,
-            zone: core.zoneId(`z${index % 3}`),
-            seeds: addresses.slice(0, 2),
-            incarnation: 1n,
-            socket: network.openSocket(address),
-            clock,
-            random,
-            log,
-            metrics,
-        })
-    );
-    const vms = nodes.map(fleet =>
-        dispatch.createDispatcher({ clock, random, catalog: snapshot, fleet, log, metrics })
-    );
-    nodes.forEach(node => node.start());
-    await clock.advance(6_000);
+    const { nodes, dispatchers: vms } = await startDispatcherVms({
+        vms: vmCount,
+        clock,
+        random,
+        log,
+        metrics,
+        snapshot,
+        network,
+    });
 
     const cached = new Set<string>();
     const freeAtMs = new Map<core.UpstreamId, number>();
--- a/packages/dispatch/__tests__/unit/PrefillFleet.ts
+++ b/packages/dispatch/__tests__/unit/PrefillFleet.ts
@@ -1,8 +1,8 @@
 import * as catalog from "@peridotloft/catalog";
 import * as core from "@peridotloft/core";
-import * as fleets from "@peridotloft/fleet";
 import * as testing from "@peridotloft/testing";
 import * as dispatch from "../../src/index.js";
+import { startDispatcherVms } from "./DispatcherVms.js";
 import { fleetChanges, pool, prefillTokensPerMs, route } from "./EngineFixtures.js";
 
 export const longPrompt = { sharedTokens: 6_300, ownTokens: 2_890 };
@@ -75,30 +75,20 @@
     const log = testing.createRecordingLog();
     const metrics = testing.createNoopMetrics();
     const network = testing.createDatagramNetwork({ clock, delayMs: () => 1 });
-    const addresses = Array.from({ length: vms }, (_, index) => `10.0.0.${index + 1}`);
     const snapshot = core.createSnapshotCell(catalog.applyChanges(
         catalog.emptySnapshot,
         fleetChanges(engines, slots, coldRatePerS),
         clock.nowMs(),
     ));
-    const nodes = addresses.map((address, index) =>
-        fleets.createFleetNode({
-            address,
-            zone: core.zoneId(`z${index % 3}`),
-            seeds: addresses.slice(0, 2),
-            incarnation: 1n,
-            socket: network.openSocket(address),
-            clock,
-            random,
-            log,
-            metrics,
-        })
-    );
-    const dispatchers = nodes.map(fleet =>
-        dispatch.createDispatcher({ clock, random, catalog: snapshot, fleet, log, metrics })
-    );
-    nodes.forEach(node => node.start());
-    await clock.advance(6_000);
+    const { nodes, dispatchers } = await startDispatcherVms({
+        vms,
+        clock,
+        random,
+        log,
+        metrics,
+        snapshot,
+        network,
+    });
 
     const speedById = new Map(
         [...snapshot.read().upstreams.keys()].map((id, index) => [id, speeds[index % speeds.length] ?? 1]),
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -103,6 +103,11 @@
     readonly isContinued: boolean;
 }
 
+/** A prompt as trackers are asked about it. */
+interface AskedPrompt extends Pick<TrackerQuestion, "sharedParts" | "ownTokens"> {
+    readonly prompt: Prompt;
+}
+
 /** The terms on which an engine is asked to admit a prompt. */
 interface OfferTerms {
     readonly waitLimitMs: number;
@@ -391,8 +396,9 @@
             state => state.rate.prefillSpeed(),
             maxCandidates + maxUnavailableCandidates,
         );
+        const asked = askedPromptOf(prompt);
         const offers = isOverflow || isContinued ? undefined : startOffers(job, prompt, candidates);
-        const balanced = offers && await offerWhereSoonest(job, prompt, candidates, offers);
+        const balanced = offers && await offerWhereSoonest(job, asked, candidates, offers);
         if (balanced) {
             return balanced;
         }
@@ -409,7 +415,7 @@
                 : candidateRank === 0
                 ? maxWaitMs(input)
                 : maxSpillWaitMs(input);
-            const { answer, load, waitMs, isGranted } = await offer(job, prompt, state, {
+            const { answer, load, waitMs, isGranted } = await offer(job, asked, state, {
                 waitLimitMs,
                 slotShare: isContinued ? 1 : slotShareOf(input),
                 // Adds the repeated prefill to the wait, except for what has begun already, and for heavy customers, whose
@@ -460,14 +466,13 @@
         maxSlotShare({ relativeUsage: ofCustomer, slotLoad: trackedLoad.slotLoad() });
 
     /** Asks the tracker of an engine to admit a prompt. */
-    async function offer(job: Job, prompt: Prompt, state: UpstreamState, terms: OfferTerms): Promise<OfferReply> {
+    async function offer(job: Job, asked: AskedPrompt, state: UpstreamState, terms: OfferTerms): Promise<OfferReply> {
+        const { prompt, sharedParts, ownTokens } = asked;
         const { waitLimitMs, slotShare, isSpillover } = terms;
-        const sharedParts = sharedPartsOf(prompt).map(({ id, tokens }) => ({ hash: core.hash32(id), tokens }));
-        const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
         const askedMs = clock.nowMs();
         const answer = await askTracker(state, {
             sharedParts,
-            ownTokens: Math.max(0, prompt.inputTokens - sharedTokens),
+            ownTokens,
             longestWaitMs: Math.max(0, waitLimitMs),
             maxSlotShare: slotShare,
             runMs: table.expectedRunMs(job),
@@ -528,7 +533,7 @@
      */
     async function offerWhereSoonest(
         job: Job,
-        prompt: Prompt,
+        asked: AskedPrompt,
         candidates: readonly UpstreamState[],
         offers: EngineOffers,
     ): Promise<Result<Lease, () => DispatchRefusal> | undefined> {
@@ -538,7 +543,7 @@
             if (!state?.tryTakeColdPermit()) {
                 return undefined;
             }
-            const reply = await offer(job, prompt, state, {
+            const reply = await offer(job, asked, state, {
                 waitLimitMs: Math.min(next.waitLimitMs, maxWaitMs(input)),
                 slotShare: slotShareOf(input),
                 isSpillover: next.index > 0,
@@ -606,6 +611,13 @@
     };
 }
 
+/** Hashes the shared parts of a prompt, once for all trackers that are asked about it. */
+function askedPromptOf(prompt: Prompt): AskedPrompt {
+    const sharedParts = sharedPartsOf(prompt).map(({ id, tokens }) => ({ hash: core.hash32(id), tokens }));
+    const sharedTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, 0);
+    return { prompt, sharedParts, ownTokens: Math.max(0, prompt.inputTokens - sharedTokens) };
+}
+
 /** Rendezvous key that leads the requests of one session to the same engine: the id of the last shared part of the prompt. */
 function sessionKey({ prompt, requestId }: Job): string {
     return prompt?.parts.at(-2)?.id ?? prompt?.parts.at(-1)?.id ?? requestId;
--- a/packages/dispatch/src/EngineLoadView.ts
+++ b/packages/dispatch/src/EngineLoadView.ts
@@ -28,7 +28,7 @@
 }
 
 /** Age in ms from which a statement says nothing: queues fill and empty within some hundred ms. */
-export const maxStatementAgeMs = 1_500;
+const maxStatementAgeMs = 1_500;
 /** Time constant in ms with which the belief in a statement decays towards the mean of all engines. */
 const beliefTimeConstantMs = 600;
 /** Time constant in ms of that mean. */
--- a/packages/gateway/src/AcceptQueueMonitor.ts
+++ b/packages/gateway/src/AcceptQueueMonitor.ts
@@ -36,6 +36,8 @@
 
 /** Maximum number of connections in the queue; the kernel drops further ones. */
 export const acceptBacklog = 511;
+/** Connections accepted in turns in a row from which a wait shows a queue, rather than a single long turn. */
+export const minAcceptedWhileBusy = 4;
 /** Wait in ms from which the queue is reported: latency objectives leave about this much time to a VM. */
 const minReportedWaitMs = 100;
 /** Upper bound in ms from which the wait is measured. */
--- a/packages/gateway/src/OverloadGuard.ts
+++ b/packages/gateway/src/OverloadGuard.ts
@@ -1,6 +1,7 @@
 import type * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
-import type { AcceptQueueMonitor } from "./AcceptQueueMonitor.js";
+import { type AcceptQueueMonitor, minAcceptedWhileBusy } from "./AcceptQueueMonitor.js";
+import { readPatienceMs } from "./CallerPatience.js";
 import type { EntryRelief } from "./EntryRelief.js";
 
 /**
@@ -70,12 +71,8 @@
  * much time to a VM. The queue is first in, first out, so it becomes shorter only if most of it is refused.
  */
 const refuseAcceptWaitMs = 100;
-/** Connections accepted in turns in a row from which a wait shows a queue, rather than a single long turn. */
-const minAcceptedWhileBusy = 4;
 /** Wait in ms that turns readiness off if it persists. */
 const unreadyAcceptWaitMs = 300;
-/** Time in ms that callers allow a VM to read their request. */
-const callerPatienceMs = 1_000;
 /**
  * Share of abandoned connections from which the accept queue is flushed if they can have waited for as long as callers
  * allow. The VM then cannot even refuse as many connections as arrive, and would refuse none whose caller still waits.
@@ -176,7 +173,7 @@
                     return "flush";
                 }
             }
-            else if (waitMs >= callerPatienceMs && acceptQueue.abandonedShare() >= maxAbandonedShare) {
+            else if (waitMs >= readPatienceMs && acceptQueue.abandonedShare() >= maxAbandonedShare) {
                 earlyFlushesUntilMs = clock.nowMs() + earlyFlushesMs;
                 return "flush";
             }
@@ -184,7 +181,7 @@
             if (share > 0 && random() < share) {
                 return "refuse";
             }
-            return waitMs >= callerPatienceMs && isQueueing() ? "drop" : "serve";
+            return waitMs >= readPatienceMs && isQueueing() ? "drop" : "serve";
         },
         refusedShare: () => currentRefusedShare(acceptQueue.waitMs()),
         utilization: () => smoothedUtilization,
--- a/packages/gateway/src/relay/RelayShare.ts
+++ b/packages/gateway/src/relay/RelayShare.ts
@@ -1,6 +1,6 @@
 import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
-import type { AcceptQueueMonitor } from "../AcceptQueueMonitor.js";
+import { type AcceptQueueMonitor, minAcceptedWhileBusy } from "../AcceptQueueMonitor.js";
 import { readPatienceMs } from "../CallerPatience.js";
 import type { OverloadGuard } from "../OverloadGuard.js";
 
@@ -43,8 +43,6 @@
 const closedShare = 0.2;
 /** Wait in ms in the accept queue from which all connections are passed on: a fraction of what latency objectives leave to a VM. */
 const minWaitMs = 30;
-/** Connections accepted in turns in a row from which a wait shows a queue, rather than a single long turn. */
-const minAcceptedWhileBusy = 4;
 
 export function createRelayShare(options: RelayShareOptions): RelayShare {
     const { clock, log, random, utilization, acceptQueue, peersWithRoom } = options;
