dispatch, fleet: reports of attempts that a tracker did not admit no longer correct its estimates

Cause: a VM whose question is not answered within 40 ms decides by its own queue, or asks a second tracker, which knows nothing of the engine yet. The time that such an attempt takes was reported to the usual tracker together with what the sender expected, and the tracker raised its slowness by the ratio (up to 8), as if its own expectation had been wrong. Its queue was multiplied by that, so whoever asked the tracker was refused, and whoever got no answer was served. Class: an estimate that is corrected by samples of another model. Change: a report goes to the VM that issued the ticket, as long as it is alive; without it, or from another VM's ticket, a report counts for the engine's health only. `admission-refused` names the tracker that answered; metric tracker_reports_total.

--- a/packages/bench/src/announcements.ts
+++ b/packages/bench/src/announcements.ts
@@ -61,7 +61,7 @@
                 expectedMs: 200,
                 runMs: 900,
                 expectedRunMs: 800,
-            });
+            }, answer?.tracker);
         }
     };
     const nodes = addresses.map((address, index) =>
--- a/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
+++ b/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
@@ -51,7 +51,7 @@
         },
         /** Lets an upstream respond to a request with statements; returns the lease, which has not ended. */
         respond(id: string, statements: Partial<ResponseStatements>): Lease {
-            const lease = table.stateOf(core.upstreamId(id))!.openLease(job, 0, 100, 0);
+            const lease = table.stateOf(core.upstreamId(id))!.openLease(job, 0, 100, { ticket: 0, tracker: undefined });
             lease.recordStatements({ ...noStatements, ...statements });
             return lease;
         },
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -29,7 +29,7 @@
 import { createPoisonGuard } from "./PoisonGuard.js";
 import { createRetryBudget, type RetryBudget } from "./RetryBudget.js";
 import { createTrackedLoad } from "./TrackedLoad.js";
-import { type BrokenAttempt, createUpstreamTable, type UpstreamState } from "./UpstreamTable.js";
+import { type Admission, type BrokenAttempt, createUpstreamTable, type UpstreamState } from "./UpstreamTable.js";
 import { createUpstreamTracker } from "./UpstreamTracker.js";
 import { createUsageCharges } from "./UsageCharges.js";
 import { createUsageReport } from "./UsageReport.js";
@@ -80,7 +80,7 @@
 const maxCandidates = 3;
 
 /** The upstream chosen for a request. */
-interface ChosenUpstream {
+interface ChosenUpstream extends Admission {
     readonly load: EngineLoad;
     /** Rank of the upstream in the rendezvous order of the session; 0 is the primary one. */
     readonly candidateRank: number;
@@ -88,10 +88,6 @@
     readonly isOverflow: boolean;
     /** Expected time in ms to the first byte. */
     readonly expectedMs: number;
-    /** Ticket issued by the upstream's tracker; 0 if there is none. */
-    readonly ticket: number;
-    /** Address of the VM that tracks the upstream; undefined if it was not asked or did not answer. */
-    readonly tracker: string | undefined;
 }
 
 /** Engines that may be asked to admit a prompt. */
@@ -132,6 +128,8 @@
     readonly upstream: core.UpstreamId;
     readonly load: EngineLoad;
     readonly input: EngineAdmissionInput;
+    /** Address of the VM whose answer this is; undefined if this VM decided without one. */
+    readonly tracker: string | undefined;
     /**
      * Whether its customer has used more than its share: the session's primary engine would have admitted it for a customer
      * without usage.
@@ -200,7 +198,7 @@
         return budget;
     }
 
-    function refuseOverload(job: Job, { upstream, load, input, isOverShare }: RefusedEngine): DispatchRefusal {
+    function refuseOverload(job: Job, { upstream, load, input, tracker, isOverShare }: RefusedEngine): DispatchRefusal {
         const retryAfterMs = computeRetryAfterMs(input, random);
         log.failure("admission-refused", {
             requestId: job.requestId,
@@ -214,6 +212,7 @@
             unreadTokens: Math.round(load.unreadTokens),
             running: load.running,
             slowness: load.slowness,
+            tracker,
             isOverShare,
         });
         return { reason: isOverShare ? "over-share" : "overloaded", retryAfterMs };
@@ -240,7 +239,7 @@
             expectedMs: Math.round(chosen.expectedMs),
             tracker: chosen.tracker,
         });
-        const lease = state.openLease(job, chosen.load.newTokens, chosen.expectedMs, chosen.ticket);
+        const lease = state.openLease(job, chosen.load.newTokens, chosen.expectedMs, chosen);
         return ok(charges.createChargedLease(job, lease));
     }
 
@@ -422,10 +421,16 @@
                 // prompts spill over only to idle engines.
                 isSpillover: candidateRank > 0 && !isContinued && maySpill(input),
             });
+            const refusedHere = {
+                upstream: state.upstream.id,
+                load,
+                input: { ...input, waitMs },
+                tracker: answer?.tracker,
+            };
             if (answer?.limited || answer?.ejected) {
                 state.giveBackColdPermit();
                 // The next candidate takes the place of this one: it is not spilled over to for lack of capacity.
-                refused ??= { upstream: state.upstream.id, load, input: { ...input, waitMs }, isOverShare: false };
+                refused ??= { ...refusedHere, isOverShare: false };
                 continue;
             }
             if (answer && candidateRank === 0 && !isOverflow) {
@@ -439,7 +444,7 @@
                 ? usage.isAboveMean(customerHashOf(job.customer), clock.nowMs())
                     && isRefusedForUsage({ ...input, waitMs }, state.upstream.slots - load.running)
                 : refused?.isOverShare === true;
-            refused = { upstream: state.upstream.id, load, input: { ...input, waitMs }, isOverShare };
+            refused = { ...refusedHere, isOverShare };
             const isLast = candidateRank > 0 && !isContinued && !isSpillWorthwhile(input);
             candidateRank++;
             if (isLast || isOverflow || candidateRank >= maxCandidates) {
--- a/packages/dispatch/src/PromptQueue.ts
+++ b/packages/dispatch/src/PromptQueue.ts
@@ -6,6 +6,8 @@
 export interface PromptQueue {
     /** Returns the ticket with which the prompt is confirmed or removed. */
     add(tokens: number, nowMs: number): number;
+    /** Whether a ticket was returned by this queue. */
+    hasIssued(ticket: number): boolean;
     /** Records the first event of this prompt. */
     confirm(ticket: number, nowMs: number): void;
     /** Removes a prompt that will not be prefilled. */
@@ -45,6 +47,7 @@
             totalTokens += tokens;
             return lastTicket;
         },
+        hasIssued: ticket => ticket > 0 && ticket <= lastTicket,
         confirm(ticket, nowMs) {
             confirmedMs = nowMs;
             retain(entry => entry.ticket > ticket);
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -38,6 +38,14 @@
     readonly runMs: number | undefined;
 }
 
+/** The admission of an attempt by the tracker of its upstream. */
+export interface Admission {
+    /** 0 if no tracker admitted it. */
+    readonly ticket: number;
+    /** IPv4 address of the VM that answered; undefined if none did. */
+    readonly tracker: string | undefined;
+}
+
 /** State of one upstream as known to this VM. */
 export interface UpstreamState {
     readonly upstream: catalog.KnownUpstream;
@@ -67,8 +75,7 @@
     tryTakeColdPermit(): boolean;
     /** Returns the permit of a request that was not sent. */
     giveBackColdPermit(): void;
-    /** @param ticket issued by the upstream's tracker; 0 if there is none. */
-    openLease(job: Job, newTokens: number, expectedMs: number, ticket: number): Lease;
+    openLease(job: Job, newTokens: number, expectedMs: number, admission: Admission): Lease;
 }
 
 /** A pause that an upstream has asked this VM for. */
@@ -277,7 +284,8 @@
             queuedTokens: nowMs => Math.max(state.backlog.tokens(nowMs), state.localQueuedTokens),
             slowness: slowness.value,
             recordFirstByte: slowness.record,
-            openLease: (job, newTokens, expectedMs, ticket) => createLease(state, job, newTokens, expectedMs, ticket),
+            openLease: (job, newTokens, expectedMs, admission) =>
+                createLease(state, job, newTokens, expectedMs, admission),
         };
         setColdUntil(state, coldUntilMsOf(upstream));
         return state;
@@ -336,7 +344,7 @@
         job: Job,
         newTokens: number,
         expectedMs: number,
-        ticket: number,
+        { ticket, tracker }: Admission,
     ): Lease {
         const openedMs = clock.nowMs();
         const leasedUpstream = state.upstream;
@@ -356,7 +364,7 @@
             state.cache.touch(job.prompt.parts);
         }
         const report = (observed: Omit<AttemptReport, "upstreamHash" | "ticket" | "runMs" | "expectedRunMs">): void => {
-            fleet.reportAttempt({ upstreamHash: state.idHash, ticket, ...observed, ...takeRuns(state) });
+            fleet.reportAttempt({ upstreamHash: state.idHash, ticket, ...observed, ...takeRuns(state) }, tracker);
         };
         const recordBegun = (): void => {
             if (begunMs === undefined) {
--- a/packages/dispatch/src/UpstreamTracker.ts
+++ b/packages/dispatch/src/UpstreamTracker.ts
@@ -234,13 +234,16 @@
                 return;
             }
             const nowMs = clock.nowMs();
+            const isAdmittedHere = state.queue.hasIssued(ticket);
+            metrics.count("trackerReports", { admission: isAdmittedHere ? "own" : "none" });
             state.health.record(unreachable ? "connect-failed" : failed ? "failed" : "ok", nowMs);
             state.rate.recordRuns(report.runMs, report.expectedRunMs);
             if (failed) {
                 state.queue.remove(ticket);
                 state.rate.remove(ticket);
             }
-            else {
+            else if (isAdmittedHere) {
+                // What others expected of the engine, without the queue known here, says nothing of the estimates made here.
                 state.queue.confirm(ticket, nowMs);
                 state.slowness.record(tookMs, expectedMs, nowMs);
                 state.rate.recordFirstEvent(ticket, tookMs, nowMs);
--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -33,6 +33,15 @@
     ticket: 1,
 };
 
+const attemptReport: Omit<fleet.AttemptReport, "upstreamHash" | "ticket"> = {
+    failed: false,
+    unreachable: false,
+    tookMs: 180,
+    expectedMs: 200,
+    runMs: 900,
+    expectedRunMs: 800,
+};
+
 /** VMs connected by a simulated network that can lose datagrams and partition VMs. */
 function createNetwork(size: number, seedCount: number, budgetBytesPerS?: number) {
     const clock = testing.createVirtualClock();
@@ -462,26 +471,55 @@
         );
     });
 
+    describe("reports an attempt", () => {
+        async function startReporting() {
+            const network = createNetwork(6, 3);
+            const reportsByNode = network.nodes.map(node => {
+                const reports: fleet.AttemptReport[] = [];
+                node.registerTracker({
+                    answer: () => unknownAnswer,
+                    recordReport: report => void reports.push(report),
+                    recordLimit: () => undefined,
+                });
+                return reports;
+            });
+            await network.clock.advance(20_000);
+            const report = { ...attemptReport, upstreamHash: 99, ticket: 7 };
+            const reply = network.nodes[0]!.askTracker({ ...question, upstreamHash: 99 });
+            await network.clock.advance(50);
+            const usual = network.addresses.indexOf((await reply)!.tracker);
+            return { ...network, reportsByNode, report, usual };
+        }
+
+        it("to the VM that admitted it, although another one is the usual tracker", async () => {
+            const { nodes, addresses, clock, reportsByNode, report, usual } = await startReporting();
+            const other = usual === 1 ? 2 : 1;
+            nodes[0]!.reportAttempt(report, addresses[other]);
+            await clock.advance(50);
+            assert.deepEqual(reportsByNode[other], [report]);
+            assert.deepEqual(reportsByNode[usual], []);
+        });
+
+        it("to the usual tracker, without the ticket, if the VM that admitted it is gone", async () => {
+            const { nodes, clock, reportsByNode, report, usual } = await startReporting();
+            nodes[0]!.reportAttempt(report, "10.9.9.9");
+            await clock.advance(50);
+            assert.deepEqual(reportsByNode[usual], [{ ...report, ticket: 0 }]);
+        });
+    });
+
     it("keeps the control traffic of a VM at 21 requests/s within 5,000 bytes/s", async () => {
         const { clock, nodes, sentBytes } = await startTracking(78);
         const run = async (seconds: number): Promise<void> => {
             for (let i = 0; i < 21 * seconds; i++) {
                 nodes.forEach((node, index) => {
                     const upstreamHash = core.mixHashes(i, index);
-                    void node.askTracker({ ...question, upstreamHash });
-                    // Reports every second attempt, as the dispatcher does.
-                    if (i % 2 === 0) {
-                        node.reportAttempt({
-                            upstreamHash,
-                            ticket: 5,
-                            failed: false,
-                            unreachable: false,
-                            tookMs: 180,
-                            expectedMs: 200,
-                            runMs: 900,
-                            expectedRunMs: 800,
-                        });
-                    }
+                    void node.askTracker({ ...question, upstreamHash }).then(reply => {
+                        // Reports every second attempt, as the dispatcher does.
+                        if (i % 2 === 0) {
+                            node.reportAttempt({ ...attemptReport, upstreamHash, ticket: 5 }, reply?.tracker);
+                        }
+                    });
                     node.announceUsage(usage);
                 });
                 await clock.advance(1_000 / 21);
--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -81,8 +81,12 @@
     announceUsage(usage: CustomerCost): void;
     /** Asks the tracker of an upstream; undefined if it does not answer within 40 ms. */
     askTracker(question: TrackerQuestion): Promise<TrackerReply | undefined>;
-    /** Reports the outcome of an attempt to the tracker of its upstream. */
-    reportAttempt(report: AttemptReport): void;
+    /**
+     * Reports the outcome of an attempt to the VM that admitted it, or else to the tracker of its upstream.
+     *
+     * @param admittedBy IPv4 address of the VM that admitted it; undefined if no tracker answered.
+     */
+    reportAttempt(report: AttemptReport, admittedBy: string | undefined): void;
     /** Reports a change of the limit that an upstream states to the upstream's tracker. */
     reportLimit(report: LimitReport): void;
     /** Sets the handler for the upstreams that this VM tracks; returns a function that removes it. */
--- a/packages/fleet/src/TrackerLink.ts
+++ b/packages/fleet/src/TrackerLink.ts
@@ -28,7 +28,8 @@
  */
 export interface TrackerLink {
     ask(question: TrackerQuestion): Promise<TrackerReply | undefined>;
-    report(report: AttemptReport): void;
+    /** @param admittedBy IPv4 address of the VM that issued the ticket; undefined if there is none. */
+    report(report: AttemptReport, admittedBy: string | undefined): void;
     reportLimit(report: LimitReport): void;
     registerTracker(tracker: Tracker): () => void;
     handleQuestion(number: number, question: TrackerQuestion, from: string): void;
@@ -59,6 +60,7 @@
     const pendingQuestions = new Map<number, (answer: TrackerAnswer | undefined) => void>();
     const timeouts = new Map<string, { readonly untilMs: number; readonly delayMs: number; }>();
     const trackerByUpstream = new Map<number, string>();
+    let aliveAddresses: ReadonlySet<string> = new Set();
     let candidates: readonly { readonly address: string; readonly hash: number; }[] = [];
     let candidatesUpdatedMs = Number.NEGATIVE_INFINITY;
     let lastNumber = 0;
@@ -70,7 +72,8 @@
             candidatesUpdatedMs = nowMs;
             trackerByUpstream.clear();
             timeouts.forEach(({ untilMs }, peer) => nowMs - untilMs > timeoutMemoryMs && timeouts.delete(peer));
-            candidates = [address, ...options.alivePeers().filter(peer => !isSkipped(peer, nowMs))]
+            aliveAddresses = new Set([address, ...options.alivePeers()]);
+            candidates = [...aliveAddresses].filter(peer => !isSkipped(peer, nowMs))
                 .map(candidate => ({ address: candidate, hash: core.hash32(candidate) }));
         }
         const cached = trackerByUpstream.get(upstreamHash);
@@ -128,13 +131,17 @@
                 options.send({ kind: "question", number, question }, peer);
             });
         },
-        report(report) {
-            const peer = trackerOf(report.upstreamHash);
+        report(report, admittedBy) {
+            const usual = trackerOf(report.upstreamHash);
+            const isIssuerAlive = admittedBy !== undefined && aliveAddresses.has(admittedBy);
+            const peer = isIssuerAlive ? admittedBy : usual;
+            // A ticket means nothing to another VM than the one that issued it.
+            const sent = isIssuerAlive ? report : { ...report, ticket: 0 };
             if (peer === address) {
-                tracker?.recordReport(report);
+                tracker?.recordReport(sent);
                 return;
             }
-            options.send({ kind: "report", report }, peer);
+            options.send({ kind: "report", report: sent }, peer);
         },
         reportLimit(report) {
             const peer = trackerOf(report.upstreamHash);
--- a/packages/fleet/src/TrackerMessages.ts
+++ b/packages/fleet/src/TrackerMessages.ts
@@ -95,7 +95,7 @@
 /** Reports the outcome of an attempt to the tracker of the upstream. */
 export interface AttemptReport {
     readonly upstreamHash: number;
-    /** The ticket of the answer; 0 if the tracker did not answer. */
+    /** The ticket of the answer; 0 if the receiver did not admit the attempt. */
     readonly ticket: number;
     readonly failed: boolean;
     /** Whether it failed because no connection could be opened. */
--- a/packages/telemetry/src/Metrics.ts
+++ b/packages/telemetry/src/Metrics.ts
@@ -52,6 +52,11 @@
     trackerQuestions: ["tracker_questions_total", "Questions to the trackers of upstreams, by outcome.", [
         "outcome",
     ]],
+    trackerReports: [
+        "tracker_reports_total",
+        "Reports of attempts to this VM as a tracker, by whether it admitted the attempt.",
+        ["admission"],
+    ],
     engineSpeedChanges: ["engine_speed_changes_total", "Changes of the learned speed of an engine by a step.", []],
     balancedPrompts: [
         "balanced_prompts_total",
