dispatch, fleet: an admission whose answer comes too late is taken back, or adopted if the prompt was sent

Cause: a tracker that answers after 40 ms has already counted the prompt as queued and running, while the asking VM has decided without the answer and dropped it. A refused prompt stayed in the tracker's queue for 3 s or until a later one began; a prompt that was sent was never confirmed, and its time was reported without a ticket. Class: an admission with no owner after a timeout. Change: TrackerLink hands on late answers for 3 s. If the prompt was refused, a report with `withdrawn` removes it from the tracker's queue, its learned rate and the requests in flight; if it was sent, its lease adopts the ticket and what the tracker expected, so that its first event confirms it. Older VMs take such a report for a first event. Log line `tracker-answer-late`.

--- a/packages/bench/src/announcements.ts
+++ b/packages/bench/src/announcements.ts
@@ -55,6 +55,7 @@
             node.reportAttempt({
                 upstreamHash,
                 ticket: 1_000,
+                withdrawn: false,
                 failed: false,
                 unreachable: false,
                 tookMs: 180,
--- a/packages/dispatch/__tests__/unit/DispatcherFixture.ts
+++ b/packages/dispatch/__tests__/unit/DispatcherFixture.ts
@@ -8,6 +8,17 @@
 
 export const route = { ...fixtures.route, maxAttempts: 2, resumable: true };
 
+const lateByMs = 10;
+const withdrawnAttempt = {
+    withdrawn: true,
+    failed: false,
+    unreachable: false,
+    tookMs: 0,
+    expectedMs: 0,
+    runMs: 0,
+    expectedRunMs: 0,
+};
+
 interface AcquireOptions {
     readonly customer?: string;
     readonly ownTokens?: number;
@@ -20,6 +31,7 @@
     const clock = testing.createVirtualClock();
     let tracker: fleets.Tracker | undefined;
     let areTrackersUnresponsive = false;
+    let areAnswersLate = false;
     const dispatcher = dispatch.createDispatcher({
         clock,
         random: testing.createSeededRandom(3),
@@ -28,13 +40,19 @@
         ),
         fleet: {
             ...standaloneView,
-            askTracker: question =>
-                Promise.resolve(
-                    areTrackersUnresponsive || !tracker
-                        ? undefined
-                        : { ...tracker.answer(question), tracker: "10.0.0.1" },
-                ),
+            askTracker(question, onLateAnswer) {
+                const reply = areTrackersUnresponsive || !tracker
+                    ? undefined
+                    : { ...tracker.answer(question), tracker: "10.0.0.1" };
+                if (areAnswersLate && reply) {
+                    clock.setTimer(lateByMs, () => onLateAnswer?.(reply));
+                    return Promise.resolve(undefined);
+                }
+                return Promise.resolve(reply);
+            },
             reportAttempt: report => tracker?.recordReport(report),
+            withdrawAdmission: (upstreamHash, { ticket }) =>
+                tracker?.recordReport({ ...withdrawnAttempt, upstreamHash, ticket }),
             reportLimit: report => tracker?.recordLimit(report),
             registerTracker(added) {
                 tracker = added;
@@ -51,6 +69,7 @@
         clock,
         /** Asks about an engine as another VM does. */
         askAsOtherVm: (question: fleets.TrackerQuestion) => tracker?.answer(question),
+        setAnswersLate: (value: boolean): void => void (areAnswersLate = value),
         setTrackersUnresponsive: (value: boolean): void => void (areTrackersUnresponsive = value),
         /** @returns the lease, or undefined if the prompt is refused. */
         async acquire(session: string, more: AcquireOptions = {}) {
--- a/packages/dispatch/__tests__/unit/SilentTrackers.test.ts
+++ b/packages/dispatch/__tests__/unit/SilentTrackers.test.ts
@@ -1,6 +1,7 @@
 import * as assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { createFixture } from "./DispatcherFixture.js";
+import { prefillTokensPerMs } from "./EngineFixtures.js";
 
 describe("A tracker that sometimes does not answer in time", () => {
     it("does not take an engine for slow since prompts were late that it did not admit", async () => {
@@ -19,4 +20,60 @@
         assert.equal(lease?.upstream.id, usual.upstream.id);
         assert.ok(lease.expectedMs <= usual.expectedMs, `${lease.expectedMs} ms, ${usual.expectedMs} ms before`);
     });
+
+    describe("whose answer comes after its sender has decided", () => {
+        const ownTokens = 6_000;
+        const promptCount = 20;
+
+        async function startFixture() {
+            const fixture = await createFixture({ engines: 1 });
+            const { acquire, clock } = fixture;
+            const usual = (await acquire("a"))!;
+            usual.recordFirstByte();
+            usual.end("ok");
+            await clock.advance(5_000);
+            /** Sends as many prompts as are admitted, and receives their first events when the engine has prefilled them. */
+            async function sendAll(): Promise<number> {
+                const sent = (await Promise.all(Array.from({ length: promptCount }, () => acquire("a", { ownTokens }))))
+                    .filter(lease => lease !== undefined);
+                sent.forEach((lease, index) =>
+                    clock.setTimer((index + 1) * ownTokens / prefillTokensPerMs + 80, () => {
+                        lease.recordFirstByte();
+                        lease.end("ok");
+                    })
+                );
+                return sent.length;
+            }
+            return { ...fixture, usual, sendAll };
+        }
+
+        it("does not count the prompt as queued if it was refused", async () => {
+            const { acquire, clock, setAnswersLate, setTrackersUnresponsive, usual, sendAll } = await startFixture();
+            setTrackersUnresponsive(true);
+            const sent = await sendAll();
+            setTrackersUnresponsive(false);
+            setAnswersLate(true);
+            assert.equal(await sendAll(), 0);
+            await clock.advance((sent * ownTokens) / prefillTokensPerMs + 200);
+            setAnswersLate(false);
+            const lease = await acquire("a");
+            assert.ok(
+                lease && lease.expectedMs <= usual.expectedMs,
+                `${lease?.expectedMs}, ${usual.expectedMs} ms before`,
+            );
+        });
+
+        it("does not count the prompt as queued for longer than until its first event", async () => {
+            const { acquire, clock, setAnswersLate, usual, sendAll } = await startFixture();
+            setAnswersLate(true);
+            const sent = await sendAll();
+            await clock.advance((sent * ownTokens) / prefillTokensPerMs + 200);
+            setAnswersLate(false);
+            const lease = await acquire("a");
+            assert.ok(
+                lease && lease.expectedMs <= usual.expectedMs,
+                `${lease?.expectedMs}, ${usual.expectedMs} ms before`,
+            );
+        });
+    });
 });
--- a/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
+++ b/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
@@ -51,7 +51,12 @@
         },
         /** Lets an upstream respond to a request with statements; returns the lease, which has not ended. */
         respond(id: string, statements: Partial<ResponseStatements>): Lease {
-            const lease = table.stateOf(core.upstreamId(id))!.openLease(job, 0, 100, { ticket: 0, tracker: undefined });
+            const lease = table.stateOf(core.upstreamId(id))!.openLease(
+                job,
+                0,
+                100,
+                () => ({ ticket: 0, tracker: undefined, expectedMs: 100 }),
+            );
             lease.recordStatements({ ...noStatements, ...statements });
             return lease;
         },
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -80,7 +80,7 @@
 const maxCandidates = 3;
 
 /** The upstream chosen for a request. */
-interface ChosenUpstream extends Admission {
+interface ChosenUpstream {
     readonly load: EngineLoad;
     /** Rank of the upstream in the rendezvous order of the session; 0 is the primary one. */
     readonly candidateRank: number;
@@ -88,6 +88,7 @@
     readonly isOverflow: boolean;
     /** Expected time in ms to the first byte. */
     readonly expectedMs: number;
+    readonly admission: () => Admission;
 }
 
 /** Engines that may be asked to admit a prompt. */
@@ -121,6 +122,8 @@
     /** Expected wait in ms. */
     readonly waitMs: number;
     readonly isGranted: boolean;
+    /** The admission of the prompt, if the tracker granted it, in time or late. */
+    readonly admission: () => Admission;
 }
 
 /** An engine that refused a prompt. */
@@ -237,9 +240,9 @@
             slowness: chosen.load.slowness,
             prefillSpeed: state.rate.prefillSpeed(),
             expectedMs: Math.round(chosen.expectedMs),
-            tracker: chosen.tracker,
+            tracker: chosen.admission().tracker,
         });
-        const lease = state.openLease(job, chosen.load.newTokens, chosen.expectedMs, chosen);
+        const lease = state.openLease(job, chosen.load.newTokens, chosen.expectedMs, chosen.admission);
         return ok(charges.createChargedLease(job, lease));
     }
 
@@ -247,13 +250,14 @@
     async function askTracker(
         state: UpstreamState,
         question: Omit<TrackerQuestion, "upstreamHash" | "statedLimit" | "learnedRate">,
+        onLateAnswer?: (answer: TrackerReply) => void,
     ): Promise<TrackerReply | undefined> {
         const answer = await fleet.askTracker({
             ...question,
             upstreamHash: state.idHash,
             statedLimit: state.limit.current(clock.nowMs()),
             learnedRate: state.rate.current(),
-        });
+        }, onLateAnswer);
         state.rate.adopt(answer?.learnedRate);
         state.limit.adopt(answer?.statedLimit, clock.nowMs());
         return answer;
@@ -349,8 +353,7 @@
                     candidateRank: 0,
                     isOverflow: false,
                     expectedMs: expectedServiceMs,
-                    ticket: 0,
-                    tracker,
+                    admission: () => ({ ticket: 0, tracker, expectedMs: expectedServiceMs }),
                 });
             }
             best.state.giveBackColdPermit();
@@ -414,13 +417,14 @@
                 : candidateRank === 0
                 ? maxWaitMs(input)
                 : maxSpillWaitMs(input);
-            const { answer, load, waitMs, isGranted } = await offer(job, asked, state, {
+            const reply = await offer(job, asked, state, {
                 waitLimitMs,
                 slotShare: isContinued ? 1 : slotShareOf(input),
                 // Adds the repeated prefill to the wait, except for what has begun already, and for heavy customers, whose
                 // prompts spill over only to idle engines.
                 isSpillover: candidateRank > 0 && !isContinued && maySpill(input),
             });
+            const { answer, load, waitMs, isGranted } = reply;
             const refusedHere = {
                 upstream: state.upstream.id,
                 load,
@@ -437,7 +441,7 @@
                 trackedLoad.record(waitMs, Math.min(1, load.running / state.upstream.slots));
             }
             if (isGranted) {
-                return grantEngine(job, state, { answer, load, candidateRank, isOverflow });
+                return grantEngine(job, state, { ...reply, candidateRank, isOverflow });
             }
             state.giveBackColdPermit();
             const isOverShare = candidateRank === 0
@@ -475,6 +479,13 @@
         const { prompt, sharedParts, ownTokens } = asked;
         const { waitLimitMs, slotShare, isSpillover } = terms;
         const askedMs = clock.nowMs();
+        let isGranted = false;
+        let lateAdmission: Admission | undefined;
+        const admissionOf = (reply: EngineLoad & Partial<Pick<TrackerReply, "ticket" | "tracker">>): Admission => ({
+            ticket: reply.ticket ?? 0,
+            tracker: reply.tracker,
+            expectedMs: expectedFirstEventMs(reply, prefillTokensPerMsOf(state)),
+        });
         const answer = await askTracker(state, {
             sharedParts,
             ownTokens,
@@ -482,6 +493,21 @@
             maxSlotShare: slotShare,
             runMs: table.expectedRunMs(job),
             isSpillover,
+        }, late => {
+            log.decision("tracker-answer-late", {
+                requestId: job.requestId,
+                upstream: state.upstream.id,
+                tracker: late.tracker,
+                lateMs: Math.round(clock.nowMs() - askedMs),
+                isAdmitted: late.granted,
+                isSent: isGranted,
+            });
+            if (isGranted) {
+                lateAdmission = admissionOf(late);
+            }
+            else if (late.granted) {
+                fleet.withdrawAdmission(state.idHash, late);
+            }
         });
         balancer.recordQuestionTime(clock.nowMs() - askedMs);
         if (answer?.limited) {
@@ -494,15 +520,16 @@
             balancer.recordAnswer(job.pool, state.idHash, waitMs, answer, load.newTokens / prefillTokensPerMs);
         }
         const hasCapacity = waitMs <= waitLimitMs && load.running < state.upstream.slots * slotShare;
-        const isGranted = answer?.granted ?? (hasCapacity && state.limit.tryTake(clock.nowMs()));
-        return { answer, load, waitMs, isGranted };
+        isGranted = answer?.granted ?? (hasCapacity && state.limit.tryTake(clock.nowMs()));
+        const admission = admissionOf(load);
+        return { answer, load, waitMs, isGranted, admission: () => lateAdmission ?? admission };
     }
 
     function grantEngine(
         job: Job,
         state: UpstreamState,
-        { answer, load, candidateRank, isOverflow }:
-            & Pick<OfferReply, "answer" | "load">
+        { load, admission, candidateRank, isOverflow }:
+            & Pick<OfferReply, "load" | "admission">
             & Pick<
                 ChosenUpstream,
                 "candidateRank" | "isOverflow"
@@ -512,9 +539,8 @@
             load,
             candidateRank,
             isOverflow,
-            expectedMs: expectedFirstEventMs(load, prefillTokensPerMsOf(state)),
-            ticket: answer?.ticket ?? 0,
-            tracker: answer?.tracker,
+            expectedMs: admission().expectedMs,
+            admission,
         }).mapErr(refusal => () => refusal);
     }
 
--- a/packages/dispatch/src/FleetView.ts
+++ b/packages/dispatch/src/FleetView.ts
@@ -14,6 +14,7 @@
     | "registerCrashEvidence"
     | "askTracker"
     | "reportAttempt"
+    | "withdrawAdmission"
     | "reportLimit"
     | "registerTracker"
     | "announceStreamOrigins"
@@ -34,6 +35,7 @@
     usageTotals: () => undefined,
     askTracker: () => Promise.resolve(undefined),
     reportAttempt: () => undefined,
+    withdrawAdmission: () => undefined,
     reportLimit: () => undefined,
     registerTracker: () => () => undefined,
     announceStreamOrigins: () => undefined,
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -44,8 +44,13 @@
     readonly ticket: number;
     /** IPv4 address of the VM that answered; undefined if none did. */
     readonly tracker: string | undefined;
+    /** Time in ms to the first byte, as expected by what the tracker answered. */
+    readonly expectedMs: number;
 }
 
+/** What is observed of an attempt; times in ms. */
+type ObservedAttempt = Pick<AttemptReport, "failed" | "unreachable" | "tookMs" | "expectedMs">;
+
 /** State of one upstream as known to this VM. */
 export interface UpstreamState {
     readonly upstream: catalog.KnownUpstream;
@@ -75,7 +80,8 @@
     tryTakeColdPermit(): boolean;
     /** Returns the permit of a request that was not sent. */
     giveBackColdPermit(): void;
-    openLease(job: Job, newTokens: number, expectedMs: number, admission: Admission): Lease;
+    /** @param admission may change until the attempt ends: the tracker's answer may come late. */
+    openLease(job: Job, newTokens: number, expectedMs: number, admission: () => Admission): Lease;
 }
 
 /** A pause that an upstream has asked this VM for. */
@@ -344,7 +350,7 @@
         job: Job,
         newTokens: number,
         expectedMs: number,
-        { ticket, tracker }: Admission,
+        admission: () => Admission,
     ): Lease {
         const openedMs = clock.nowMs();
         const leasedUpstream = state.upstream;
@@ -363,8 +369,13 @@
         if (job.prompt) {
             state.cache.touch(job.prompt.parts);
         }
-        const report = (observed: Omit<AttemptReport, "upstreamHash" | "ticket" | "runMs" | "expectedRunMs">): void => {
-            fleet.reportAttempt({ upstreamHash: state.idHash, ticket, ...observed, ...takeRuns(state) }, tracker);
+        const report = (observed: ObservedAttempt): void => {
+            const { ticket, tracker } = admission();
+            const runs = takeRuns(state);
+            fleet.reportAttempt(
+                { upstreamHash: state.idHash, ticket, withdrawn: false, ...observed, ...runs },
+                tracker,
+            );
         };
         const recordBegun = (): void => {
             if (begunMs === undefined) {
@@ -390,8 +401,8 @@
                 if (job.prompt) {
                     const tookMs = clock.nowMs() - openedMs;
                     state.recordFirstByte(tookMs, expectedMs, clock.nowMs());
-                    if (ticket % firstEventsPerReport === 0) {
-                        report({ failed: false, unreachable: false, tookMs, expectedMs });
+                    if (admission().ticket % firstEventsPerReport === 0) {
+                        report({ failed: false, unreachable: false, tookMs, expectedMs: admission().expectedMs });
                     }
                 }
             },
--- a/packages/dispatch/src/UpstreamTracker.ts
+++ b/packages/dispatch/src/UpstreamTracker.ts
@@ -44,6 +44,11 @@
 /** What this VM knows itself of an upstream that it tracks. */
 type TrackedState = Pick<UpstreamState, "upstream" | "learnedMs" | "limit" | "rate" | "isCold">;
 
+interface ExpectedEnd {
+    readonly ticket: number;
+    readonly atMs: number;
+}
+
 /** State of an upstream from the questions and reports of all VMs. */
 interface TrackedUpstream {
     readonly upstream: catalog.KnownUpstream;
@@ -60,8 +65,8 @@
     readonly limit: LimitState;
     /** Bounds the requests of all VMs while it is cold. */
     readonly coldLimiter: TokenBucket;
-    /** Times in ms at which the requests in flight are expected to end. */
-    expectedEndsMs: number[];
+    /** Tickets of the requests in flight, and the times in ms at which they are expected to end. */
+    expectedEnds: readonly ExpectedEnd[];
     lastAskedMs: number;
 }
 
@@ -133,7 +138,7 @@
                 Math.max(1, options.coldRatePerS(upstream.pool) * (1 - coldRateShare)),
                 nowMs,
             ),
-            expectedEndsMs: [],
+            expectedEnds: [],
             lastAskedMs: nowMs,
         };
     }
@@ -180,6 +185,11 @@
         return isTakenOver && nowMs - trackedSinceMs < takeoverGraceMs;
     }
 
+    function removeFromQueue(state: TrackedUpstream, ticket: number): void {
+        state.queue.remove(ticket);
+        state.rate.remove(ticket);
+    }
+
     return {
         answer(question): TrackerAnswer {
             const known = options.stateOf(question.upstreamHash);
@@ -191,8 +201,8 @@
             const nowMs = clock.nowMs();
             state.lastAskedMs = nowMs;
             state.rate.adopt(question.learnedRate);
-            state.expectedEndsMs = state.expectedEndsMs.filter(expectedEndMs => expectedEndMs > nowMs);
-            const running = state.expectedEndsMs.length;
+            state.expectedEnds = state.expectedEnds.filter(({ atMs }) => atMs > nowMs);
+            const running = state.expectedEnds.length;
             const unreadTokens = state.queue.queuedTokens(nowMs);
             const newTokens = uncachedTokens(state, question, nowMs);
             const slowness = state.slowness.value(nowMs);
@@ -218,29 +228,35 @@
                 return { ...answer, ticket: 0 };
             }
             const runMs = question.runMs / known.rate.generationSpeed();
-            state.expectedEndsMs.push(nowMs + waitMs + newTokens / prefillTokensPerMs + runMs);
             // An engine may have cached more than this model of its cache, but hardly less.
             const isCacheKnown = state.cache.cachedTokens(partsOf(question)) === sumOfTokens(question.sharedParts);
             state.cache.touch(partsOf(question));
             state.health.recordDispatch(nowMs);
             const ticket = state.queue.add(newTokens, nowMs);
+            const atMs = nowMs + waitMs + newTokens / prefillTokensPerMs + runMs;
+            state.expectedEnds = [...state.expectedEnds, { ticket, atMs }];
             state.rate.recordAdmitted(ticket, isCacheKnown ? newTokens : undefined, nowMs);
             return { ...answer, ticket };
         },
         recordReport(report: AttemptReport) {
-            const { ticket, failed, unreachable, tookMs, expectedMs } = report;
+            const { ticket, withdrawn, failed, unreachable, tookMs, expectedMs } = report;
             const state = stateOf(report.upstreamHash);
             if (!state) {
                 return;
             }
             const nowMs = clock.nowMs();
             const isAdmittedHere = state.queue.hasIssued(ticket);
+            if (withdrawn) {
+                metrics.count("trackerReports", { admission: "withdrawn" });
+                removeFromQueue(state, ticket);
+                state.expectedEnds = state.expectedEnds.filter(end => end.ticket !== ticket);
+                return;
+            }
             metrics.count("trackerReports", { admission: isAdmittedHere ? "own" : "none" });
             state.health.record(unreachable ? "connect-failed" : failed ? "failed" : "ok", nowMs);
             state.rate.recordRuns(report.runMs, report.expectedRunMs);
             if (failed) {
-                state.queue.remove(ticket);
-                state.rate.remove(ticket);
+                removeFromQueue(state, ticket);
             }
             else if (isAdmittedHere) {
                 // What others expected of the engine, without the queue known here, says nothing of the estimates made here.
--- a/packages/fleet/__tests__/unit/FleetNode.test.ts
+++ b/packages/fleet/__tests__/unit/FleetNode.test.ts
@@ -34,6 +34,7 @@
 };
 
 const attemptReport: Omit<fleet.AttemptReport, "upstreamHash" | "ticket"> = {
+    withdrawn: false,
     failed: false,
     unreachable: false,
     tookMs: 180,
@@ -449,6 +450,20 @@
         assert.ok(second !== undefined && second !== first);
     });
 
+    it("hands on an answer that comes after the timeout, so that its admission can be taken back", async () => {
+        const { nodes, addresses, clock, delaysMs, ask } = await startTracking(30);
+        const first = await ask();
+        assert.ok(first !== undefined && first !== 0, "the upstream of this test is tracked by another VM");
+        delaysMs.set(addresses[first]!, 60);
+        const late: (fleet.TrackerReply | undefined)[] = [];
+        const answer = nodes[0]!.askTracker({ ...question, upstreamHash: 99 }, reply => void late.push(reply));
+        await clock.advance(50);
+        assert.equal(await answer, undefined);
+        assert.equal(late.length, 0);
+        await clock.advance(50);
+        assert.deepEqual(late.map(reply => reply?.tracker), [addresses[first]]);
+    });
+
     it("asks a tracker again within a second of a lost question, but one that remains unresponsive less and less", async () => {
         const { clock, ask, partitioned, addresses, log } = await startTracking(120);
         const first = await ask();
@@ -627,6 +642,7 @@
                 report: {
                     upstreamHash: 11,
                     ticket: 12,
+                    withdrawn: true,
                     failed: true,
                     unreachable: true,
                     tookMs: 13,
--- a/packages/fleet/src/Datagram.ts
+++ b/packages/fleet/src/Datagram.ts
@@ -101,13 +101,14 @@
             };
         }
         case "report": {
-            const { upstreamHash, ticket, failed, unreachable, tookMs, expectedMs, runMs, expectedRunMs } =
+            const { upstreamHash, ticket, withdrawn, failed, unreachable, tookMs, expectedMs, runMs, expectedRunMs } =
                 datagram.report;
             return {
                 case: "report",
                 value: {
                     upstream: upstreamHash,
                     ticket,
+                    withdrawn,
                     failed,
                     unreachable,
                     tookMs: toUint32(tookMs),
@@ -231,12 +232,14 @@
                 : undefined;
         }
         case "report": {
-            const { upstream, ticket, failed, unreachable, tookMs, expectedMs, runMs, expectedRunMs } = body.value;
+            const { upstream, ticket, withdrawn, failed, unreachable, tookMs, expectedMs, runMs, expectedRunMs } =
+                body.value;
             return {
                 kind: "report",
                 report: {
                     upstreamHash: upstream,
                     ticket,
+                    withdrawn,
                     failed,
                     unreachable,
                     tookMs,
--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -79,14 +79,23 @@
      * there are `usageTotals`.
      */
     announceUsage(usage: CustomerCost): void;
-    /** Asks the tracker of an upstream; undefined if it does not answer within 40 ms. */
-    askTracker(question: TrackerQuestion): Promise<TrackerReply | undefined>;
+    /**
+     * Asks the tracker of an upstream; undefined if it does not answer within 40 ms.
+     *
+     * @param onLateAnswer called with an answer that arrives later.
+     */
+    askTracker(
+        question: TrackerQuestion,
+        onLateAnswer?: (answer: TrackerReply) => void,
+    ): Promise<TrackerReply | undefined>;
     /**
      * Reports the outcome of an attempt to the VM that admitted it, or else to the tracker of its upstream.
      *
      * @param admittedBy IPv4 address of the VM that admitted it; undefined if no tracker answered.
      */
     reportAttempt(report: AttemptReport, admittedBy: string | undefined): void;
+    /** Tells a tracker that a prompt that it admitted was not sent to the upstream, since its answer came too late. */
+    withdrawAdmission(upstreamHash: number, answer: Pick<TrackerReply, "ticket" | "tracker">): void;
     /** Reports a change of the limit that an upstream states to the upstream's tracker. */
     reportLimit(report: LimitReport): void;
     /** Sets the handler for the upstreams that this VM tracks; returns a function that removes it. */
@@ -118,6 +127,16 @@
     dispose(): void;
 }
 
+const withdrawnAttempt: Omit<AttemptReport, "upstreamHash" | "ticket"> = {
+    withdrawn: true,
+    failed: false,
+    unreachable: false,
+    tookMs: 0,
+    expectedMs: 0,
+    runMs: 0,
+    expectedRunMs: 0,
+};
+
 /** Limit on the control traffic of a VM at the target size of 360 VMs and 21 requests/s. */
 const defaultBudgetBytesPerS = 5_000;
 /**
@@ -540,6 +559,9 @@
         },
         askTracker: trackerLink.ask,
         reportAttempt: trackerLink.report,
+        withdrawAdmission(upstreamHash, { ticket, tracker }) {
+            trackerLink.report({ ...withdrawnAttempt, upstreamHash, ticket }, tracker);
+        },
         reportLimit: trackerLink.reportLimit,
         registerTracker: trackerLink.registerTracker,
         announceStreamOrigins: streamOriginLink.announce,
--- a/packages/fleet/src/TrackerLink.ts
+++ b/packages/fleet/src/TrackerLink.ts
@@ -27,7 +27,11 @@
  * membership, an upstream can have two trackers, each of which records only a part of its load.
  */
 export interface TrackerLink {
-    ask(question: TrackerQuestion): Promise<TrackerReply | undefined>;
+    /** @param onLateAnswer called with an answer that arrives after the timeout, for which this resolves to undefined. */
+    ask(
+        question: TrackerQuestion,
+        onLateAnswer?: (answer: TrackerReply) => void,
+    ): Promise<TrackerReply | undefined>;
     /** @param admittedBy IPv4 address of the VM that issued the ticket; undefined if there is none. */
     report(report: AttemptReport, admittedBy: string | undefined): void;
     reportLimit(report: LimitReport): void;
@@ -52,12 +56,15 @@
 const maxRetryDelayMs = 10_000;
 /** Time in ms after the end of such a delay until the timeout is forgotten. */
 const timeoutMemoryMs = 30_000;
+/** Time in ms after the timeout for which an answer is still waited for; trackers forget the admission after 3 s. */
+const lateAnswerMs = 3_000;
 /** Time in ms for which the choice of trackers is cached before it is recomputed from the live VMs. */
 const candidatesRefreshMs = 500;
 
 export function createTrackerLink(options: TrackerLinkOptions): TrackerLink {
     const { address, clock, log, metrics } = options;
     const pendingQuestions = new Map<number, (answer: TrackerAnswer | undefined) => void>();
+    const lateQuestions = new Map<number, (answer: TrackerAnswer) => void>();
     const timeouts = new Map<string, { readonly untilMs: number; readonly delayMs: number; }>();
     const trackerByUpstream = new Map<number, string>();
     let aliveAddresses: ReadonlySet<string> = new Set();
@@ -109,7 +116,7 @@
     }
 
     return {
-        ask(question) {
+        ask(question, onLateAnswer) {
             const peer = trackerOf(question.upstreamHash);
             if (peer === address) {
                 metrics.count("trackerQuestions", { outcome: "own" });
@@ -121,6 +128,10 @@
                 const cancelTimer = clock.setTimer(answerTimeoutMs, () => {
                     recordTimeout(peer);
                     settle(undefined);
+                    if (onLateAnswer) {
+                        lateQuestions.set(number, answer => onLateAnswer({ ...answer, tracker: peer }));
+                        clock.setTimer(lateAnswerMs, () => void lateQuestions.delete(number));
+                    }
                 });
                 const settle = (answer: TrackerAnswer | undefined): void => {
                     cancelTimer();
@@ -161,12 +172,14 @@
             }
         },
         handleAnswer(number, answer) {
-            // There is no pending question if the answer arrives after the timeout.
             const settle = pendingQuestions.get(number);
             if (settle) {
                 metrics.count("trackerQuestions", { outcome: answer.granted ? "granted" : "refused" });
                 settle(answer);
+                return;
             }
+            lateQuestions.get(number)?.(answer);
+            lateQuestions.delete(number);
         },
         recordDatagramFrom(peer) {
             if (timeouts.delete(peer)) {
--- a/packages/fleet/src/TrackerMessages.ts
+++ b/packages/fleet/src/TrackerMessages.ts
@@ -97,6 +97,8 @@
     readonly upstreamHash: number;
     /** The ticket of the answer; 0 if the receiver did not admit the attempt. */
     readonly ticket: number;
+    /** Whether the attempt was not made after all: the answer that admitted it came too late. */
+    readonly withdrawn: boolean;
     readonly failed: boolean;
     /** Whether it failed because no connection could be opened. */
     readonly unreachable: boolean;
