dispatch: a prompt that was sent before its tracker's answer came confirms the queue, and corrects no estimate

Cause: a lease that adopts a late ticket reported its time together with what the tracker expected when it answered, up to 150 ms after the prompt had been sent, by a queue that had become shorter by then. The ratio raised the slowness of the engine: the same class of fault as that of the reports without a ticket. Change: such a report states no expected time (0). The tracker confirms the queue by it and leaves slowness and learned rate as they are.

--- a/packages/dispatch/__tests__/unit/SilentTrackers.test.ts
+++ b/packages/dispatch/__tests__/unit/SilentTrackers.test.ts
@@ -75,5 +75,22 @@
                 `${lease?.expectedMs}, ${usual.expectedMs} ms before`,
             );
         });
+
+        it("does not correct its estimates by the prompt, since it did not see what was queued when the prompt was sent", async () => {
+            const { acquire, clock, setAnswersLate, usual } = await startFixture();
+            setAnswersLate(true);
+            const sent = await Promise.all(Array.from({ length: 4 }, () => acquire("a")));
+            await clock.advance(1_000);
+            sent.forEach(lease => {
+                lease?.recordFirstByte();
+                lease?.end("ok");
+            });
+            setAnswersLate(false);
+            const lease = await acquire("a");
+            assert.ok(
+                lease && lease.expectedMs <= usual.expectedMs,
+                `${lease?.expectedMs}, ${usual.expectedMs} ms before`,
+            );
+        });
     });
 });
--- a/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
+++ b/packages/dispatch/__tests__/unit/UpstreamTable.test.ts
@@ -55,7 +55,7 @@
                 job,
                 0,
                 100,
-                () => ({ ticket: 0, tracker: undefined, expectedMs: 100 }),
+                () => ({ ticket: 0, tracker: undefined, isLate: false }),
             );
             lease.recordStatements({ ...noStatements, ...statements });
             return lease;
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -353,7 +353,7 @@
                     candidateRank: 0,
                     isOverflow: false,
                     expectedMs: expectedServiceMs,
-                    admission: () => ({ ticket: 0, tracker, expectedMs: expectedServiceMs }),
+                    admission: () => ({ ticket: 0, tracker, isLate: false }),
                 });
             }
             best.state.giveBackColdPermit();
@@ -480,12 +480,7 @@
         const { waitLimitMs, slotShare, isSpillover } = terms;
         const askedMs = clock.nowMs();
         let isGranted = false;
-        let lateAdmission: Admission | undefined;
-        const admissionOf = (reply: EngineLoad & Partial<Pick<TrackerReply, "ticket" | "tracker">>): Admission => ({
-            ticket: reply.ticket ?? 0,
-            tracker: reply.tracker,
-            expectedMs: expectedFirstEventMs(reply, prefillTokensPerMsOf(state)),
-        });
+        let admission: Admission = { ticket: 0, tracker: undefined, isLate: false };
         const answer = await askTracker(state, {
             sharedParts,
             ownTokens,
@@ -503,12 +498,13 @@
                 isSent: isGranted,
             });
             if (isGranted) {
-                lateAdmission = admissionOf(late);
+                admission = { ticket: late.ticket, tracker: late.tracker, isLate: true };
             }
             else if (late.granted) {
                 fleet.withdrawAdmission(state.idHash, late);
             }
         });
+        admission = answer ? { ticket: answer.ticket, tracker: answer.tracker, isLate: false } : admission;
         balancer.recordQuestionTime(clock.nowMs() - askedMs);
         if (answer?.limited) {
             postpone(job, state);
@@ -521,8 +517,7 @@
         }
         const hasCapacity = waitMs <= waitLimitMs && load.running < state.upstream.slots * slotShare;
         isGranted = answer?.granted ?? (hasCapacity && state.limit.tryTake(clock.nowMs()));
-        const admission = admissionOf(load);
-        return { answer, load, waitMs, isGranted, admission: () => lateAdmission ?? admission };
+        return { answer, load, waitMs, isGranted, admission: () => admission };
     }
 
     function grantEngine(
@@ -539,7 +534,7 @@
             load,
             candidateRank,
             isOverflow,
-            expectedMs: admission().expectedMs,
+            expectedMs: expectedFirstEventMs(load, prefillTokensPerMsOf(state)),
             admission,
         }).mapErr(refusal => () => refusal);
     }
--- a/packages/dispatch/src/UpstreamTable.ts
+++ b/packages/dispatch/src/UpstreamTable.ts
@@ -44,8 +44,8 @@
     readonly ticket: number;
     /** IPv4 address of the VM that answered; undefined if none did. */
     readonly tracker: string | undefined;
-    /** Time in ms to the first byte, as expected by what the tracker answered. */
-    readonly expectedMs: number;
+    /** Whether the answer came after the prompt had been sent, so that what the tracker expected is not known for that time. */
+    readonly isLate: boolean;
 }
 
 /** What is observed of an attempt; times in ms. */
@@ -402,7 +402,8 @@
                     const tookMs = clock.nowMs() - openedMs;
                     state.recordFirstByte(tookMs, expectedMs, clock.nowMs());
                     if (admission().ticket % firstEventsPerReport === 0) {
-                        report({ failed: false, unreachable: false, tookMs, expectedMs: admission().expectedMs });
+                        const comparedMs = admission().isLate ? 0 : expectedMs;
+                        report({ failed: false, unreachable: false, tookMs, expectedMs: comparedMs });
                     }
                 }
             },
--- a/packages/dispatch/src/UpstreamTracker.ts
+++ b/packages/dispatch/src/UpstreamTracker.ts
@@ -261,8 +261,13 @@
             else if (isAdmittedHere) {
                 // What others expected of the engine, without the queue known here, says nothing of the estimates made here.
                 state.queue.confirm(ticket, nowMs);
-                state.slowness.record(tookMs, expectedMs, nowMs);
-                state.rate.recordFirstEvent(ticket, tookMs, nowMs);
+                if (expectedMs > 0) {
+                    state.slowness.record(tookMs, expectedMs, nowMs);
+                    state.rate.recordFirstEvent(ticket, tookMs, nowMs);
+                }
+                else {
+                    state.rate.remove(ticket);
+                }
             }
         },
         recordLimit: ({ upstreamHash, statedLimit }) =>
--- a/packages/fleet/src/TrackerMessages.ts
+++ b/packages/fleet/src/TrackerMessages.ts
@@ -102,8 +102,9 @@
     readonly failed: boolean;
     /** Whether it failed because no connection could be opened. */
     readonly unreachable: boolean;
-    /** Measured and expected time to the first byte in ms; 0 if the attempt failed. */
+    /** Measured time to the first byte in ms; 0 if the attempt failed. */
     readonly tookMs: number;
+    /** Expected time in ms; 0 if the attempt failed, or was sent before the answer came, so that there is none to compare with. */
     readonly expectedMs: number;
     /** Measured and expected time in ms from the first event to the end, summed over the responses since the previous report. */
     readonly runMs: number;
