dispatch: without an answer of its tracker, an engine is as full as trackers last stated, not as this VM's own prompts make it

Cause: without an answer within 40 ms, admission looked at the prompts of this VM only. Change: every VM keeps what trackers state of queues, for all pools (EngineLoadView, until now for engines with few slots only), and takes the larger of the two. Late answers count too. EngineBalancer uses the same view, one for each pool.

--- a/packages/dispatch/__tests__/unit/EngineBalancer.test.ts
+++ b/packages/dispatch/__tests__/unit/EngineBalancer.test.ts
@@ -3,6 +3,7 @@
 import * as assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
 import { createEngineBalancer, type EngineBalancer } from "../../src/EngineBalancer.js";
+import { createEngineLoadView } from "../../src/EngineLoadView.js";
 
 const pool = core.poolId("llm");
 const candidates = [1, 2, 3].map(idHash => ({ idHash, prefillMs: 20 }));
@@ -13,10 +14,11 @@
     let balancer: EngineBalancer;
     beforeEach(() => {
         slots = 12;
+        const loadView = createEngineLoadView(testing.createVirtualClock().nowMs);
         balancer = createEngineBalancer({
-            clock: testing.createVirtualClock(),
             random: () => 0,
             metrics: testing.createNoopMetrics(),
+            loadViewOf: () => loadView,
             slotsOf: () => slots,
         });
     });
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -15,6 +15,7 @@
     maySpill,
 } from "./EngineAdmission.js";
 import { createEngineBalancer, type EngineOffers } from "./EngineBalancer.js";
+import { createEngineLoadView, type EngineLoadView } from "./EngineLoadView.js";
 import { createFleetUsage } from "./FleetUsage.js";
 import type { FleetView } from "./FleetView.js";
 import { type DispatchRefusal, type Job, type Lease, type Prompt, sharedPartsOf } from "./Job.js";
@@ -161,8 +162,10 @@
         fleet,
         onAnnounced: ({ customerHash, cost }) => usageReport.recordAnnounced(customerHash, cost),
     });
+    const loadViews = new Map<core.PoolId, EngineLoadView>();
     const balancer = createEngineBalancer({
         ...options,
+        loadViewOf,
         slotsOf: pool => options.catalog.read().activeConfig?.pools.get(pool)?.engine?.slots,
     });
     const budgets = new Map<core.PoolId, RetryBudget>();
@@ -201,6 +204,12 @@
         return budget;
     }
 
+    function loadViewOf(pool: core.PoolId): EngineLoadView {
+        const view = loadViews.get(pool) ?? createEngineLoadView(clock.nowMs);
+        loadViews.set(pool, view);
+        return view;
+    }
+
     function refuseOverload(job: Job, { upstream, load, input, tracker, isOverShare }: RefusedEngine): DispatchRefusal {
         const retryAfterMs = computeRetryAfterMs(input, random);
         log.failure("admission-refused", {
@@ -478,6 +487,7 @@
     async function offer(job: Job, asked: AskedPrompt, state: UpstreamState, terms: OfferTerms): Promise<OfferReply> {
         const { prompt, sharedParts, ownTokens } = asked;
         const { waitLimitMs, slotShare, isSpillover } = terms;
+        const loadView = loadViewOf(job.pool);
         const askedMs = clock.nowMs();
         let isGranted = false;
         let admission: Admission = { ticket: 0, tracker: undefined, isLate: false };
@@ -497,6 +507,8 @@
                 isAdmitted: late.granted,
                 isSent: isGranted,
             });
+            const lateWaitMs = expectedWaitMs(late, prefillTokensPerMsOf(state));
+            loadView.record({ upstreamHash: state.idHash, waitMs: lateWaitMs, ageMs: 0 });
             if (isGranted) {
                 admission = { ticket: late.ticket, tracker: late.tracker, isLate: true };
             }
@@ -511,12 +523,18 @@
         }
         const load = answer ?? localLoad(prompt, state);
         const prefillTokensPerMs = prefillTokensPerMsOf(state);
-        const waitMs = expectedWaitMs(load, prefillTokensPerMs);
+        const loadWaitMs = expectedWaitMs(load, prefillTokensPerMs);
+        // Without an answer, the prompts of other VMs are known only from what trackers have stated before.
+        const waitMs = answer ? loadWaitMs : Math.max(loadWaitMs, loadView.waitMs(state.idHash) ?? 0);
         if (answer) {
-            balancer.recordAnswer(job.pool, state.idHash, waitMs, answer, load.newTokens / prefillTokensPerMs);
+            loadView.record({ upstreamHash: state.idHash, waitMs, ageMs: 0 });
+            answer.otherQueues.forEach(loadView.record);
         }
         const hasCapacity = waitMs <= waitLimitMs && load.running < state.upstream.slots * slotShare;
         isGranted = answer?.granted ?? (hasCapacity && state.limit.tryTake(clock.nowMs()));
+        if (isGranted) {
+            loadView.recordSent(state.idHash, load.newTokens / prefillTokensPerMs);
+        }
         return { answer, load, waitMs, isGranted, admission: () => admission };
     }
 
--- a/packages/dispatch/src/EngineBalancer.ts
+++ b/packages/dispatch/src/EngineBalancer.ts
@@ -1,5 +1,5 @@
 import type * as core from "@peridotloft/core";
-import type { StatedQueue, TrackerReply } from "@peridotloft/fleet";
+import type { StatedQueue } from "@peridotloft/fleet";
 import type * as telemetry from "@peridotloft/telemetry";
 import {
     type CandidateQueue,
@@ -9,7 +9,7 @@
     firstWaitLimitMs,
     minGainMs,
 } from "./CandidateChoice.js";
-import { createEngineLoadView } from "./EngineLoadView.js";
+import type { EngineLoadView } from "./EngineLoadView.js";
 
 /** An engine to which a prompt may be offered. */
 export interface BalancedCandidate {
@@ -51,18 +51,6 @@
         candidates: readonly BalancedCandidate[],
         time: FirstEventTime,
     ): EngineOffers | undefined;
-    /**
-     * Records what an answer states of the queue of the asked engine and of others.
-     *
-     * @param prefillMs time in ms that the prefill of the prompt takes if it was admitted.
-     */
-    recordAnswer(
-        pool: core.PoolId,
-        upstreamHash: number,
-        waitMs: number,
-        answer: TrackerReply,
-        prefillMs: number,
-    ): void;
     /** Queues of other engines to be stated in an answer about an engine of a pool. */
     queuesToState(pool: core.PoolId): readonly StatedQueue[];
     /** Records for how long the answer to a question took in ms. */
@@ -70,9 +58,10 @@
 }
 
 export interface EngineBalancerOptions {
-    readonly clock: core.Clock;
     readonly random: core.Random;
     readonly metrics: telemetry.Metrics;
+    /** What this VM believes of the queues of a pool's engines. */
+    readonly loadViewOf: (pool: core.PoolId) => EngineLoadView;
     /** Slots of an engine of the pool, as the configuration states them; undefined if it states none. */
     readonly slotsOf: (pool: core.PoolId) => number | undefined;
 }
@@ -94,8 +83,7 @@
 const statedQueues = 2;
 
 export function createEngineBalancer(options: EngineBalancerOptions): EngineBalancer {
-    const { clock, random, metrics, slotsOf } = options;
-    const view = createEngineLoadView(clock.nowMs);
+    const { random, metrics, loadViewOf, slotsOf } = options;
     let meanQuestionMs = 0;
     const isBalanced = (pool: core.PoolId): boolean => {
         const slots = slotsOf(pool);
@@ -109,7 +97,7 @@
             }
             const compared = candidates.slice(0, comparedCandidates);
             const queues = (): readonly CandidateQueue[] =>
-                compared.map(({ idHash, prefillMs }) => ({ waitMs: view.waitMs(idHash), prefillMs }));
+                compared.map(({ idHash, prefillMs }) => ({ waitMs: loadViewOf(pool).waitMs(idHash), prefillMs }));
             const first = chooseFirstCandidate(queues(), time, random);
             let offer: EngineOffer | undefined = {
                 index: first,
@@ -133,17 +121,7 @@
                 },
             };
         },
-        recordAnswer(pool, upstreamHash, waitMs, answer, prefillMs) {
-            if (!isBalanced(pool)) {
-                return;
-            }
-            view.record({ upstreamHash, waitMs, ageMs: 0 });
-            answer.otherQueues.forEach(view.record);
-            if (answer.granted) {
-                view.recordSent(upstreamHash, prefillMs);
-            }
-        },
         recordQuestionTime: tookMs => void (meanQuestionMs += questionWeight * (tookMs - meanQuestionMs)),
-        queuesToState: pool => isBalanced(pool) ? view.latest(statedQueues) : [],
+        queuesToState: pool => isBalanced(pool) ? loadViewOf(pool).latest(statedQueues) : [],
     };
 }
--- a/packages/dispatch/src/EngineLoadView.ts
+++ b/packages/dispatch/src/EngineLoadView.ts
@@ -37,13 +37,15 @@
 /** @param nowMs time in ms on the steady clock. */
 export function createEngineLoadView(nowMs: () => number): EngineLoadView {
     const queues = new Map<number, BelievedQueue>();
+    let evictedMs = nowMs();
     const waitSum = createDecayingSum(meanTimeConstantMs);
     const statementCount = createDecayingSum(meanTimeConstantMs);
 
     const meanWaitMs = (): number => waitSum.value(nowMs()) / Math.max(1, statementCount.value(nowMs()));
 
     function evictOld(): void {
-        const oldestMs = nowMs() - maxStatementAgeMs;
+        evictedMs = nowMs();
+        const oldestMs = evictedMs - maxStatementAgeMs;
         queues.forEach(({ statedMs }, hash) => statedMs <= oldestMs && queues.delete(hash));
     }
 
@@ -55,6 +57,9 @@
                 return;
             }
             queues.set(upstreamHash, { statedWaitMs: waitMs, statedMs, sentPrefillMs: 0 });
+            if (nowMs() - evictedMs >= maxStatementAgeMs) {
+                evictOld();
+            }
             waitSum.add(waitMs, nowMs());
             statementCount.add(1, nowMs());
         },
