gateway: connections that have sent requests ahead are read again one in each turn of the event loop

Cause: Node.js accepts one connection in each turn. A connection that was paused for its open requests was resumed two turns later, whatever the number of others, so a turn had up to 80 connections with a batch of requests refused each, and new callers waited for 400 such turns. Change: PipelineLimit resumes one connection a turn, in the order in which they became ready; until its turn it stays paused, whoever asks.

--- a/packages/gateway/src/PipelineLimit.ts
+++ b/packages/gateway/src/PipelineLimit.ts
@@ -28,49 +28,66 @@
 export const maxOpenPerConnection = 16;
 
 interface Pipeline {
+    readonly socket: net.Socket;
     openCount: number;
-    isPaused: boolean;
+    /** Whether the connection is read; a resumable one is from its turn on. */
+    state: "read" | "paused" | "resumable";
 }
 
 export function createPipelineLimit(
     { log, maxWaiting, onTurnEnd = callback => setImmediate(() => setImmediate(callback)) }: PipelineLimitOptions,
 ): PipelineLimit {
     const pipelines = new WeakMap<net.Socket, Pipeline>();
+    /** Resumable connections, in the order of their turns. */
+    const resumable: Pipeline[] = [];
     let waitingCount = 0;
 
-    function pause(socket: net.Socket, pipeline: Pipeline): void {
-        pipeline.isPaused = true;
+    function pause(pipeline: Pipeline): void {
+        const { socket } = pipeline;
+        pipeline.state = "paused";
         socket.pause();
         // The HTTP server resumes the connection at the end of each request.
         socket.resume = () => socket;
     }
 
-    function resume(socket: net.Socket, pipeline: Pipeline): void {
-        pipeline.isPaused = false;
-        socket.resume = net.Socket.prototype.resume;
-        // The requests of other connections come before the next ones of this.
-        onTurnEnd(() => {
-            if (!pipeline.isPaused && !socket.destroyed) {
-                socket.resume();
-            }
-        });
+    function resumeInTurn(pipeline: Pipeline): void {
+        pipeline.state = "resumable";
+        if (resumable.push(pipeline) === 1) {
+            onTurnEnd(resumeNext);
+        }
+    }
+
+    /** Resumes one connection in each turn of the event loop, in which Node.js accepts no more than one new connection either. */
+    function resumeNext(): void {
+        let next = resumable.shift();
+        while (next?.socket.destroyed) {
+            next = resumable.shift();
+        }
+        if (resumable.length > 0) {
+            onTurnEnd(resumeNext);
+        }
+        if (next) {
+            next.state = "read";
+            next.socket.resume = net.Socket.prototype.resume;
+            next.socket.resume();
+        }
     }
 
-    function remove(socket: net.Socket, pipeline: Pipeline): void {
+    function remove(pipeline: Pipeline): void {
         pipeline.openCount--;
         if (pipeline.openCount > 0) {
             waitingCount--;
         }
         const resumedAt = waitingCount < maxWaiting ? maxOpenPerConnection / 2 : 1;
-        if (pipeline.isPaused && pipeline.openCount <= resumedAt) {
-            resume(socket, pipeline);
+        if (pipeline.state === "paused" && pipeline.openCount <= resumedAt) {
+            resumeInTurn(pipeline);
         }
     }
 
     return {
         tryAdd(response) {
             const { socket } = response.req;
-            const pipeline = pipelines.get(socket) ?? { openCount: 0, isPaused: false };
+            const pipeline = pipelines.get(socket) ?? { socket, openCount: 0, state: "read" };
             pipelines.set(socket, pipeline);
             const isWaiting = pipeline.openCount > 0;
             const isFull = waitingCount >= maxWaiting;
@@ -86,13 +103,13 @@
             }
             pipeline.openCount++;
             waitingCount += isWaiting ? 1 : 0;
-            onceResponseClosed(response, () => remove(socket, pipeline));
-            if (!pipeline.isPaused && pipeline.openCount >= (isFull ? 2 : maxOpenPerConnection)) {
-                pause(socket, pipeline);
+            onceResponseClosed(response, () => remove(pipeline));
+            if (pipeline.state === "read" && pipeline.openCount >= (isFull ? 2 : maxOpenPerConnection)) {
+                pause(pipeline);
             }
             return true;
         },
-        isPaused: socket => pipelines.get(socket)?.isPaused === true,
+        isPaused: socket => (pipelines.get(socket)?.state ?? "read") !== "read",
         waitingCount: () => waitingCount,
     };
 }
