gateway: relayed connections are closed once idle for as long as their VM drains, not only when it says so

Cause: a VM that serves relayed connections for one that drains closes the idle ones when it hears of it, and has later responses say `Connection: close`. A stream that had begun before does not say so, and its connection stayed open when it ended; the next request on it was passed on, and outlasted the grace period of the VM that relays it. Change: connections that are to end are looked at every 50 ms, as a VM does with its own in its drain, and closed once nothing is in flight.

--- a/packages/gateway/src/relay/RelayListener.ts
+++ b/packages/gateway/src/relay/RelayListener.ts
@@ -38,13 +38,15 @@
  */
 const maxCatalogAgeMs = 3_000;
 const checkIntervalMs = 500;
+/** Interval in ms at which connections that are to end are looked at, as in the drain of a VM's own connections. */
+const idleCheckIntervalMs = 50;
 /** Time in ms for the request of another VM to arrive. */
 const requestTimeoutMs = 1_000;
 
 export function createRelayListener(options: RelayListenerOptions): RelayListener {
     const { clock, log, metrics, room, readCatalog, serve, isIdle } = options;
     const served = new Map<net.Socket, string>();
-    const ending = new WeakSet<net.Socket>();
+    const ending = new Set<net.Socket>();
 
     let wasCatalogOld = false;
 
@@ -66,7 +68,10 @@
             return;
         }
         served.set(socket, socket.remoteAddress ?? "");
-        socket.once("close", () => served.delete(socket));
+        socket.once("close", () => {
+            served.delete(socket);
+            ending.delete(socket);
+        });
         socket.write(encodeRelayAnswer({ isAccepted: true, spareCores: room.spareCores() }));
         serve(socket, request.waitedMs);
     }
@@ -76,9 +81,8 @@
         const connections = [...served].filter(([socket, address]) =>
             (peer === undefined || address === peer) && !ending.has(socket)
         );
-        const idle = connections.filter(([socket]) => isIdle(socket));
         connections.forEach(([socket]) => ending.add(socket));
-        idle.forEach(([socket]) => core.closeGracefully(socket, clock));
+        const idle = connections.filter(([socket]) => isIdle(socket));
         if (connections.length > 0) {
             log.state("relayed-connections-ended", {
                 cause,
@@ -87,8 +91,15 @@
                 idle: idle.length,
             });
         }
+        closeIdle();
+    }
+
+    /** Closes the connections whose last response has ended: one that had begun before does not tell its caller of the close. */
+    function closeIdle(): void {
+        [...ending].filter(isIdle).forEach(socket => core.closeGracefully(socket, clock));
     }
 
+    const cancelIdleChecks = core.setRepeatingTimer(clock, idleCheckIntervalMs, closeIdle);
     const cancelChecks = core.setRepeatingTimer(clock, checkIntervalMs, () => {
         const isOld = isCatalogOld();
         if (isOld && !wasCatalogOld) {
@@ -131,6 +142,7 @@
         openCount: () => served.size,
         close() {
             cancelChecks();
+            cancelIdleChecks();
             server.close();
         },
     };
