fleet, dispatch: an admission is taken back by a report like any other, without a method of its own

FleetNode, FleetView and the test's fixture each had `withdrawAdmission` and the same empty report; now `createWithdrawal` makes the report and `reportAttempt` sends it. SilentTrackers states its assertion once in place of three times. No behaviour, bound or assertion changes.

--- a/packages/dispatch/__tests__/unit/DispatcherFixture.ts
+++ b/packages/dispatch/__tests__/unit/DispatcherFixture.ts
@@ -9,15 +9,6 @@
 export const route = { ...fixtures.route, maxAttempts: 2, resumable: true };
 
 const lateByMs = 10;
-const withdrawnAttempt = {
-    withdrawn: true,
-    failed: false,
-    unreachable: false,
-    tookMs: 0,
-    expectedMs: 0,
-    runMs: 0,
-    expectedRunMs: 0,
-};
 
 interface AcquireOptions {
     readonly customer?: string;
@@ -51,8 +42,6 @@
                 return Promise.resolve(reply);
             },
             reportAttempt: report => tracker?.recordReport(report),
-            withdrawAdmission: (upstreamHash, { ticket }) =>
-                tracker?.recordReport({ ...withdrawnAttempt, upstreamHash, ticket }),
             reportLimit: report => tracker?.recordLimit(report),
             registerTracker(added) {
                 tracker = added;
--- a/packages/dispatch/__tests__/unit/SilentTrackers.test.ts
+++ b/packages/dispatch/__tests__/unit/SilentTrackers.test.ts
@@ -73,11 +73,19 @@
                 );
                 return sent.length;
             }
-            return { ...fixture, usual, sendAll };
+            /** Asserts that the engine is expected to be as fast as when it was idle. */
+            async function assertIdle(): Promise<void> {
+                const lease = await acquire("a");
+                assert.ok(
+                    lease && lease.expectedMs <= usual.expectedMs,
+                    `${lease?.expectedMs}, ${usual.expectedMs} ms before`,
+                );
+            }
+            return { ...fixture, sendAll, assertIdle };
         }
 
         it("does not count the prompt as queued if it was refused", async () => {
-            const { acquire, clock, setAnswersLate, setTrackersUnresponsive, usual, sendAll } = await startFixture();
+            const { clock, setAnswersLate, setTrackersUnresponsive, sendAll, assertIdle } = await startFixture();
             setTrackersUnresponsive(true);
             const sent = await sendAll();
             setTrackersUnresponsive(false);
@@ -85,28 +93,20 @@
             assert.equal(await sendAll(), 0);
             await clock.advance((sent * ownTokens) / prefillTokensPerMs + 200);
             setAnswersLate(false);
-            const lease = await acquire("a");
-            assert.ok(
-                lease && lease.expectedMs <= usual.expectedMs,
-                `${lease?.expectedMs}, ${usual.expectedMs} ms before`,
-            );
+            await assertIdle();
         });
 
         it("does not count the prompt as queued for longer than until its first event", async () => {
-            const { acquire, clock, setAnswersLate, usual, sendAll } = await startFixture();
+            const { clock, setAnswersLate, sendAll, assertIdle } = await startFixture();
             setAnswersLate(true);
             const sent = await sendAll();
             await clock.advance((sent * ownTokens) / prefillTokensPerMs + 200);
             setAnswersLate(false);
-            const lease = await acquire("a");
-            assert.ok(
-                lease && lease.expectedMs <= usual.expectedMs,
-                `${lease?.expectedMs}, ${usual.expectedMs} ms before`,
-            );
+            await assertIdle();
         });
 
         it("does not correct its estimates by the prompt, since it did not see what was queued when the prompt was sent", async () => {
-            const { acquire, clock, setAnswersLate, usual } = await startFixture();
+            const { acquire, clock, setAnswersLate, assertIdle } = await startFixture();
             setAnswersLate(true);
             const sent = await Promise.all(Array.from({ length: 4 }, () => acquire("a")));
             await clock.advance(1_000);
@@ -115,11 +115,7 @@
                 lease?.end("ok");
             });
             setAnswersLate(false);
-            const lease = await acquire("a");
-            assert.ok(
-                lease && lease.expectedMs <= usual.expectedMs,
-                `${lease?.expectedMs}, ${usual.expectedMs} ms before`,
-            );
+            await assertIdle();
         });
     });
 });
--- a/packages/dispatch/src/Dispatcher.ts
+++ b/packages/dispatch/src/Dispatcher.ts
@@ -1,6 +1,6 @@
 import type * as catalog from "@peridotloft/catalog";
 import * as core from "@peridotloft/core";
-import type { TrackerQuestion, TrackerReply } from "@peridotloft/fleet";
+import { createWithdrawal, type TrackerQuestion, type TrackerReply } from "@peridotloft/fleet";
 import type * as telemetry from "@peridotloft/telemetry";
 import { err, ok, type Result } from "neverthrow";
 import { customerHashOf } from "./CustomerUsage.js";
@@ -513,10 +513,12 @@
                 admission = { ticket: late.ticket, tracker: late.tracker, isLate: true };
             }
             else if (late.granted) {
-                fleet.withdrawAdmission(state.idHash, late);
+                fleet.reportAttempt(createWithdrawal(state.idHash, late.ticket), late.tracker);
             }
         });
-        admission = answer ? { ticket: answer.ticket, tracker: answer.tracker, isLate: false } : admission;
+        if (answer) {
+            admission = { ticket: answer.ticket, tracker: answer.tracker, isLate: false };
+        }
         balancer.recordQuestionTime(clock.nowMs() - askedMs);
         if (answer?.limited) {
             postpone(job, state);
--- a/packages/dispatch/src/FleetView.ts
+++ b/packages/dispatch/src/FleetView.ts
@@ -14,7 +14,6 @@
     | "registerCrashEvidence"
     | "askTracker"
     | "reportAttempt"
-    | "withdrawAdmission"
     | "reportLimit"
     | "registerTracker"
     | "announceStreamOrigins"
@@ -35,7 +34,6 @@
     usageTotals: () => undefined,
     askTracker: () => Promise.resolve(undefined),
     reportAttempt: () => undefined,
-    withdrawAdmission: () => undefined,
     reportLimit: () => undefined,
     registerTracker: () => () => undefined,
     announceStreamOrigins: () => undefined,
--- a/packages/fleet/src/FleetNode.ts
+++ b/packages/fleet/src/FleetNode.ts
@@ -94,8 +94,6 @@
      * @param admittedBy IPv4 address of the VM that admitted it; undefined if no tracker answered.
      */
     reportAttempt(report: AttemptReport, admittedBy: string | undefined): void;
-    /** Tells a tracker that a prompt that it admitted was not sent to the upstream, since its answer came too late. */
-    withdrawAdmission(upstreamHash: number, answer: Pick<TrackerReply, "ticket" | "tracker">): void;
     /** Reports a change of the limit that an upstream states to the upstream's tracker. */
     reportLimit(report: LimitReport): void;
     /** Sets the handler for the upstreams that this VM tracks; returns a function that removes it. */
@@ -127,16 +125,6 @@
     dispose(): void;
 }
 
-const withdrawnAttempt: Omit<AttemptReport, "upstreamHash" | "ticket"> = {
-    withdrawn: true,
-    failed: false,
-    unreachable: false,
-    tookMs: 0,
-    expectedMs: 0,
-    runMs: 0,
-    expectedRunMs: 0,
-};
-
 /** Limit on the control traffic of a VM at the target size of 360 VMs and 21 requests/s. */
 const defaultBudgetBytesPerS = 5_000;
 /**
@@ -559,9 +547,6 @@
         },
         askTracker: trackerLink.ask,
         reportAttempt: trackerLink.report,
-        withdrawAdmission(upstreamHash, { ticket, tracker }) {
-            trackerLink.report({ ...withdrawnAttempt, upstreamHash, ticket }, tracker);
-        },
         reportLimit: trackerLink.reportLimit,
         registerTracker: trackerLink.registerTracker,
         announceStreamOrigins: streamOriginLink.announce,
--- a/packages/fleet/src/TrackerMessages.ts
+++ b/packages/fleet/src/TrackerMessages.ts
@@ -111,6 +111,21 @@
     readonly expectedRunMs: number;
 }
 
+/** Reports to a tracker that a prompt that it admitted was not sent to the upstream, since its answer came too late. */
+export function createWithdrawal(upstreamHash: number, ticket: number): AttemptReport {
+    return {
+        upstreamHash,
+        ticket,
+        withdrawn: true,
+        failed: false,
+        unreachable: false,
+        tookMs: 0,
+        expectedMs: 0,
+        runMs: 0,
+        expectedRunMs: 0,
+    };
+}
+
 /** Reports a change of the limit that an upstream states to the tracker of the upstream. */
 export interface LimitReport {
     readonly upstreamHash: number;
--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -9,17 +9,18 @@
     StreamOriginQuestion,
     StreamOriginRecord,
 } from "./StreamOriginMessages.js";
-export type {
-    AttemptReport,
-    LearnedRate,
-    LimitReport,
-    SharedPart,
-    StatedLimit,
-    StatedQueue,
-    Tracker,
-    TrackerAnswer,
-    TrackerQuestion,
-    TrackerReply,
+export {
+    type AttemptReport,
+    createWithdrawal,
+    type LearnedRate,
+    type LimitReport,
+    type SharedPart,
+    type StatedLimit,
+    type StatedQueue,
+    type Tracker,
+    type TrackerAnswer,
+    type TrackerQuestion,
+    type TrackerReply,
 } from "./TrackerMessages.js";
 export type { UsageSource } from "./UsageExchange.js";
 export { type UsageAmount, usageTimeConstantMs } from "./UsageMessages.js";
