--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -234,10 +234,12 @@
             }
             if (verdict === "drop") {
                 // Its caller learns by the reset that the request was not read.
+                logUnread("dropped", socket);
                 socket.resetAndDestroy();
                 return;
             }
             if (verdict === "flush") {
+                logUnread("flushed", socket);
                 socket.resetAndDestroy();
                 flushAcceptQueue();
                 return;
@@ -253,6 +255,20 @@
         }
     }
 
+    /** Logs a connection that is closed unread, with the waits that are believed: that of its queue, and its bounds. */
+    function logUnread(outcome: "dropped" | "flushed", { remoteAddress, remotePort }: net.Socket): void {
+        log.failure("connection-closed-unread", {
+            outcome,
+            caller: `${remoteAddress}:${remotePort}`,
+            waitMs: Math.round(acceptQueue.waitMs()),
+            longestWaitMs: Math.round(acceptQueue.longestWaitMs()),
+            probedWaitMs: roundedOrUndefined(context.acceptQueueProbe.waitMs()),
+            acceptedWhileBusy: acceptQueue.acceptedWhileBusy(),
+            utilization: context.overload.utilization(),
+            drainMs: roundedOrUndefined(context.drainElapsedMs()),
+        });
+    }
+
     /** Time in ms for which the connection accepted last has waited, as far as it is measured and not only bounded. */
     function measuredAcceptWaitMs(): number {
         return Math.min(acceptQueue.longestWaitMs(), context.acceptQueueProbe.waitMs() ?? 0);
@@ -363,6 +379,9 @@
     };
 }
 
+const roundedOrUndefined = (value: number | undefined): number | undefined =>
+    value === undefined ? undefined : Math.round(value);
+
 /** The wait for addresses at a start, which may be held as long as a predecessor drains. */
 export function createAddressWait(
     { stopGraceMs }: Pick<GatewaySettings, "stopGraceMs">,
--- a/packages/gateway/src/relay/EntryRelay.ts
+++ b/packages/gateway/src/relay/EntryRelay.ts
@@ -99,6 +99,24 @@
         });
     }
 
+    /** Logs a relayed connection that ended otherwise than by its caller or after a response. */
+    function logEnd(end: RelayedEnd, pair: RelayedPair, address: string): void {
+        if (end === "closed" || end === "caller-lost") {
+            return;
+        }
+        const { openMs, awaitedMs, callerBytes, peerBytes } = pair.readProgress();
+        log.failure("relayed-connection-lost", {
+            cause: end,
+            peer: address,
+            caller: pair.caller,
+            openMs: Math.round(openMs),
+            awaitedMs: awaitedMs === undefined ? undefined : Math.round(awaitedMs),
+            callerBytes,
+            peerBytes,
+            drains: isDraining,
+        });
+    }
+
     function join(caller: net.Socket, peer: net.Socket, address: string): void {
         const served = serving.get(address) ?? { pairs: new Set(), heardMs: 0 };
         serving.set(address, served);
@@ -118,6 +136,7 @@
                     serving.delete(address);
                 }
                 count(end);
+                logEnd(end, pair, address);
             },
         });
         served.pairs.add(pair);
@@ -153,6 +172,13 @@
                 if (clock.nowMs() - sinceMs >= readPatienceMs) {
                     // Turns of this VM's event loop were long meanwhile. Nothing was read, as the reset tells the caller.
                     count("too-late");
+                    log.failure("connection-closed-unread", {
+                        outcome: "relay-too-late",
+                        caller: `${caller.remoteAddress}:${caller.remotePort}`,
+                        waitMs: Math.round(clock.nowMs() - sinceMs),
+                        peer: address,
+                        answer: outcome,
+                    });
                     peer.destroy();
                     caller.resetAndDestroy();
                     return;
@@ -241,7 +267,7 @@
             cancelReports();
             report();
             share.dispose();
-            pairsOf().forEach(pair => pair.reset("closed"));
+            pairsOf().forEach(pair => pair.reset("drain-ended"));
             asking.forEach(socket => socket.destroy());
         },
     };
--- a/packages/gateway/src/relay/RelayedPair.ts
+++ b/packages/gateway/src/relay/RelayedPair.ts
@@ -1,11 +1,28 @@
 import * as core from "@peridotloft/core";
 import type * as net from "node:net";
+import { relayAnswerBytes } from "./RelayMessages.js";
 
-/** How a relayed connection ended, seen from the VM that passed it on. */
-export type RelayedEnd = "closed" | "caller-lost" | "peer-lost" | "memory";
+/**
+ * How a relayed connection ended, seen from the VM that passed it on. `unanswered`: the serving VM closed it after bytes of the caller to
+ * which it had sent none.
+ */
+export type RelayedEnd = "closed" | "unanswered" | "caller-lost" | "peer-lost" | "memory" | "drain-ended";
+
+/** What has been copied on a relayed connection. */
+export interface RelayedProgress {
+    /** Time in ms since the serving VM took the connection. */
+    readonly openMs: number;
+    /** Time in ms since bytes of the caller after which the serving VM has sent none; undefined if it sent the latest ones. */
+    readonly awaitedMs: number | undefined;
+    readonly callerBytes: number;
+    readonly peerBytes: number;
+}
 
 /** A caller's connection and the one to the VM that serves it. */
 export interface RelayedPair {
+    /** Address and port of the caller. */
+    readonly caller: string;
+    readProgress(): RelayedProgress;
     /** Bytes that a side which does not read makes this process hold. */
     heldBytes(): number;
     /** Bytes of both directions since the previous call. */
@@ -32,6 +49,8 @@
     let end: RelayedEnd | undefined;
     let openCount = 2;
     let takenBytes = 0;
+    const openedMs = clock.nowMs();
+    let awaitedSinceMs: number | undefined;
 
     function copy(from: net.Socket, to: net.Socket): void {
         from.on("data", (bytes: Buffer) => {
@@ -57,8 +76,13 @@
     caller.on("error", () => resetBoth("caller-lost"));
     peer.on("error", () => resetBoth("peer-lost"));
     caller.once("end", () => peer.end());
-    // The peer has sent its last response, so what the caller still sends is read only to be discarded.
-    peer.once("end", () => core.closeGracefully(caller, clock));
+    peer.once("end", () => {
+        if (awaitedSinceMs !== undefined && !caller.readableEnded) {
+            end ??= "unanswered";
+        }
+        // The peer has sent its last response, so what the caller still sends is read only to be discarded.
+        core.closeGracefully(caller, clock);
+    });
     caller.once("close", () => {
         end ??= "closed";
         peer.destroy();
@@ -72,9 +96,20 @@
     });
     copy(caller, peer);
     copy(peer, caller);
-    peer.on("data", onPeerBytes);
+    caller.on("data", () => awaitedSinceMs ??= clock.nowMs());
+    peer.on("data", () => {
+        awaitedSinceMs = undefined;
+        onPeerBytes();
+    });
 
     return {
+        caller: `${caller.remoteAddress}:${caller.remotePort}`,
+        readProgress: () => ({
+            openMs: clock.nowMs() - openedMs,
+            awaitedMs: awaitedSinceMs === undefined ? undefined : clock.nowMs() - awaitedSinceMs,
+            callerBytes: caller.bytesRead,
+            peerBytes: peer.bytesRead - relayAnswerBytes,
+        }),
         heldBytes: () => caller.writableLength + peer.writableLength,
         takeBytes() {
             const bytes = caller.bytesRead + peer.bytesRead - takenBytes;
