--- a/packages/gateway/src/relay/RelayedPair.ts
+++ b/packages/gateway/src/relay/RelayedPair.ts
@@ -22,6 +22,7 @@
 export interface RelayedPair {
     /** Address and port of the caller. */
     readonly caller: string;
+    /** What has been copied until now, or until the connection began to end. */
     readProgress(): RelayedProgress;
     /** Bytes that a side which does not read makes this process hold. */
     heldBytes(): number;
@@ -51,6 +52,20 @@
     let takenBytes = 0;
     const openedMs = clock.nowMs();
     let awaitedSinceMs: number | undefined;
+    let endProgress: RelayedProgress | undefined;
+
+    const readProgress = (): RelayedProgress => ({
+        openMs: clock.nowMs() - openedMs,
+        awaitedMs: awaitedSinceMs === undefined ? undefined : clock.nowMs() - awaitedSinceMs,
+        callerBytes: caller.bytesRead,
+        peerBytes: peer.bytesRead - relayAnswerBytes,
+    });
+
+    /** Records why the connection ends, unless another cause came first. */
+    function recordEnd(cause: RelayedEnd): void {
+        end ??= cause;
+        endProgress ??= readProgress();
+    }
 
     function copy(from: net.Socket, to: net.Socket): void {
         from.on("data", (bytes: Buffer) => {
@@ -63,7 +78,7 @@
     }
 
     function resetBoth(cause: RelayedEnd): void {
-        end ??= cause;
+        recordEnd(cause);
         [caller, peer].filter(({ destroyed }) => !destroyed).forEach(socket => socket.resetAndDestroy());
     }
 
@@ -78,13 +93,13 @@
     caller.once("end", () => peer.end());
     peer.once("end", () => {
         if (awaitedSinceMs !== undefined && !caller.readableEnded) {
-            end ??= "unanswered";
+            recordEnd("unanswered");
         }
         // The peer has sent its last response, so what the caller still sends is read only to be discarded.
         core.closeGracefully(caller, clock);
     });
     caller.once("close", () => {
-        end ??= "closed";
+        recordEnd("closed");
         peer.destroy();
         onClosed();
     });
@@ -104,12 +119,7 @@
 
     return {
         caller: `${caller.remoteAddress}:${caller.remotePort}`,
-        readProgress: () => ({
-            openMs: clock.nowMs() - openedMs,
-            awaitedMs: awaitedSinceMs === undefined ? undefined : clock.nowMs() - awaitedSinceMs,
-            callerBytes: caller.bytesRead,
-            peerBytes: peer.bytesRead - relayAnswerBytes,
-        }),
+        readProgress: () => endProgress ?? readProgress(),
         heldBytes: () => caller.writableLength + peer.writableLength,
         takeBytes() {
             const bytes = caller.bytesRead + peer.bytesRead - takenBytes;
