gateway: a connection that may have waited for 1 s is refused, no longer reset unread

What callers saw: resets without an answer or a Retry-After, though they still waited. While the accept queue's wait was believed to be 1 s or more, the guard reset the connections that it did not refuse (verdict "drop"), 8 of 10 while the load balancer is asked to send callers elsewhere. The relay reset a connection if the answer of the other VM came that late ("too-late").

Cause: the wait that is believed is that of the queue, as last measured up to 0.5 s ago, not that of this connection; and callers of requests that may not be repeated wait for longer than 1 s.

Change: the guard refuses these connections, and the relay returns one that is too late to its VM, which refuses it. Flushes are unchanged.

OverloadGuard "serves none of the connections ..." stated "drop" as the verdict; it now states "refuse" for the same waits. EntryRelay "closes a connection unread ..." stated the reset; it now states that nothing of the connection reaches the other VM, that it is not reset, and that it is returned as too late. That the Gateway refuses it then has no test of its own.

--- a/packages/gateway/__tests__/unit/EntryRelay.test.ts
+++ b/packages/gateway/__tests__/unit/EntryRelay.test.ts
@@ -171,8 +171,9 @@
 
 describe("EntryRelay", { timeout: 10_000 }, () => {
     /** Passes a connection on that has waited in the accept queue; returns what its caller and the serving VM notice. */
-    async function passOn(acceptWaitMs: number): Promise<{ readonly servedBytes: number; readonly isReset: boolean; }> {
+    async function passOn(acceptWaitMs: number) {
         let servedBytes = 0;
+        let received = "";
         const serving = net.createServer(socket => {
             socket.on("error", () => undefined);
             socket.once("data", () => {
@@ -200,23 +201,25 @@
             readCatalog: () => ({ configVersion: 7, catalogAgeMs: 0 }),
             isAlive: () => true,
         });
-        const entry = net.createServer(socket => void relay.tryPassOn(socket, () => undefined))
-            .listen(0, "127.0.0.1");
+        const entry = net.createServer(socket =>
+            void relay.tryPassOn(socket, isTooLate => void socket.end(isTooLate ? "too late" : "not taken"))
+        ).listen(0, "127.0.0.1");
         await once(entry, "listening");
         const caller = net.connect((entry.address() as net.AddressInfo).port, "127.0.0.1");
         let isReset = false;
         caller.on("error", ({ code }: NodeJS.ErrnoException) => isReset = code === "ECONNRESET");
+        caller.on("data", (bytes: Buffer) => received += bytes.toString());
         caller.write("request");
         await timers.setTimeout(200);
         caller.destroy();
         relay.close();
         [entry, serving].forEach(server => server.close());
-        return { servedBytes, isReset };
+        return { servedBytes, isReset, received };
     }
 
-    it("closes a connection unread whose caller has given up before another VM has taken it", async () => {
-        assert.deepEqual(await passOn(999), { servedBytes: 7, isReset: false });
-        assert.deepEqual(await passOn(1_000), { servedBytes: 0, isReset: true });
+    it("leaves a connection unread to this VM, instead of resetting it, if no VM took it within the time that callers allow", async () => {
+        assert.deepEqual(await passOn(999), { servedBytes: 7, isReset: false, received: "" });
+        assert.deepEqual(await passOn(1_000), { servedBytes: 0, isReset: false, received: "too late" });
     });
 });
 
--- a/packages/gateway/__tests__/unit/OverloadGuard.test.ts
+++ b/packages/gateway/__tests__/unit/OverloadGuard.test.ts
@@ -124,7 +124,7 @@
             ]);
         });
 
-        it("serves none of the connections that have waited for longer than callers do", () => {
+        it("refuses each connection that may have waited for longer than callers do, although it refuses few others", () => {
             guard = createGuard({
                 clock: late.clock,
                 utilization: () => 0.3,
@@ -136,7 +136,7 @@
                     abandonedShare: () => abandonedShare,
                 },
             });
-            assert.deepEqual([999, 1_000, 3_000].map(judgeAfter), ["serve", "drop", "drop"]);
+            assert.deepEqual([999, 1_000, 3_000].map(judgeAfter), ["serve", "refuse", "refuse"]);
             accepted = 3;
             assert.equal(judgeAfter(1_000), "serve");
         });
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -16,6 +16,7 @@
 import { createFreshness } from "./Freshness.js";
 import type { GatewayContext } from "./GatewayContext.js";
 import type { GatewaySettings } from "./GatewaySettings.js";
+import type { ConnectionVerdict } from "./OverloadGuard.js";
 import { createOverloadRetryChooser } from "./OverloadRetry.js";
 import { parseInParts } from "./ParsedParts.js";
 import { createPipelineLimit } from "./PipelineLimit.js";
@@ -59,7 +60,7 @@
 const timeoutCheckIntervalMs = 500;
 /** Time in ms after the grace period in which a predecessor that has been killed releases its addresses. */
 const addressReleaseMs = 2_000;
-const connectionOutcomes = { serve: "served", refuse: "refused", drop: "dropped", flush: "flushed" } as const;
+const connectionOutcomes = { serve: "served", refuse: "refused", flush: "flushed" } as const;
 
 export function createGateway(dependencies: GatewayContext, onDrainStarted: (sinceMs: number) => void): Gateway {
     const context = { ...dependencies, clock: core.createPolledClock(dependencies.clock) };
@@ -207,11 +208,13 @@
                 return;
             }
             callerConnections.recordAccepted(socket, measuredAcceptWaitMs());
-            if (zoneRelay?.tryPassOn(socket, () => judgeConnection(socket))) {
+            const onNotTaken = (isTooLate: boolean): void =>
+                handleConnection(socket, isTooLate ? "refuse" : context.overload.judgeConnection());
+            if (zoneRelay?.tryPassOn(socket, onNotTaken)) {
                 metrics.count("connections", { outcome: "relayed" });
             }
             else {
-                judgeConnection(socket);
+                handleConnection(socket, context.overload.judgeConnection());
             }
         });
         return serveConnection;
@@ -223,8 +226,7 @@
             parseInParts(socket);
         }
 
-        function judgeConnection(socket: net.Socket): void {
-            const verdict = context.overload.judgeConnection();
+        function handleConnection(socket: net.Socket, verdict: ConnectionVerdict): void {
             metrics.count("connections", { outcome: connectionOutcomes[verdict] });
             refusalReport.recordConnection(verdict);
             entryReport.recordConnection(verdict);
@@ -232,14 +234,8 @@
                 serveConnection(socket);
                 return;
             }
-            if (verdict === "drop") {
-                // Its caller learns by the reset that the request was not read.
-                logUnread("dropped", socket);
-                socket.resetAndDestroy();
-                return;
-            }
             if (verdict === "flush") {
-                logUnread("flushed", socket);
+                logFlushed(socket);
                 socket.resetAndDestroy();
                 flushAcceptQueue();
                 return;
@@ -256,9 +252,9 @@
     }
 
     /** Logs a connection that is closed unread, with the waits that are believed: that of its queue, and its bounds. */
-    function logUnread(outcome: "dropped" | "flushed", { remoteAddress, remotePort }: net.Socket): void {
+    function logFlushed({ remoteAddress, remotePort }: net.Socket): void {
         log.failure("connection-closed-unread", {
-            outcome,
+            outcome: "flushed",
             caller: `${remoteAddress}:${remotePort}`,
             waitMs: Math.round(acceptQueue.waitMs()),
             longestWaitMs: Math.round(acceptQueue.longestWaitMs()),
--- a/packages/gateway/src/OverloadGuard.ts
+++ b/packages/gateway/src/OverloadGuard.ts
@@ -8,11 +8,10 @@
  * What happens to a new connection. Its request does not run unless the connection is served.
  *
  * - `refuse`: the caller gets a 503, which costs a fraction of serving the request.
- * - `drop`: it is closed unread, since its caller has given up; this costs less than to find that out after reading it.
  * - `flush`: it is closed unread together with all connections that wait in the accept queue. The kernel closes those, so it
  *   costs the same for any number of them.
  */
-export type ConnectionVerdict = "serve" | "refuse" | "drop" | "flush";
+export type ConnectionVerdict = "serve" | "refuse" | "flush";
 
 /** Detects that this process gets less processor time than its load requires, and decides what to refuse then. */
 export interface OverloadGuard {
@@ -177,11 +176,12 @@
                 earlyFlushesUntilMs = clock.nowMs() + earlyFlushesMs;
                 return "flush";
             }
-            const share = currentRefusedShare(waitMs);
-            if (share > 0 && random() < share) {
+            if (waitMs >= readPatienceMs && isQueueing()) {
+                // The wait is that of the queue as last measured, so the caller may have waited for less and may still wait.
                 return "refuse";
             }
-            return waitMs >= readPatienceMs && isQueueing() ? "drop" : "serve";
+            const share = currentRefusedShare(waitMs);
+            return share > 0 && random() < share ? "refuse" : "serve";
         },
         refusedShare: () => currentRefusedShare(acceptQueue.waitMs()),
         utilization: () => smoothedUtilization,
--- a/packages/gateway/src/relay/EntryRelay.ts
+++ b/packages/gateway/src/relay/EntryRelay.ts
@@ -19,10 +19,11 @@
      * Passes a connection on that was accepted just now, if the load requires it and another VM has room. Nothing is read from it
      * before that VM has taken it.
      *
-     * @param onNotTaken called later if no VM took it; the caller's connection is then as it was.
+     * @param onNotTaken called later if no VM took it, or not before its caller had waited for as long as callers allow; the
+     * caller's connection is then as it was.
      * @returns whether it is passed on, or may be.
      */
-    tryPassOn(caller: net.Socket, onNotTaken: () => void): boolean;
+    tryPassOn(caller: net.Socket, onNotTaken: (isTooLate: boolean) => void): boolean;
     /** Passes nothing on any more, and has the VMs that serve relayed connections end them after the responses in flight. */
     drain(): void;
     openCount(): number;
@@ -149,7 +150,12 @@
     }
 
     /** Asks a VM to take a connection, and a second one if it does not. Returns whether there is a VM to ask. */
-    function ask(caller: net.Socket, tried: readonly string[], sinceMs: number, onNotTaken: () => void): boolean {
+    function ask(
+        caller: net.Socket,
+        tried: readonly string[],
+        sinceMs: number,
+        onNotTaken: (isTooLate: boolean) => void,
+    ): boolean {
         const address = tried.length < maxAsked ? peers.choose(tried) : undefined;
         if (address === undefined) {
             return false;
@@ -170,17 +176,10 @@
                     return;
                 }
                 if (clock.nowMs() - sinceMs >= readPatienceMs) {
-                    // Turns of this VM's event loop were long meanwhile. Nothing was read, as the reset tells the caller.
+                    // Turns of this VM's event loop were long meanwhile.
                     count("too-late");
-                    log.failure("connection-closed-unread", {
-                        outcome: "relay-too-late",
-                        caller: `${caller.remoteAddress}:${caller.remotePort}`,
-                        waitMs: Math.round(clock.nowMs() - sinceMs),
-                        peer: address,
-                        answer: outcome,
-                    });
                     peer.destroy();
-                    caller.resetAndDestroy();
+                    onNotTaken(true);
                     return;
                 }
                 count(outcome);
@@ -188,7 +187,7 @@
                     join(caller, peer, address);
                 }
                 else if (isDraining || !ask(caller, [...tried, address], sinceMs, onNotTaken)) {
-                    onNotTaken();
+                    onNotTaken(false);
                 }
             },
         });
@@ -244,10 +243,10 @@
                 return false;
             }
             const onEarlyError = (): void => void caller.destroy();
-            const restore = (): void => {
+            const restore = (isTooLate: boolean): void => {
                 caller.off("error", onEarlyError);
                 if (!caller.destroyed) {
-                    onNotTaken();
+                    onNotTaken(isTooLate);
                 }
             };
             caller.on("error", onEarlyError);
