gateway: a connection that was not taken by another VM is refused instead of being reset by a flush

Cause: Node.js reads from an accepted socket by itself, so a connection whose passing on was asked for has been read when it returns; the guard's flush then reset it as if it had not. Change: such a connection is refused with a 503; the flush follows with the next connection that is accepted.

--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -208,8 +208,11 @@
                 return;
             }
             callerConnections.recordAccepted(socket, measuredAcceptWaitMs());
-            const onNotTaken = (isTooLate: boolean): void =>
-                handleConnection(socket, isTooLate ? "refuse" : context.overload.judgeConnection());
+            const onNotTaken = (isTooLate: boolean): void => {
+                const verdict = isTooLate ? "refuse" : context.overload.judgeConnection();
+                // Node.js has read from it while other VMs were asked, so its caller gets an answer.
+                handleConnection(socket, verdict === "flush" ? "refuse" : verdict);
+            };
             if (zoneRelay?.tryPassOn(socket, onNotTaken)) {
                 metrics.count("connections", { outcome: "relayed" });
             }
