gateway: the loss of a VM no longer ends the requests on the connections that it serves for others

What callers saw: when a VM that serves relayed connections was killed, frozen or had its connections reset, each request in flight on them lost its connection without a byte of a response, although the VM that the caller had connected to was sound.

Cause: the relaying VM copied bytes and knew nothing of requests and responses, so that it could only pass the loss on.

Change: what the serving VM sends is framed (RelayFrames, protocol version 2): bytes of responses, and after each response the number of the caller's bytes that it has answered. The relaying VM keeps the bytes of unanswered requests, bounded together with what it holds for sides that do not read. If the serving VM is lost before it has responded, the relaying VM serves the connection itself: idempotent requests and resumable streams are run again, within the route's attempts and a number of reruns of its own; others get a 502, never a 503 or 429, since they may have run. A response that has begun is reset, and an end without the frame 'last' counts as a loss. Bytes are put back only from a boundary between requests that both VMs agree on: the rest of a request must not be read as a request.

VMs of protocol version 1 and 2 do not relay to each other and serve their callers themselves.

--- a/packages/gateway/__tests__/unit/AttemptSequence.test.ts
+++ b/packages/gateway/__tests__/unit/AttemptSequence.test.ts
@@ -48,6 +48,7 @@
         const sequence = createAttemptSequence(context, {
             job: { requestId: "r1", route: { maxAttempts: 1 } } as unknown as dispatch.Job,
             isRetryable: false,
+            earlierAttempts: 0,
             method: "GET",
             path: "/",
             body: () => Buffer.alloc(0),
--- a/packages/gateway/__tests__/unit/EntryRelay.test.ts
+++ b/packages/gateway/__tests__/unit/EntryRelay.test.ts
@@ -6,6 +6,7 @@
 import * as timers from "node:timers/promises";
 import { createEntryRelay } from "../../src/relay/EntryRelay.js";
 import { joinConnections } from "../../src/relay/RelayedPair.js";
+import { frameWrites } from "../../src/relay/RelayFrames.js";
 import { createRelayListener } from "../../src/relay/RelayListener.js";
 import {
     decodeRelayAnswer,
@@ -145,6 +146,7 @@
         readCatalog: () => catalog,
         serve: socket => socket.on("error", () => undefined),
         isIdle: () => false,
+        isBetweenRequests: () => true,
     });
     after(listener.close);
 
@@ -200,6 +202,7 @@
             acceptWaitMs: () => acceptWaitMs,
             readCatalog: () => ({ configVersion: 7, catalogAgeMs: 0 }),
             isAlive: () => true,
+            serveReturned: () => undefined,
         });
         const entry = net.createServer(socket =>
             void relay.tryPassOn(socket, isTooLate => void socket.end(isTooLate ? "too late" : "not taken"))
@@ -242,11 +245,14 @@
             caller: callerEnd,
             peer: peerEnd,
             clock,
-            onBlocked: () => undefined,
+            onHeld: () => undefined,
             onPeerBytes: () => undefined,
+            onAnswered: () => undefined,
+            onReturned: () => undefined,
             onEnded,
         });
         caller.pause();
+        frameWrites(serving);
         const isTaken = Array.from({ length: 400 }, () => serving.write(Buffer.alloc(64 * 1024)));
         assert.ok(isTaken.includes(false));
         await timers.setTimeout(300);
@@ -254,7 +260,7 @@
         const closed = [caller, serving].map(socket =>
             new Promise<void>(resolve => socket.once("close", () => resolve()))
         );
-        pair.reset("memory");
+        pair.end("memory");
         caller.resume();
         await Promise.all(closed);
         server.close();
--- a/packages/gateway/src/AttemptSequence.ts
+++ b/packages/gateway/src/AttemptSequence.ts
@@ -14,6 +14,8 @@
     readonly job: dispatch.Job;
     /** Whether the request may be run more than once. */
     readonly isRetryable: boolean;
+    /** Attempts that another VM may have made before this one. They count in the route's maximum number, and the request may have run. */
+    readonly earlierAttempts: number;
     readonly method: string;
     readonly path: string;
     /** The body; not called after the request has ended. */
@@ -105,7 +107,8 @@
 
 export function createAttemptSequence(context: GatewayContext, request: AttemptRequest): AttemptSequence {
     const { clock, codec, log, metrics } = context;
-    const { job, isRetryable } = request;
+    const { job, isRetryable, earlierAttempts } = request;
+    const maxAttempts = (): number => job.route.maxAttempts - earlierAttempts;
     /** Upstreams to which at least part of the request was sent. */
     const sentTo = new Set<core.UpstreamId>();
     /** The same, together with upstreams to which no connection could be opened. */
@@ -116,7 +119,7 @@
     const attemptedUpstreams: core.UpstreamId[] = [];
     /** Agents of the connections on which the upstreams of leases have stated their run. */
     const verifiedAgents = new WeakMap<dispatch.Lease, http.Agent>();
-    let mayHaveRun = false;
+    let mayHaveRun = earlierAttempts > 0;
     let inProgressCount = 0;
 
     async function nextResponse(position: StreamPosition | undefined): Promise<Result<StartedResponse, Refusal>> {
@@ -149,7 +152,7 @@
             if (request.hasCallerGivenUp()) {
                 return refuseAbandoned();
             }
-            if (sentTo.size >= job.route.maxAttempts || !core.mayRetry(result.error.verdict, isRetryable)) {
+            if (sentTo.size >= maxAttempts() || !core.mayRetry(result.error.verdict, isRetryable)) {
                 return err(createSequenceRefusal(mayHaveRun, "overloaded", retryAfterShedMs));
             }
         }
@@ -331,7 +334,7 @@
 
     const idOf = ({ upstream }: dispatch.Lease): core.UpstreamId => upstream.id;
 
-    const mayRetry = (): boolean => isRetryable && sentTo.size < job.route.maxAttempts;
+    const mayRetry = (): boolean => isRetryable && sentTo.size < maxAttempts();
 
     function createReplacementFor(
         current: dispatch.Lease,
@@ -342,7 +345,7 @@
             current,
             log,
             isRequestCancelled: request.isCancelled,
-            mayRetry: inProgress => isRetryable && sentTo.size + inProgress < job.route.maxAttempts,
+            mayRetry: inProgress => isRetryable && sentTo.size + inProgress < maxAttempts(),
             excludeUpstream,
             acquire: (inProgress, position) =>
                 acquire(new Set([...excluded, ...inProgress.map(idOf)]), true, position, false),
--- a/packages/gateway/src/CallerConnections.ts
+++ b/packages/gateway/src/CallerConnections.ts
@@ -10,9 +10,14 @@
      * @param waitMs time in ms for which it has waited to be accepted.
      */
     recordAccepted(socket: net.Socket, waitMs?: number): void;
+    /** Records a connection that this VM serves now and another one served before. */
+    recordReturned(socket: net.Socket, returned: ReturnedRequest): void;
+    /** What is known of the request of a response from the VM that served its connection before; undefined if none did. */
+    returnedRequest(response: http.ServerResponse): ReturnedRequest | undefined;
     /** Time in ms for which the connection of a response waited to be accepted; 0 if it is not the first on its connection. */
     acceptWaitMs(response: http.ServerResponse): number;
-    recordRequest(response: http.ServerResponse): void;
+    /** @param onClosed called once the response has ended or its connection has closed. */
+    recordRequest(response: http.ServerResponse, onClosed?: () => void): void;
     /**
      * Resolves once the responses to all earlier requests on the connection have ended, or the connection has closed; undefined if
      * none is open.
@@ -42,6 +47,16 @@
     acceptedCount(): number;
 }
 
+/** The first request on a connection that another VM served before. */
+export interface ReturnedRequest {
+    /** Time in ms for which it has waited for a response. */
+    readonly waitedMs: number;
+    /** Whether it may have run. */
+    readonly mayHaveRun: boolean;
+    /** Takes one from the number of requests that may be run again; false if there is none. */
+    tryRunAgain(): boolean;
+}
+
 /** The place of a response on its connection. */
 interface Turn {
     readonly earlier: Promise<void> | undefined;
@@ -55,6 +70,7 @@
     const latestResponses = new WeakMap<net.Socket, http.ServerResponse>();
     const firstResponses = new WeakSet<http.ServerResponse>();
     const acceptWaitsMs = new WeakMap<net.Socket, number>();
+    const returnedRequests = new WeakMap<net.Socket, ReturnedRequest>();
     const turns = new WeakMap<http.ServerResponse, Turn>();
     /** Resolve once all responses on a connection have ended; missing while none is open. */
     const openResponses = new WeakMap<net.Socket, Promise<void>>();
@@ -81,7 +97,7 @@
             sockets.add(socket);
             socket.once("close", () => sockets.delete(socket));
         },
-        recordRequest(response) {
+        recordRequest(response, onClosed) {
             inFlight.add(response);
             if (!latestResponses.has(response.req.socket)) {
                 firstResponses.add(response);
@@ -92,11 +108,18 @@
             onceResponseClosed(response, () => {
                 inFlight.delete(response);
                 turn.end();
+                onClosed?.();
             });
         },
         earlierResponses: response => turns.get(response)?.earlier,
         recordEnded: response => turns.get(response)?.end(),
         isFirst: response => firstResponses.has(response),
+        recordReturned(socket, returned) {
+            acceptWaitsMs.delete(socket);
+            returnedRequests.set(socket, returned);
+        },
+        returnedRequest: response =>
+            firstResponses.has(response) ? returnedRequests.get(response.req.socket) : undefined,
         acceptWaitMs: response => firstResponses.has(response) ? acceptWaitsMs.get(response.req.socket) ?? 0 : 0,
         isLatest: response => latestResponses.get(response.req.socket) === response,
         isClosing(socket) {
--- a/packages/gateway/src/Drain.ts
+++ b/packages/gateway/src/Drain.ts
@@ -19,6 +19,8 @@
     readonly acceptQueue: Pick<AcceptQueueMonitor, "longestWaitMs">;
     /** Gives all requests whose responses have not begun their final answer. */
     readonly endWaitingRequests: () => void;
+    /** Number of connections on which a request that another VM serves has not been answered in full. */
+    readonly relayedInFlightCount?: () => number;
     /** Closes the server and all its connections. */
     readonly close: () => void;
 }
@@ -42,6 +44,7 @@
  */
 export async function drainServer(options: DrainOptions): Promise<void> {
     const { clock, onTurnEnd = setImmediate, log, sinceMs, stopGraceMs, server, connections, acceptQueue } = options;
+    const { relayedInFlightCount = () => 0 } = options;
     const delay = (ms: number): Promise<void> => new Promise(resolve => clock.setTimer(ms, resolve));
     const turnEnd = (): Promise<void> => new Promise(resolve => onTurnEnd(resolve));
     const isQueueEmpty = (): boolean => acceptQueue.longestWaitMs() === 0;
@@ -100,7 +103,11 @@
         await delay(pollIntervalMs);
     }
 
-    log.state("draining", { inFlight: connections.inFlightCount(), connections: connections.openCount() });
+    log.state("draining", {
+        inFlight: connections.inFlightCount(),
+        relayedInFlight: relayedInFlightCount(),
+        connections: connections.openCount(),
+    });
     await delay(Math.min(loadBalancerDelayMs, Math.max(0, endMs - emptyQueueMs - clock.nowMs())));
     await pollUntil(endMs - emptyQueueMs, closeIdle);
     await stopListening();
@@ -111,7 +118,7 @@
         () => !connections.hasUnsentResponses() && !connections.hasClosing(),
     );
     log.state("drained", {
-        cut: connections.inFlightCount(),
+        cut: connections.inFlightCount() + relayedInFlightCount(),
         connections: connections.openCount(),
         acceptQueueEmpty,
         durationMs: Math.round(clock.nowMs() - sinceMs),
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -119,7 +119,7 @@
             request.resume();
             return;
         }
-        callerConnections.recordRequest(response);
+        callerConnections.recordRequest(response, () => zoneRelay?.recordResponseClosed(request.socket));
         requestHandler.handle(request, response);
     });
     callerServer.on("clientError", (error, socket) => clientErrors.handle(error, socket as net.Socket));
@@ -135,6 +135,11 @@
                 serveConnection(socket);
             }
         },
+        serveReturned(caller, returned) {
+            callerConnections.recordReturned(caller, returned);
+            serveConnection(caller);
+            caller.resume();
+        },
     });
     accounts.watchRequests(callerServer);
     const removeGauges = [
@@ -370,7 +375,11 @@
                 server: callerServer,
                 connections: callerConnections,
                 acceptQueue,
-                endWaitingRequests: requestHandler.endWaitingRequests,
+                endWaitingRequests() {
+                    requestHandler.endWaitingRequests();
+                    zoneRelay?.endWaiting();
+                },
+                relayedInFlightCount: () => zoneRelay?.inFlightCount() ?? 0,
                 close,
             });
         },
--- a/packages/gateway/src/Refusal.ts
+++ b/packages/gateway/src/Refusal.ts
@@ -20,7 +20,7 @@
     | "internal";
 
 /** Why a request that an upstream may have run gets no response of an upstream. */
-export type UpstreamFailureReason = "upstream-timeout" | "upstream-broken" | "drain-ended";
+export type UpstreamFailureReason = "upstream-timeout" | "upstream-broken" | "relay-lost" | "drain-ended";
 
 /** A response that this VM generates itself. */
 export interface Refusal {
@@ -58,6 +58,7 @@
     "not-sent-in-time": 503,
     "upstream-timeout": 504,
     "upstream-broken": 502,
+    "relay-lost": 502,
     "drain-ended": 504,
     "internal": 502,
 };
@@ -79,6 +80,11 @@
     return { reason, statusCode: statusCodes[reason], retryAfterMs: undefined };
 }
 
+/** Whether the status code of a refusal guarantees that no upstream has run the request. */
+export function statesNotRun({ statusCode }: Refusal): boolean {
+    return statusCode === 503 || statusCode === 429;
+}
+
 /** The JSON body of a refusal. */
 export function formatRefusalBody({ reason }: Refusal): string {
     return JSON.stringify({ error: { code: reason } });
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -26,6 +26,7 @@
     createUpstreamFailure,
     type Refusal,
     type RefusalReason,
+    statesNotRun,
     type UpstreamFailureReason,
 } from "./Refusal.js";
 import type { RefusalReport } from "./RefusalReport.js";
@@ -126,7 +127,9 @@
     const { clock, codec, log, metrics } = context;
     // Its caller has waited since the connection was opened, not since the VM had the time to accept it.
     const acceptWaitMs = connections.acceptWaitMs(response);
-    const arrivedMs = clock.nowMs() - acceptWaitMs;
+    const returned = connections.returnedRequest(response);
+    const arrivedMs = clock.nowMs() - acceptWaitMs - (returned?.waitedMs ?? 0);
+    const mayHaveRunElsewhere = returned?.mayHaveRun === true;
     const path = request.url ?? "/";
     const requestHead = codec.readRequestHead(request.rawHeaders);
     const callerResponse = createCallerResponse(
@@ -233,7 +236,8 @@
     }
 
     /** @param inputs what the refusal was decided by. */
-    function refuse(refusal: Refusal, inputs: Readonly<Record<string, number>> = {}): void {
+    function refuse(decided: Refusal, inputs: Readonly<Record<string, number>> = {}): void {
+        const refusal = mayHaveRunElsewhere && statesNotRun(decided) ? createUpstreamFailure("relay-lost") : decided;
         stopReading();
         if (callerDisconnected || callerResponse.hasEnded()) {
             return;
@@ -246,6 +250,7 @@
         log.failure("request-refused", {
             ...describeRequest(),
             reason: refusal.reason,
+            decidedReason: refusal === decided ? undefined : decided.reason,
             statusCode: refusal.statusCode,
             retryAfterMs: refusal.retryAfterMs,
             configAgeMs: Math.round(context.follower.ageMs()),
@@ -408,9 +413,14 @@
         };
         fingerprintOf = job.fingerprint;
         stage = "upstream";
+        const isRetryable = route.kind === "stream" ? route.resumable : route.kind === "idempotent";
+        if (mayHaveRunElsewhere && !(isRetryable && route.maxAttempts > 1 && returned.tryRunAgain())) {
+            return refuse(createUpstreamFailure("relay-lost"));
+        }
         const sequence = createAttemptSequence(context, {
             job,
-            isRetryable: route.kind === "stream" ? route.resumable : route.kind === "idempotent",
+            isRetryable,
+            earlierAttempts: mayHaveRunElsewhere ? 1 : 0,
             method: request.method ?? "GET",
             path,
             body: body.bytes,
--- a/packages/gateway/src/relay/EntryRelay.ts
+++ b/packages/gateway/src/relay/EntryRelay.ts
@@ -11,6 +11,7 @@
     relayAnswerBytes,
 } from "./RelayMessages.js";
 import type { RelayPeers } from "./RelayPeers.js";
+import { createRelayReturns, type RelayReturnsOptions } from "./RelayReturns.js";
 import type { RelayShare } from "./RelayShare.js";
 
 /** Passes new connections of callers on to other VMs of the zone while this one has more than it can serve. */
@@ -26,7 +27,11 @@
     tryPassOn(caller: net.Socket, onNotTaken: (isTooLate: boolean) => void): boolean;
     /** Passes nothing on any more, and has the VMs that serve relayed connections end them after the responses in flight. */
     drain(): void;
+    /** Answers the relayed requests whose responses have not begun, which may have run, since this process exits. */
+    endWaiting(): void;
     openCount(): number;
+    /** Number of relayed connections on which a request has not been answered in full. */
+    inFlightCount(): number;
     /** Resets all relayed connections. */
     close(): void;
 }
@@ -43,13 +48,15 @@
     readonly host: string;
     /** Number of relayed connections that may be open. */
     readonly maxOpen: number;
-    /** Bytes that may be held for sides that do not read. */
+    /** Bytes that may be held for sides that do not read, and of requests that have not been answered. */
     readonly maxHeldBytes: number;
     /** Time in ms that the connection accepted just now has waited in the accept queue. */
     readonly acceptWaitMs: () => number;
     readonly readCatalog: () => CatalogState;
     /** Whether a VM counts as alive in the fleet. */
     readonly isAlive: (address: string) => boolean;
+    /** Serves a connection that another VM served before. */
+    readonly serveReturned: RelayReturnsOptions["serve"];
 }
 
 /** What became of the question to a VM whether it takes a connection. */
@@ -73,6 +80,7 @@
 export function createEntryRelay(options: EntryRelayOptions): EntryRelay {
     const { clock, log, metrics, share, peers, port, host, maxOpen, maxHeldBytes, acceptWaitMs, isAlive } = options;
     const { readCatalog } = options;
+    const returns = createRelayReturns({ clock, serve: options.serveReturned });
     const serving = new Map<string, ServingPeer>();
     const asking = new Set<net.Socket>();
     const counts = new Map<string, number>();
@@ -87,31 +95,45 @@
 
     const pairsOf = (): readonly RelayedPair[] => [...serving.values()].flatMap(({ pairs }) => [...pairs]);
 
-    /** Resets the connections that hold most, until the rest is within the bound. */
+    /** Lets go of unanswered requests and then of whole connections, those that hold most first, until the rest is within the bound. */
     function boundHeldBytes(): void {
-        const byHeld = pairsOf().map(pair => ({ pair, bytes: pair.heldBytes() })).sort((a, b) => b.bytes - a.bytes);
-        let heldBytes = byHeld.reduce((sum, { bytes }) => sum + bytes, 0);
-        byHeld.forEach(({ pair, bytes }) => {
+        const pairs = pairsOf();
+        let heldBytes = pairs.reduce((sum, pair) => sum + pair.heldBytes(), 0);
+        if (heldBytes <= maxHeldBytes) {
+            return;
+        }
+        const relieve = (pair: RelayedPair, letGo: () => void): void => {
+            const bytes = pair.heldBytes();
             if (heldBytes > maxHeldBytes) {
-                log.failure("relayed-connection-reset", { cause: "memory", bytes, heldBytes, maxHeldBytes });
-                pair.reset("memory");
-                heldBytes -= bytes;
+                letGo();
+                heldBytes -= bytes - pair.heldBytes();
             }
-        });
+        };
+        const byHeld = pairs.map(pair => ({ pair, bytes: pair.heldBytes() })).sort((a, b) => b.bytes - a.bytes);
+        byHeld.forEach(({ pair }) => relieve(pair, pair.dropUnanswered));
+        byHeld.forEach(({ pair, bytes }) =>
+            relieve(pair, () => {
+                log.failure("relayed-connection-reset", { cause: "memory", bytes, heldBytes, maxHeldBytes });
+                pair.end("memory");
+            })
+        );
     }
 
-    /** Logs a relayed connection that ended otherwise than by its caller or after a response. */
+    /** Logs what became of the requests of a relayed connection that ended before they were answered. */
     function logEnd(end: RelayedEnd, pair: RelayedPair, address: string): void {
-        if (end === "closed" || end === "caller-lost") {
+        const { openMs, awaitedMs, hasBegun, callerBytes, peerBytes } = pair.readProgress();
+        const outcome = pair.outcome();
+        if (end === "closed" || end === "caller-lost" || (awaitedMs === undefined && outcome === "returned")) {
             return;
         }
-        const { openMs, awaitedMs, callerBytes, peerBytes } = pair.readProgress();
-        log.failure("relayed-connection-lost", {
+        log.failure(outcome === "returned" ? "relayed-connection-returned" : "relayed-connection-lost", {
             cause: end,
+            outcome,
             peer: address,
             caller: pair.caller,
             openMs: Math.round(openMs),
             awaitedMs: awaitedMs === undefined ? undefined : Math.round(awaitedMs),
+            hasBegun,
             callerBytes,
             peerBytes,
             drains: isDraining,
@@ -127,8 +149,10 @@
             caller,
             peer,
             clock,
-            onBlocked: boundHeldBytes,
+            onHeld: boundHeldBytes,
             onPeerBytes: () => served.heardMs = clock.nowMs(),
+            onAnswered: returns.recordAnswered,
+            onReturned: returns.takeBack,
             onEnded(end) {
                 openCount--;
                 relayedBytes += countBytes(pair);
@@ -194,12 +218,12 @@
         return true;
     }
 
-    /** Resets connections whose serving VM has been lost without a reset. */
+    /** Ends connections whose serving VM has been lost without a reset. */
     function resetLost(): void {
         serving.forEach(({ pairs, heardMs }, address) => {
             if (!isAlive(address) && clock.nowMs() - heardMs >= silentPeerMs) {
                 log.state("relay-peer-lost", { peer: address, connections: pairs.size });
-                [...pairs].forEach(pair => pair.reset("peer-lost"));
+                [...pairs].forEach(pair => pair.leavePeer("peer-lost"));
             }
         });
     }
@@ -260,18 +284,24 @@
             isDraining = true;
             announceDrain();
         },
+        endWaiting: () => pairsOf().filter(isAwaited).forEach(pair => pair.end("drain-ended")),
         openCount: () => openCount,
+        inFlightCount: () => pairsOf().filter(isAwaited).length,
         close() {
             cancelChecks();
             cancelReports();
             report();
             share.dispose();
-            pairsOf().forEach(pair => pair.reset("drain-ended"));
+            pairsOf().forEach(pair => pair.end("drain-ended"));
             asking.forEach(socket => socket.destroy());
         },
     };
 }
 
+/** Whether a relayed connection is open on which a request has not been answered in full. */
+const isAwaited = (pair: RelayedPair): boolean =>
+    pair.outcome() === undefined && pair.readProgress().awaitedMs !== undefined;
+
 interface RelayConnectionOptions {
     readonly clock: core.Clock;
     readonly host: string;
--- a/packages/gateway/src/relay/RelayListener.ts
+++ b/packages/gateway/src/relay/RelayListener.ts
@@ -1,6 +1,7 @@
 import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
 import * as net from "node:net";
+import { type FramedConnection, frameWrites } from "./RelayFrames.js";
 import {
     type CatalogState,
     type ConnectionRequest,
@@ -15,6 +16,10 @@
     readonly server: net.Server;
     /** Whether a relayed connection is closed after the responses in flight: its VM drains, or the catalog here is old. */
     isEnding(socket: net.Socket): boolean;
+    /** Records that a response has closed, so that the relaying VM learns what has been answered. */
+    recordResponseClosed(socket: net.Socket): void;
+    /** Releases the connections that other VMs passed on, after the responses in flight: this VM drains. */
+    drain(): void;
     /** Number of open connections that other VMs passed on to this one. */
     openCount(): number;
     close(): void;
@@ -28,8 +33,18 @@
     readonly readCatalog: () => CatalogState;
     /** Serves a connection like that of a caller. `waitedMs` is for how long it had waited at the other VM. */
     readonly serve: (socket: net.Socket, waitedMs: number) => void;
-    /** Whether a connection has had a response and nothing is in flight on it. */
+    /** Whether no request is in flight on a connection. */
     readonly isIdle: (socket: net.Socket) => boolean;
+    /** Whether no part of a further request has been read from a connection. */
+    readonly isBetweenRequests: (socket: net.Socket) => boolean;
+}
+
+/** A connection that this VM serves for another one. */
+interface ServedConnection {
+    readonly peer: string;
+    readonly frames: FramedConnection;
+    /** Whether the other VM knows where the requests that have not been answered begin. */
+    isAnswerKnown: boolean;
 }
 
 /**
@@ -44,9 +59,10 @@
 const requestTimeoutMs = 1_000;
 
 export function createRelayListener(options: RelayListenerOptions): RelayListener {
-    const { clock, log, metrics, room, readCatalog, serve, isIdle } = options;
-    const served = new Map<net.Socket, string>();
+    const { clock, log, metrics, room, readCatalog, serve, isIdle, isBetweenRequests } = options;
+    const served = new Map<net.Socket, ServedConnection>();
     const ending = new Set<net.Socket>();
+    let isDraining = false;
 
     let wasCatalogOld = false;
 
@@ -67,19 +83,37 @@
             socket.resume().setTimeout(requestTimeoutMs, () => socket.destroy());
             return;
         }
-        served.set(socket, socket.remoteAddress ?? "");
         socket.once("close", () => {
             served.delete(socket);
             ending.delete(socket);
         });
         socket.write(encodeRelayAnswer({ isAccepted: true, spareCores: room.spareCores() }));
+        served.set(socket, {
+            peer: socket.remoteAddress ?? "",
+            frames: frameWrites(socket),
+            isAnswerKnown: true,
+        });
         serve(socket, request.waitedMs);
     }
 
+    /** Bytes of the caller that have arrived on a connection. */
+    const callerBytesOf = (socket: net.Socket): number => socket.bytesRead - relayRequestBytes;
+
+    function recordResponseClosed(socket: net.Socket): void {
+        const connection = served.get(socket);
+        if (!connection || socket.destroyed) {
+            return;
+        }
+        connection.isAnswerKnown = isIdle(socket) && isBetweenRequests(socket);
+        if (connection.isAnswerKnown) {
+            connection.frames.send("answered", callerBytesOf(socket));
+        }
+    }
+
     /** Ends the connections that a VM has passed on; those of all VMs if none is named. */
-    function endConnections(cause: "peer-draining" | "catalog-old", peer?: string): void {
-        const connections = [...served].filter(([socket, address]) =>
-            (peer === undefined || address === peer) && !ending.has(socket)
+    function endConnections(cause: "draining" | "peer-draining" | "catalog-old", peer?: string): void {
+        const connections = [...served].filter(([socket, connection]) =>
+            (peer === undefined || connection.peer === peer) && !ending.has(socket)
         );
         connections.forEach(([socket]) => ending.add(socket));
         const idle = connections.filter(([socket]) => isIdle(socket));
@@ -91,15 +125,24 @@
                 idle: idle.length,
             });
         }
-        closeIdle();
+        releaseIdle();
     }
 
-    /** Closes the connections whose last response has ended: one that had begun before does not tell its caller of the close. */
-    function closeIdle(): void {
-        [...ending].filter(isIdle).forEach(socket => core.closeGracefully(socket, clock));
+    /**
+     * Releases the connections whose last response has ended: one that had begun before does not tell its caller of the close. A request
+     * that the other VM has read meanwhile is served there.
+     */
+    function releaseIdle(): void {
+        [...ending].filter(isIdle).forEach(socket => {
+            const connection = served.get(socket);
+            if (connection?.isAnswerKnown && !socket.writableEnded) {
+                connection.frames.send("released", callerBytesOf(socket));
+                core.closeGracefully(socket, clock);
+            }
+        });
     }
 
-    const cancelIdleChecks = core.setRepeatingTimer(clock, idleCheckIntervalMs, closeIdle);
+    const cancelIdleChecks = core.setRepeatingTimer(clock, idleCheckIntervalMs, releaseIdle);
     const cancelChecks = core.setRepeatingTimer(clock, checkIntervalMs, () => {
         const isOld = isCatalogOld();
         if (isOld && !wasCatalogOld) {
@@ -138,7 +181,12 @@
 
     return {
         server,
-        isEnding: socket => ending.has(socket) || (served.has(socket) && isCatalogOld()),
+        isEnding: socket => ending.has(socket) || (served.has(socket) && (isDraining || isCatalogOld())),
+        recordResponseClosed,
+        drain() {
+            isDraining = true;
+            endConnections("draining");
+        },
         openCount: () => served.size,
         close() {
             cancelChecks();
--- a/packages/gateway/src/relay/RelayMessages.ts
+++ b/packages/gateway/src/relay/RelayMessages.ts
@@ -29,9 +29,9 @@
 export const relayRequestBytes = 20;
 export const relayAnswerBytes = 4;
 
-/** First byte of all messages, and the version of this protocol. */
+/** First byte of all messages, and the version of this protocol: from 2 on, what the serving VM sends is framed. */
 const protocolByte = 0xe7;
-const version = 1;
+const version = 2;
 const kindBytes = { connection: 1, drain: 2 } as const;
 const maxUint16 = 0xffff;
 const maxUint32 = 0xffff_ffff;
--- a/packages/gateway/src/relay/ZoneRelay.ts
+++ b/packages/gateway/src/relay/ZoneRelay.ts
@@ -3,18 +3,20 @@
 import type * as net from "node:net";
 import type { CallerConnections } from "../CallerConnections.js";
 import type { GatewayContext } from "../GatewayContext.js";
-import { createEntryRelay, type EntryRelay } from "./EntryRelay.js";
+import { createEntryRelay, type EntryRelay, type EntryRelayOptions } from "./EntryRelay.js";
 import { createRelayListener } from "./RelayListener.js";
 import { createRelayPeers } from "./RelayPeers.js";
 import { createRelayRoom } from "./RelayRoom.js";
 import { createRelayShare } from "./RelayShare.js";
 
 /** Both sides of the relay of connections between the VMs of a zone. */
-export interface ZoneRelay extends Pick<EntryRelay, "tryPassOn" | "drain" | "close"> {
+export interface ZoneRelay extends Pick<EntryRelay, "tryPassOn" | "drain" | "endWaiting" | "inFlightCount" | "close"> {
     /** Listens for connections that other VMs pass on. */
     listen(): Promise<Result<void, core.BindFailure>>;
     /** Whether a connection is closed after the response that begins now, so that another VM serves its caller. */
     closesAfterResponse(socket: net.Socket): boolean;
+    /** Records that a response has closed. */
+    recordResponseClosed(socket: net.Socket): void;
     /** Processor time in cores that this VM can spare for connections of other VMs; 0 if it takes none. */
     spareCores(): number;
 }
@@ -25,6 +27,8 @@
     readonly isReady: () => boolean;
     /** Serves a connection that another VM passed on. `waitedMs` is for how long it had waited there. */
     readonly serve: (socket: net.Socket, waitedMs: number) => void;
+    /** Serves a connection that another VM served before. */
+    readonly serveReturned: EntryRelayOptions["serveReturned"];
 }
 
 /** Open relayed connections per MB of memory: each takes two descriptors, of which the smallest VMs have 11 per MB. */
@@ -34,7 +38,8 @@
 const bytesPerMb = 1_000_000;
 
 /** Undefined if the relay is switched off. */
-export function createZoneRelay({ context, connections, isReady, serve }: ZoneRelayOptions): ZoneRelay | undefined {
+export function createZoneRelay(options: ZoneRelayOptions): ZoneRelay | undefined {
+    const { context, connections, isReady, serve, serveReturned } = options;
     const { settings, clock, log, metrics, random, follower, overload, acceptQueue, relayPeerLoads } = context;
     if (!settings.relay) {
         return undefined;
@@ -71,6 +76,7 @@
         acceptWaitMs: acceptQueue.waitMs,
         readCatalog,
         isAlive: address => relayPeerLoads().some(load => load.address === address),
+        serveReturned,
     });
     const listener = createRelayListener({
         clock,
@@ -79,7 +85,8 @@
         room,
         readCatalog,
         serve,
-        isIdle: socket => connections.latestOn(socket) !== undefined && connections.inFlightOn(socket).length === 0,
+        isIdle: socket => connections.inFlightOn(socket).length === 0,
+        isBetweenRequests,
     });
     const removeGauges = [
         metrics.registerGauge(
@@ -98,7 +105,13 @@
 
     return {
         tryPassOn: entryRelay.tryPassOn,
-        drain: entryRelay.drain,
+        drain() {
+            entryRelay.drain();
+            listener.drain();
+        },
+        endWaiting: entryRelay.endWaiting,
+        inFlightCount: entryRelay.inFlightCount,
+        recordResponseClosed: listener.recordResponseClosed,
         closesAfterResponse(socket) {
             const isMoved = share.closesOpen();
             if (isMoved) {
@@ -115,3 +128,10 @@
         },
     };
 }
+
+/** Whether the HTTP server has read no part of a request beyond those that have arrived in full; false if that is not known. */
+function isBetweenRequests(socket: net.Socket): boolean {
+    // Node.js has no public method for it. The parser counts the time since the beginning of a message, and bytes may wait to be parsed.
+    const { parser } = socket as { parser?: { duration?: () => number; } | null; };
+    return socket.readableLength === 0 && parser?.duration?.() === 0;
+}
