gateway: a request is no longer ended before its deadline because an earlier connection waited for long

Cause: a request counts as arrived when its connection joined the accept queue, and that was computed with the wait of the connection of the last probe, up to 0.5 s old.

Change: deadlines go by what a connection has waited at least. The queue is first in, first out, so that a connection which is accepted while a probe is in the queue has waited for as long as the probe. Whether a caller has given up is still judged by the believed wait, whose error costs an answer 'not run' only. The relay passes both waits on.

Test: AcceptQueueProbe 'do not tell that a connection has waited that joined the queue after them'; the method is new, so it cannot fail on the code before.

--- a/packages/gateway/__tests__/unit/AcceptQueueProbe.test.ts
+++ b/packages/gateway/__tests__/unit/AcceptQueueProbe.test.ts
@@ -36,6 +36,36 @@
         assert.deepEqual(accepted.map(({ isProbe }) => isProbe), [false, true]);
     });
 
+    it("do not tell that a connection has waited that joined the queue after them", async () => {
+        const clock = testing.createVirtualClock();
+        const server = net.createServer().listen(0, "127.0.0.1");
+        await once(server, "listening");
+        const { port } = server.address() as net.AddressInfo;
+        const socket = net.connect(port, "127.0.0.1");
+        const [[accepted]] = await Promise.all([once(server, "connection"), once(socket, "connect")]) as [
+            [net.Socket],
+            unknown,
+        ];
+        const probe = createAcceptQueueProbe({
+            endpoint: { host: "127.0.0.1", port },
+            clock,
+            log: testing.createRecordingLog(),
+            connect: () => socket,
+        });
+        probe.start();
+        await new Promise(resolve => setImmediate(resolve));
+        const outsideMs = probe.minWaitMs();
+        socket.emit("connect");
+        await clock.advance(400);
+        const queuedMs = probe.minWaitMs();
+        const isProbe = probe.tryEnd(accepted);
+        const afterMs = probe.minWaitMs();
+        probe.dispose();
+        server.close();
+        assert.equal(isProbe, true);
+        assert.deepEqual([outsideMs, queuedMs, afterMs].map(Math.round), [0, 400, 0]);
+    });
+
     it("do not wait forever if their connection gets data and is closed", async () => {
         const server = net.createServer(socket => void socket.end("HTTP/1.1 408 Request Timeout\r\n\r\n"));
         server.listen(0, "127.0.0.1");
--- a/packages/gateway/__tests__/unit/EntryRelay.test.ts
+++ b/packages/gateway/__tests__/unit/EntryRelay.test.ts
@@ -127,7 +127,13 @@
 
 describe("Messages of the relay", () => {
     it("are decoded as they were encoded, and other bytes are not", () => {
-        const request = { kind: "connection", waitedMs: 70, catalogAgeMs: 1_200, configVersion: 2 ** 40 } as const;
+        const request = {
+            kind: "connection",
+            waitMs: 70,
+            minWaitMs: 30,
+            catalogAgeMs: 1_200,
+            configVersion: 2 ** 40,
+        } as const;
         assert.deepEqual(decodeRelayRequest(encodeRelayRequest(request)), request);
         assert.deepEqual(decodeRelayRequest(encodeRelayRequest({ kind: "drain" })), { kind: "drain" });
         assert.equal(decodeRelayRequest(Buffer.from("GET / HTTP/1.1")), undefined);
@@ -153,7 +159,7 @@
     async function isTaken(known: Partial<typeof catalog>): Promise<boolean | undefined> {
         const { port } = listener.server.address() as net.AddressInfo;
         const socket = net.connect(port, "127.0.0.1");
-        socket.write(encodeRelayRequest({ kind: "connection", waitedMs: 0, ...catalog, ...known }));
+        socket.write(encodeRelayRequest({ kind: "connection", waitMs: 0, minWaitMs: 0, ...catalog, ...known }));
         const [answer] = await once(socket, "data") as [Buffer];
         socket.destroy();
         return decodeRelayAnswer(answer)?.isAccepted;
@@ -200,6 +206,7 @@
             maxOpen: 10,
             maxHeldBytes: 100_000,
             acceptWaitMs: () => acceptWaitMs,
+            minAcceptWaitMs: () => 0,
             readCatalog: () => ({ configVersion: 7, catalogAgeMs: 0 }),
             isAlive: () => true,
             serveReturned: () => undefined,
--- a/packages/gateway/src/AcceptQueueProbe.ts
+++ b/packages/gateway/src/AcceptQueueProbe.ts
@@ -14,6 +14,8 @@
     tryEnd(accepted: net.Socket): boolean;
     /** The wait in ms, which is at least that of a connection that is still in the queue; undefined if it is not known. */
     waitMs(): number | undefined;
+    /** Time in ms for which a connection that is accepted now has waited at least: it joined the queue before a probe that is still in it. */
+    minWaitMs(): number;
     dispose(): void;
 }
 
@@ -24,6 +26,15 @@
     readonly connect?: (endpoint: Endpoint) => net.Socket;
 }
 
+/** A probe that has not been accepted. */
+interface PendingProbe {
+    readonly socket: net.Socket;
+    readonly startedMs: number;
+    /** Time in ms since which it is known to be in the queue. */
+    queuedMs: number | undefined;
+    hasAddress: boolean;
+}
+
 /** Minimum time in ms between two probes. */
 const probeIntervalMs = 50;
 /** Age in ms from which a measured wait says nothing about the queue any more. */
@@ -31,7 +42,7 @@
 
 export function createAcceptQueueProbe(options: AcceptQueueProbeOptions): AcceptQueueProbe {
     const { endpoint, clock, log, connect = net.connect } = options;
-    let pending: { readonly socket: net.Socket; readonly startedMs: number; hasAddress: boolean; } | undefined;
+    let pending: PendingProbe | undefined;
     let last: { readonly waitMs: number; readonly atMs: number; } | undefined;
     let nextStartMs = Number.NEGATIVE_INFINITY;
 
@@ -56,11 +67,12 @@
                 return;
             }
             const socket = connect(endpoint);
-            const started = { socket, startedMs, hasAddress: false };
+            const started: PendingProbe = { socket, startedMs, queuedMs: undefined, hasAddress: false };
             pending = started;
             // Node.js connects on the next tick. It retains an address that is read before, although there is none yet.
             process.nextTick(() => started.hasAddress = true);
             // Unless its data is read, a connection does not report that its other end has closed it.
+            socket.once("connect", () => started.queuedMs = clock.nowMs());
             socket.on("error", error => onClosed(socket, error)).once("close", () => onClosed(socket)).resume();
         },
         tryEnd(accepted) {
@@ -78,6 +90,7 @@
             const lastMs = last && nowMs - last.atMs <= maxAgeMs ? last.waitMs : undefined;
             return pending ? Math.max(lastMs ?? 0, nowMs - pending.startedMs) : lastMs;
         },
+        minWaitMs: () => pending?.queuedMs === undefined ? 0 : clock.nowMs() - pending.queuedMs,
         dispose() {
             const socket = pending?.socket;
             pending = undefined;
--- a/packages/gateway/src/CallerConnections.ts
+++ b/packages/gateway/src/CallerConnections.ts
@@ -7,15 +7,15 @@
     /**
      * Records an accepted connection, whether its requests are served or refused.
      *
-     * @param waitMs time in ms for which it has waited to be accepted.
+     * @param wait for how long it has waited to be accepted.
      */
-    recordAccepted(socket: net.Socket, waitMs?: number): void;
+    recordAccepted(socket: net.Socket, wait?: AcceptWait): void;
     /** Records a connection that this VM serves now and another one served before. */
     recordReturned(socket: net.Socket, returned: ReturnedRequest): void;
     /** What is known of the request of a response from the VM that served its connection before; undefined if none did. */
     returnedRequest(response: http.ServerResponse): ReturnedRequest | undefined;
-    /** Time in ms for which the connection of a response waited to be accepted; 0 if it is not the first on its connection. */
-    acceptWaitMs(response: http.ServerResponse): number;
+    /** For how long the connection of a response waited to be accepted; not at all if the response is not the first on it. */
+    acceptWait(response: http.ServerResponse): AcceptWait;
     /** @param onClosed called once the response has ended or its connection has closed. */
     recordRequest(response: http.ServerResponse, onClosed?: () => void): void;
     /**
@@ -47,6 +47,16 @@
     acceptedCount(): number;
 }
 
+/** For how long a connection has waited to be accepted. */
+export interface AcceptWait {
+    /** Time in ms that another connection waited which was accepted shortly before. */
+    readonly waitMs: number;
+    /** Time in ms for which it has waited at least. */
+    readonly minWaitMs: number;
+}
+
+const noWait: AcceptWait = { waitMs: 0, minWaitMs: 0 };
+
 /** The first request on a connection that another VM served before. */
 export interface ReturnedRequest {
     /** Time in ms for which it has waited for a response. */
@@ -69,7 +79,7 @@
     const inFlight = new Set<http.ServerResponse>();
     const latestResponses = new WeakMap<net.Socket, http.ServerResponse>();
     const firstResponses = new WeakSet<http.ServerResponse>();
-    const acceptWaitsMs = new WeakMap<net.Socket, number>();
+    const acceptWaits = new WeakMap<net.Socket, AcceptWait>();
     const returnedRequests = new WeakMap<net.Socket, ReturnedRequest>();
     const turns = new WeakMap<http.ServerResponse, Turn>();
     /** Resolve once all responses on a connection have ended; missing while none is open. */
@@ -91,9 +101,9 @@
     }
 
     return {
-        recordAccepted(socket, waitMs = 0) {
+        recordAccepted(socket, wait = noWait) {
             acceptedCount++;
-            acceptWaitsMs.set(socket, waitMs);
+            acceptWaits.set(socket, wait);
             sockets.add(socket);
             socket.once("close", () => sockets.delete(socket));
         },
@@ -115,12 +125,13 @@
         recordEnded: response => turns.get(response)?.end(),
         isFirst: response => firstResponses.has(response),
         recordReturned(socket, returned) {
-            acceptWaitsMs.delete(socket);
+            acceptWaits.delete(socket);
             returnedRequests.set(socket, returned);
         },
         returnedRequest: response =>
             firstResponses.has(response) ? returnedRequests.get(response.req.socket) : undefined,
-        acceptWaitMs: response => firstResponses.has(response) ? acceptWaitsMs.get(response.req.socket) ?? 0 : 0,
+        acceptWait: response =>
+            (firstResponses.has(response) ? acceptWaits.get(response.req.socket) : undefined) ?? noWait,
         isLatest: response => latestResponses.get(response.req.socket) === response,
         isClosing(socket) {
             const latest = latestResponses.get(socket);
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -5,7 +5,7 @@
 import * as net from "node:net";
 import { acceptBacklog } from "./AcceptQueueMonitor.js";
 import { createBodyMemory } from "./BodyMemory.js";
-import { createCallerConnections } from "./CallerConnections.js";
+import { type AcceptWait, createCallerConnections } from "./CallerConnections.js";
 import { closeIdleAfterPoll } from "./CallerResponse.js";
 import { createClientErrors } from "./ClientError.js";
 import { CoalescedMessage } from "./CoalescedMessage.js";
@@ -127,11 +127,12 @@
     const serveConnection = refuseConnectionsUnderOverload(callerServer);
     const zoneRelay = createZoneRelay({
         context,
+        acceptWait,
         connections: callerConnections,
         isReady,
-        serve(socket, waitedMs) {
+        serve(socket, wait) {
             if (accounts.open(socket, "entry")) {
-                callerConnections.recordAccepted(socket, waitedMs);
+                callerConnections.recordAccepted(socket, wait);
                 serveConnection(socket);
             }
         },
@@ -212,7 +213,7 @@
             if (context.acceptQueueProbe.tryEnd(socket) || !accounts.open(socket, "entry")) {
                 return;
             }
-            callerConnections.recordAccepted(socket, measuredAcceptWaitMs());
+            callerConnections.recordAccepted(socket, acceptWait());
             const onNotTaken = (isTooLate: boolean): void => {
                 const verdict = isTooLate ? "refuse" : context.overload.judgeConnection();
                 // Node.js has read from it while other VMs were asked, so its caller gets an answer.
@@ -273,9 +274,13 @@
         });
     }
 
-    /** Time in ms for which the connection accepted last has waited, as far as it is measured and not only bounded. */
-    function measuredAcceptWaitMs(): number {
-        return Math.min(acceptQueue.longestWaitMs(), context.acceptQueueProbe.waitMs() ?? 0);
+    /** For how long the connection accepted last has waited, as far as it is measured and not only bounded. */
+    function acceptWait(): AcceptWait {
+        const longestWaitMs = acceptQueue.longestWaitMs();
+        return {
+            waitMs: Math.min(longestWaitMs, context.acceptQueueProbe.waitMs() ?? 0),
+            minWaitMs: Math.min(longestWaitMs, context.acceptQueueProbe.minWaitMs()),
+        };
     }
 
     /** Closes the listening socket, so that the kernel resets the connections that wait there, and listens again. */
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -126,9 +126,10 @@
     const { refusalReport, entryReport } = options;
     const { clock, codec, log, metrics } = context;
     // Its caller has waited since the connection was opened, not since the VM had the time to accept it.
-    const acceptWaitMs = connections.acceptWaitMs(response);
+    const { waitMs: acceptWaitMs, minWaitMs: minAcceptWaitMs } = connections.acceptWait(response);
     const returned = connections.returnedRequest(response);
-    const arrivedMs = clock.nowMs() - acceptWaitMs - (returned?.waitedMs ?? 0);
+    // No request ends before its deadline because an earlier connection waited longer.
+    const arrivedMs = clock.nowMs() - minAcceptWaitMs - (returned?.waitedMs ?? 0);
     const mayHaveRunElsewhere = returned?.mayHaveRun === true;
     const path = request.url ?? "/";
     const requestHead = codec.readRequestHead(request.rawHeaders);
--- a/packages/gateway/src/relay/EntryRelay.ts
+++ b/packages/gateway/src/relay/EntryRelay.ts
@@ -1,6 +1,7 @@
 import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
 import * as net from "node:net";
+import type { AcceptWait } from "../CallerConnections.js";
 import { readPatienceMs } from "../CallerPatience.js";
 import { joinConnections, type RelayedEnd, type RelayedPair } from "./RelayedPair.js";
 import {
@@ -52,6 +53,8 @@
     readonly maxHeldBytes: number;
     /** Time in ms that the connection accepted just now has waited in the accept queue. */
     readonly acceptWaitMs: () => number;
+    /** Time in ms for which it has waited at least. */
+    readonly minAcceptWaitMs: () => number;
     readonly readCatalog: () => CatalogState;
     /** Whether a VM counts as alive in the fleet. */
     readonly isAlive: (address: string) => boolean;
@@ -79,7 +82,7 @@
 
 export function createEntryRelay(options: EntryRelayOptions): EntryRelay {
     const { clock, log, metrics, share, peers, port, host, maxOpen, maxHeldBytes, acceptWaitMs, isAlive } = options;
-    const { readCatalog } = options;
+    const { readCatalog, minAcceptWaitMs } = options;
     const returns = createRelayReturns({ clock, serve: options.serveReturned });
     const serving = new Map<string, ServingPeer>();
     const asking = new Set<net.Socket>();
@@ -177,7 +180,7 @@
     function ask(
         caller: net.Socket,
         tried: readonly string[],
-        sinceMs: number,
+        readWait: () => AcceptWait,
         onNotTaken: (isTooLate: boolean) => void,
     ): boolean {
         const address = tried.length < maxAsked ? peers.choose(tried) : undefined;
@@ -190,7 +193,7 @@
             host,
             address,
             port,
-            request: encodeRelayRequest({ kind: "connection", waitedMs: clock.nowMs() - sinceMs, ...readCatalog() }),
+            request: encodeRelayRequest({ kind: "connection", ...readWait(), ...readCatalog() }),
             sockets: asking,
             onAnswer(outcome, answer, peer) {
                 peers.recordAnswer(address, answer);
@@ -199,7 +202,7 @@
                     [caller, peer].forEach(socket => socket.destroy());
                     return;
                 }
-                if (clock.nowMs() - sinceMs >= readPatienceMs) {
+                if (readWait().waitMs >= readPatienceMs) {
                     // Turns of this VM's event loop were long meanwhile.
                     count("too-late");
                     peer.destroy();
@@ -210,7 +213,7 @@
                 if (outcome === "accepted") {
                     join(caller, peer, address);
                 }
-                else if (isDraining || !ask(caller, [...tried, address], sinceMs, onNotTaken)) {
+                else if (isDraining || !ask(caller, [...tried, address], readWait, onNotTaken)) {
                     onNotTaken(false);
                 }
             },
@@ -274,7 +277,13 @@
                 }
             };
             caller.on("error", onEarlyError);
-            const isAsked = ask(caller, [], clock.nowMs() - acceptWaitMs(), restore);
+            const acceptedMs = clock.nowMs();
+            const [waitMs, minWaitMs] = [acceptWaitMs(), minAcceptWaitMs()];
+            const readWait = (): AcceptWait => {
+                const askedMs = clock.nowMs() - acceptedMs;
+                return { waitMs: waitMs + askedMs, minWaitMs: minWaitMs + askedMs };
+            };
+            const isAsked = ask(caller, [], readWait, restore);
             if (!isAsked) {
                 caller.off("error", onEarlyError);
             }
--- a/packages/gateway/src/relay/RelayListener.ts
+++ b/packages/gateway/src/relay/RelayListener.ts
@@ -1,6 +1,7 @@
 import * as core from "@peridotloft/core";
 import type * as telemetry from "@peridotloft/telemetry";
 import * as net from "node:net";
+import type { AcceptWait } from "../CallerConnections.js";
 import { type FramedConnection, frameWrites } from "./RelayFrames.js";
 import {
     type CatalogState,
@@ -31,8 +32,8 @@
     readonly metrics: telemetry.Metrics;
     readonly room: RelayRoom;
     readonly readCatalog: () => CatalogState;
-    /** Serves a connection like that of a caller. `waitedMs` is for how long it had waited at the other VM. */
-    readonly serve: (socket: net.Socket, waitedMs: number) => void;
+    /** Serves a connection like that of a caller. `wait` is for how long it had waited at the other VM. */
+    readonly serve: (socket: net.Socket, wait: AcceptWait) => void;
     /** Whether no request is in flight on a connection. */
     readonly isIdle: (socket: net.Socket) => boolean;
     /** Whether no part of a further request has been read from a connection. */
@@ -93,7 +94,7 @@
             frames: frameWrites(socket),
             isAnswerKnown: true,
         });
-        serve(socket, request.waitedMs);
+        serve(socket, request);
     }
 
     /** Bytes of the caller that have arrived on a connection. */
--- a/packages/gateway/src/relay/RelayMessages.ts
+++ b/packages/gateway/src/relay/RelayMessages.ts
@@ -1,3 +1,5 @@
+import type { AcceptWait } from "../CallerConnections.js";
+
 /** What a VM knows of the catalog that the platform publishes. */
 export interface CatalogState {
     /** Version of the configuration that is in force at the VM; 0 if it knows none. */
@@ -13,10 +15,9 @@
     /** To end the connections that it serves for the sender, which drains. */
     | { readonly kind: "drain"; };
 
-export interface ConnectionRequest extends CatalogState {
+/** States for how long the connection has waited, up to 65 s. */
+export interface ConnectionRequest extends CatalogState, AcceptWait {
     readonly kind: "connection";
-    /** Time in ms for which the connection has waited. */
-    readonly waitedMs: number;
 }
 
 /** The answer to the request to serve a caller. */
@@ -40,13 +41,15 @@
     const bytes = Buffer.alloc(relayRequestBytes);
     bytes.set([protocolByte, version, kindBytes[request.kind]]);
     if (request.kind === "connection") {
-        bytes.writeUInt32BE(toUint32(request.waitedMs), 4);
+        bytes.writeUInt16BE(toUint16(request.waitMs), 4);
+        bytes.writeUInt16BE(toUint16(request.minWaitMs), 6);
         bytes.writeUInt32BE(toUint32(request.catalogAgeMs), 8);
         bytes.writeDoubleBE(request.configVersion, 12);
     }
     return bytes;
 }
 
+const toUint16 = (value: number): number => Math.min(maxUint16, Math.max(0, Math.round(value)));
 const toUint32 = (value: number): number => Math.min(maxUint32, Math.max(0, Math.round(value)));
 
 /** Decodes the first `relayRequestBytes` of a connection; undefined if they are no request of this version. */
@@ -58,7 +61,8 @@
         case kindBytes.connection:
             return {
                 kind: "connection",
-                waitedMs: bytes.readUInt32BE(4),
+                waitMs: bytes.readUInt16BE(4),
+                minWaitMs: bytes.readUInt16BE(6),
                 catalogAgeMs: bytes.readUInt32BE(8),
                 configVersion: bytes.readDoubleBE(12),
             };
@@ -72,7 +76,7 @@
 export function encodeRelayAnswer({ isAccepted, spareCores }: RelayAnswer): Buffer {
     const bytes = Buffer.alloc(relayAnswerBytes);
     bytes.set([protocolByte, isAccepted ? 1 : 0]);
-    bytes.writeUInt16BE(Math.min(maxUint16, Math.max(0, Math.round(spareCores * 1_000))), 2);
+    bytes.writeUInt16BE(toUint16(spareCores * 1_000), 2);
     return bytes;
 }
 
--- a/packages/gateway/src/relay/ZoneRelay.ts
+++ b/packages/gateway/src/relay/ZoneRelay.ts
@@ -1,7 +1,7 @@
 import * as core from "@peridotloft/core";
 import type { Result } from "neverthrow";
 import type * as net from "node:net";
-import type { CallerConnections } from "../CallerConnections.js";
+import type { AcceptWait, CallerConnections } from "../CallerConnections.js";
 import type { GatewayContext } from "../GatewayContext.js";
 import { createEntryRelay, type EntryRelay, type EntryRelayOptions } from "./EntryRelay.js";
 import { createRelayListener } from "./RelayListener.js";
@@ -25,8 +25,10 @@
     readonly context: GatewayContext;
     readonly connections: Pick<CallerConnections, "latestOn" | "inFlightOn">;
     readonly isReady: () => boolean;
-    /** Serves a connection that another VM passed on. `waitedMs` is for how long it had waited there. */
-    readonly serve: (socket: net.Socket, waitedMs: number) => void;
+    /** For how long the connection accepted last has waited. */
+    readonly acceptWait: () => AcceptWait;
+    /** Serves a connection that another VM passed on. `wait` is for how long it had waited there. */
+    readonly serve: (socket: net.Socket, wait: AcceptWait) => void;
     /** Serves a connection that another VM served before. */
     readonly serveReturned: EntryRelayOptions["serveReturned"];
 }
@@ -39,7 +41,7 @@
 
 /** Undefined if the relay is switched off. */
 export function createZoneRelay(options: ZoneRelayOptions): ZoneRelay | undefined {
-    const { context, connections, isReady, serve, serveReturned } = options;
+    const { context, connections, isReady, acceptWait, serve, serveReturned } = options;
     const { settings, clock, log, metrics, random, follower, overload, acceptQueue, relayPeerLoads } = context;
     if (!settings.relay) {
         return undefined;
@@ -74,6 +76,7 @@
         maxOpen: Math.floor(settings.maxMemoryBytes / bytesPerMb * openPerMb),
         maxHeldBytes: settings.maxMemoryBytes * heldShare,
         acceptWaitMs: acceptQueue.waitMs,
+        minAcceptWaitMs: () => acceptWait().minWaitMs,
         readCatalog,
         isAlive: address => relayPeerLoads().some(load => load.address === address),
         serveReturned,
