--- a/packages/gateway/src/relay/EntryRelay.ts
+++ b/packages/gateway/src/relay/EntryRelay.ts
@@ -293,7 +293,10 @@
             isDraining = true;
             announceDrain();
         },
-        endWaiting: () => pairsOf().filter(isAwaited).forEach(pair => pair.end("drain-ended")),
+        endWaiting: () =>
+            pairsOf()
+                .filter(pair => isAwaited(pair) && !pair.readProgress().hasBegun)
+                .forEach(pair => pair.end("drain-ended")),
         openCount: () => openCount,
         inFlightCount: () => pairsOf().filter(isAwaited).length,
         close() {
