gateway: a request that crosses the close of an idle relayed connection is served by the VM that it was sent to

What callers saw: a whole request on a kept connection ended without an answer, 200 ms and more after it was sent, while the VM they were connected to or the one that served them drained, had an old catalog, or reached the idle timeout. On RelayDrain fails with 4 of 8 (serving VM drains), 4 of 4 (old catalog), 4 of 4 (idle timeout) and 6 of 30 requests (relaying VM drains, turns of 250 ms).

Cause: the serving VM closed an idle connection without knowing what the relaying VM had read and not passed on. On a full VM that window is as long as a turn of its event loop.

Change: the serving VM releases the connection (frame 'released'), and discards what arrives after it. The relaying VM serves what it has passed on beyond, which has not run, so also requests that may run once only. Without such a request it keeps the connection for 2 s, serves what arrives, with Connection: close, and then closes it. All closes of idle relayed connections go this way: the drain of either VM, an old catalog, the idle timeout.

EntryRelay and RelayLoss 19 of 19.

--- a/packages/gateway/src/CallerConnections.ts
+++ b/packages/gateway/src/CallerConnections.ts
@@ -12,6 +12,8 @@
     recordAccepted(socket: net.Socket, wait?: AcceptWait): void;
     /** Records a connection that this VM serves now and another one served before. */
     recordReturned(socket: net.Socket, returned: ReturnedRequest): void;
+    /** Whether another VM served a connection before. */
+    isReturned(socket: net.Socket): boolean;
     /** What is known of the request of a response from the VM that served its connection before; undefined if none did. */
     returnedRequest(response: http.ServerResponse): ReturnedRequest | undefined;
     /** For how long the connection of a response waited to be accepted; not at all if the response is not the first on it. */
@@ -128,6 +130,7 @@
             acceptWaits.delete(socket);
             returnedRequests.set(socket, returned);
         },
+        isReturned: socket => returnedRequests.has(socket),
         returnedRequest: response =>
             firstResponses.has(response) ? returnedRequests.get(response.req.socket) : undefined,
         acceptWait: response =>
--- a/packages/gateway/src/CallerResponse.ts
+++ b/packages/gateway/src/CallerResponse.ts
@@ -131,16 +131,21 @@
     });
 }
 
-/** Closes idle connections at their timeout unless something has arrived that is not read yet, as at the end of a long turn. */
+/**
+ * Closes idle connections at their timeout unless something has arrived that is not read yet, as at the end of a long turn.
+ *
+ * @param release ends a connection in another way; returns false if that does not apply to it.
+ */
 export function closeIdleAfterPoll(
     server: http.Server,
+    release: (socket: net.Socket) => boolean = () => false,
     onTurnEnd: (callback: () => void) => void = setImmediate,
 ): void {
     // With a listener, Node.js does not close the connection itself.
     server.on("timeout", (socket: net.Socket) => {
         const { bytesRead } = socket;
         onTurnEnd(() => {
-            if (socket.bytesRead === bytesRead) {
+            if (socket.bytesRead === bytesRead && !release(socket)) {
                 socket.destroy();
             }
         });
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -94,8 +94,10 @@
         context,
         freshness,
         connections: callerConnections,
+        // The caller of a returned connection opens another one, which a VM with room may serve.
         closesAfterResponse: socket =>
-            clientErrors.hasFailed(socket) || zoneRelay?.closesAfterResponse(socket) === true,
+            clientErrors.hasFailed(socket) || callerConnections.isReturned(socket)
+            || zoneRelay?.closesAfterResponse(socket) === true,
         refusalReport,
         entryReport,
         chooseRetry,
@@ -123,7 +125,7 @@
         requestHandler.handle(request, response);
     });
     callerServer.on("clientError", (error, socket) => clientErrors.handle(error, socket as net.Socket));
-    closeIdleAfterPoll(callerServer);
+    closeIdleAfterPoll(callerServer, socket => zoneRelay?.release(socket) === true);
     const serveConnection = refuseConnectionsUnderOverload(callerServer);
     const zoneRelay = createZoneRelay({
         context,
--- a/packages/gateway/src/relay/RelayListener.ts
+++ b/packages/gateway/src/relay/RelayListener.ts
@@ -17,6 +17,8 @@
     readonly server: net.Server;
     /** Whether a relayed connection is closed after the responses in flight: its VM drains, or the catalog here is old. */
     isEnding(socket: net.Socket): boolean;
+    /** Releases a connection that is idle for too long. Returns false if another VM did not pass it on. */
+    release(socket: net.Socket): boolean;
     /** Records that a response has closed, so that the relaying VM learns what has been answered. */
     recordResponseClosed(socket: net.Socket): void;
     /** Releases the connections that other VMs passed on, after the responses in flight: this VM drains. */
@@ -109,6 +111,9 @@
         if (connection.isAnswerKnown) {
             connection.frames.send("answered", callerBytesOf(socket));
         }
+        if (ending.has(socket)) {
+            releaseIfIdle(socket);
+        }
     }
 
     /** Ends the connections that a VM has passed on; those of all VMs if none is named. */
@@ -130,19 +135,19 @@
     }
 
     /**
-     * Releases the connections whose last response has ended: one that had begun before does not tell its caller of the close. A request
+     * Releases a connection whose last response has ended: one that had begun before does not tell its caller of the close. A request
      * that the other VM has read meanwhile is served there.
      */
-    function releaseIdle(): void {
-        [...ending].filter(isIdle).forEach(socket => {
-            const connection = served.get(socket);
-            if (connection?.isAnswerKnown && !socket.writableEnded) {
-                connection.frames.send("released", callerBytesOf(socket));
-                core.closeGracefully(socket, clock);
-            }
-        });
+    function releaseIfIdle(socket: net.Socket): void {
+        const connection = served.get(socket);
+        if (connection?.isAnswerKnown && isIdle(socket) && !socket.writableEnded) {
+            connection.frames.send("released", callerBytesOf(socket));
+            core.closeGracefully(socket, clock);
+        }
     }
 
+    const releaseIdle = (): void => ending.forEach(releaseIfIdle);
+
     const cancelIdleChecks = core.setRepeatingTimer(clock, idleCheckIntervalMs, releaseIdle);
     const cancelChecks = core.setRepeatingTimer(clock, checkIntervalMs, () => {
         const isOld = isCatalogOld();
@@ -183,6 +188,10 @@
     return {
         server,
         isEnding: socket => ending.has(socket) || (served.has(socket) && (isDraining || isCatalogOld())),
+        release(socket) {
+            releaseIfIdle(socket);
+            return served.has(socket);
+        },
         recordResponseClosed,
         drain() {
             isDraining = true;
--- a/packages/gateway/src/relay/RelayReturns.ts
+++ b/packages/gateway/src/relay/RelayReturns.ts
@@ -1,4 +1,4 @@
-import * as core from "@peridotloft/core";
+import type * as core from "@peridotloft/core";
 import type * as net from "node:net";
 import type { ReturnedRequest } from "../CallerConnections.js";
 import type { ReturnedConnection } from "./RelayedPair.js";
@@ -6,8 +6,8 @@
 /** Connections that this VM accepted and another one served until it released them or was lost. */
 export interface RelayReturns {
     /**
-     * Serves a connection. One without an unanswered request is closed instead, unless a request arrives in this turn of the event
-     * loop: its caller opens another one.
+     * Serves a connection. One without an unanswered request is closed if none arrives within 2 s: when its VM drains, callers that send one
+     * until then are told of the close.
      */
     takeBack(returned: ReturnedConnection): void;
     /** Records a response of another VM. */
@@ -26,6 +26,8 @@
  */
 const maxReruns = 8;
 const rerunsPerResponse = 0.1;
+/** Time in ms for a request to arrive on a connection without one, after which it is closed. */
+const idleMs = 2_000;
 
 export function createRelayReturns({ clock, serve }: RelayReturnsOptions): RelayReturns {
     let reruns = maxReruns;
@@ -45,23 +47,22 @@
             serveWith(unansweredBytes);
             return;
         }
-        let hasArrived = false;
-        const onError = (): void => void caller.destroy();
+        let isWaiting = true;
+        const onEnded = (): void => void caller.destroy();
         const onData = (bytes: Buffer): void => {
-            hasArrived = true;
             caller.pause();
-            caller.off("data", onData).off("error", onError);
+            stopWaiting();
             serveWith(bytes);
         };
-        const closeUnlessArrived = (): void => {
-            if (!hasArrived) {
-                caller.off("data", onData);
-                core.closeGracefully(caller, clock);
-            }
-        };
-        caller.on("error", onError).on("data", onData).resume();
         // The second callback runs after the sockets have been polled.
-        setImmediate(() => setImmediate(closeUnlessArrived));
+        const closeIfWaiting = (): void => void (isWaiting && caller.destroy());
+        const cancelTimer = clock.setTimer(idleMs, () => setImmediate(() => setImmediate(closeIfWaiting)));
+        const stopWaiting = (): void => {
+            cancelTimer();
+            caller.off("data", onData).off("end", onEnded).off("error", onEnded).off("close", stopWaiting);
+            isWaiting = false;
+        };
+        caller.on("data", onData).on("end", onEnded).on("error", onEnded).on("close", stopWaiting).resume();
     }
 
     return {
--- a/packages/gateway/src/relay/ZoneRelay.ts
+++ b/packages/gateway/src/relay/ZoneRelay.ts
@@ -15,6 +15,8 @@
     listen(): Promise<Result<void, core.BindFailure>>;
     /** Whether a connection is closed after the response that begins now, so that another VM serves its caller. */
     closesAfterResponse(socket: net.Socket): boolean;
+    /** Releases a connection that is idle for too long. Returns false if another VM did not pass it on. */
+    release(socket: net.Socket): boolean;
     /** Records that a response has closed. */
     recordResponseClosed(socket: net.Socket): void;
     /** Processor time in cores that this VM can spare for connections of other VMs; 0 if it takes none. */
@@ -114,6 +116,7 @@
         },
         endWaiting: entryRelay.endWaiting,
         inFlightCount: entryRelay.inFlightCount,
+        release: listener.release,
         recordResponseClosed: listener.recordResponseClosed,
         closesAfterResponse(socket) {
             const isMoved = share.closesOpen();
