gateway: requests sent ahead on a connection of a lost VM are not run again either

Found by the review, proved by a test of its own: the second of two pipelined requests that may run once only ran twice. The serving VM starts it once the first response is handed to its socket; if that response is lost on the way, the relaying VM puts both back, and only the first counted as one that may have run (A 502, B 2 runs and 200). Now each request on such a connection does.

--- a/packages/gateway/src/CallerConnections.ts
+++ b/packages/gateway/src/CallerConnections.ts
@@ -131,8 +131,11 @@
             returnedRequests.set(socket, returned);
         },
         isReturned: socket => returnedRequests.has(socket),
-        returnedRequest: response =>
-            firstResponses.has(response) ? returnedRequests.get(response.req.socket) : undefined,
+        returnedRequest(response) {
+            const returned = returnedRequests.get(response.req.socket);
+            // The lost VM may have ended the response to the first request, and begun with those that were sent ahead.
+            return returned?.mayHaveRun || firstResponses.has(response) ? returned : undefined;
+        },
         acceptWait: response =>
             (firstResponses.has(response) ? acceptWaits.get(response.req.socket) : undefined) ?? noWait,
         isLatest: response => latestResponses.get(response.req.socket) === response,
