gateway: a relayed connection that awaits its answer is not ended before idle ones

The accounts now know whether a relayed connection awaits an answer. Test: ConnectionBudget 'Accounts of relayed connections'.

--- a/packages/gateway/__tests__/unit/ConnectionBudget.test.ts
+++ b/packages/gateway/__tests__/unit/ConnectionBudget.test.ts
@@ -1,6 +1,8 @@
 import * as testing from "@peridotloft/testing";
 import * as assert from "node:assert/strict";
+import * as net from "node:net";
 import { beforeEach, describe, it } from "node:test";
+import { createConnectionAccounts } from "../../src/ConnectionAccounts.js";
 import {
     type BudgetedConnection,
     type ConnectionBudget,
@@ -133,3 +135,32 @@
         assert.deepEqual([budget.heldBytes(), budget.connectionCount(), ended], [0, 0, []]);
     });
 });
+
+describe("Accounts of relayed connections", () => {
+    it("do not end one that awaits its answer for one that is idle", async () => {
+        const clock = testing.createVirtualClock();
+        const accounts = createConnectionAccounts({
+            clock,
+            log: testing.createRecordingLog(),
+            metrics: testing.createNoopMetrics(),
+            maxBytes: 100 * oneRequestBytes,
+            maxConnections: 4,
+        });
+        const ended: string[] = [];
+        const open = (name: string, bytesRead: number): net.Socket => {
+            const socket = Object.defineProperty(new net.Socket(), "bytesRead", { value: bytesRead });
+            socket.on("close", () => ended.push(name));
+            accounts.open(socket, "entry");
+            return socket;
+        };
+        accounts.recordRelayed(open("awaited", 400), () => true);
+        accounts.recordRelayed(open("idle", 400), () => false);
+        await clock.advance(10);
+        open("unused", 0);
+        await clock.advance(2_500);
+        open("new", 0);
+        await new Promise(resolve => setImmediate(resolve));
+        accounts.dispose();
+        assert.deepEqual(ended, ["idle"]);
+    });
+});
--- a/packages/gateway/__tests__/unit/EntryRelay.test.ts
+++ b/packages/gateway/__tests__/unit/EntryRelay.test.ts
@@ -210,6 +210,7 @@
             readCatalog: () => ({ configVersion: 7, catalogAgeMs: 0 }),
             isAlive: () => true,
             serveReturned: () => undefined,
+            recordRelayed: () => undefined,
         });
         const entry = net.createServer(socket =>
             void relay.tryPassOn(socket, isTooLate => void socket.end(isTooLate ? "too late" : "not taken"))
--- a/packages/gateway/src/ConnectionAccounts.ts
+++ b/packages/gateway/src/ConnectionAccounts.ts
@@ -19,6 +19,12 @@
     watch(server: http.Server, door: Door): void;
     /** Records the bytes that are reserved now for the body of a request. */
     recordBody(request: http.IncomingMessage, bytes: number): void;
+    /**
+     * Records that another VM serves a connection, whose requests this one does not see.
+     *
+     * @param isAwaited whether a request awaits an answer; undefined once this VM serves the connection.
+     */
+    recordRelayed(socket: net.Socket, isAwaited: (() => boolean) | undefined): void;
     /** Estimated bytes that all connections hold apart from bodies and passed-on responses. */
     heldBytes(): number;
     dispose(): void;
@@ -48,6 +54,7 @@
     addRequest(response: http.ServerResponse): void;
     removeRequest(response: http.ServerResponse): void;
     recordBody(request: http.IncomingMessage, bytes: number): void;
+    recordRelayed(isAwaited: (() => boolean) | undefined): void;
 }
 
 export function createConnectionAccounts(options: ConnectionAccountsOptions): ConnectionAccounts {
@@ -124,6 +131,7 @@
             watchRequests(server);
         },
         recordBody: (request, bytes) => accounts.get(request.socket)?.recordBody(request, bytes),
+        recordRelayed: (socket, isAwaited) => accounts.get(socket)?.recordRelayed(isAwaited),
         heldBytes: budget.heldBytes,
         dispose() {
             stopChecks();
@@ -146,6 +154,7 @@
     let takenBytes = 0;
     /** Bytes that had been received when the last request was added or removed. */
     let requestEndBytes = 0;
+    let isRelayedAwaited: (() => boolean) | undefined;
 
     function recordProgress(unsentBytes: number): void {
         const latestTakenBytes = socket.bytesWritten - unsentBytes;
@@ -174,9 +183,22 @@
             recordRequest();
         },
         recordBody: (request, bytes) => void bodyBytes.set(request, bytes),
+        recordRelayed(isAwaited) {
+            isRelayedAwaited = isAwaited;
+            recordRequest();
+        },
         readHolding() {
             const unsentBytes = socket.writableLength + sumOf(openResponses, queuedBytesOf);
             recordProgress(unsentBytes);
+            if (isRelayedAwaited) {
+                return {
+                    openRequests: isRelayedAwaited() ? 1 : 0,
+                    bufferedBytes: socket.readableLength,
+                    bodyBytes: 0,
+                    awaitsClient: unsentBytes > 0,
+                    progressMs,
+                };
+            }
             const headBytes = openResponses.size === 0
                 ? Math.min(maxHeadBytes, socket.bytesRead - requestEndBytes)
                 : 0;
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -138,6 +138,7 @@
                 serveConnection(socket);
             }
         },
+        recordRelayed: accounts.recordRelayed,
         serveReturned(caller, returned) {
             callerConnections.recordReturned(caller, returned);
             serveConnection(caller);
--- a/packages/gateway/src/relay/EntryRelay.ts
+++ b/packages/gateway/src/relay/EntryRelay.ts
@@ -60,6 +60,8 @@
     readonly isAlive: (address: string) => boolean;
     /** Serves a connection that another VM served before. */
     readonly serveReturned: RelayReturnsOptions["serve"];
+    /** Records that another VM serves a connection, and whether a request on it awaits an answer; undefined once none does. */
+    readonly recordRelayed: (caller: net.Socket, isAwaited: (() => boolean) | undefined) => void;
 }
 
 /** What became of the question to a VM whether it takes a connection. */
@@ -82,7 +84,7 @@
 
 export function createEntryRelay(options: EntryRelayOptions): EntryRelay {
     const { clock, log, metrics, share, peers, port, host, maxOpen, maxHeldBytes, acceptWaitMs, isAlive } = options;
-    const { readCatalog, minAcceptWaitMs } = options;
+    const { readCatalog, minAcceptWaitMs, recordRelayed } = options;
     const returns = createRelayReturns({ clock, serve: options.serveReturned });
     const serving = new Map<string, ServingPeer>();
     const asking = new Set<net.Socket>();
@@ -155,7 +157,10 @@
             onHeld: boundHeldBytes,
             onPeerBytes: () => served.heardMs = clock.nowMs(),
             onAnswered: returns.recordAnswered,
-            onReturned: returns.takeBack,
+            onReturned(returned) {
+                recordRelayed(caller, undefined);
+                returns.takeBack(returned);
+            },
             onEnded(end) {
                 openCount--;
                 relayedBytes += countBytes(pair);
@@ -168,6 +173,7 @@
             },
         });
         served.pairs.add(pair);
+        recordRelayed(caller, () => isAwaited(pair));
     }
 
     function countBytes(pair: RelayedPair): number {
--- a/packages/gateway/src/relay/ZoneRelay.ts
+++ b/packages/gateway/src/relay/ZoneRelay.ts
@@ -15,7 +15,7 @@
     listen(): Promise<Result<void, core.BindFailure>>;
     /** Whether a connection is closed after the response that begins now, so that another VM serves its caller. */
     closesAfterResponse(socket: net.Socket): boolean;
-    /** Releases a connection that is idle for too long. Returns false if another VM did not pass it on. */
+    /** Releases a connection that is idle for too long. Returns false if that is not possible. */
     release(socket: net.Socket): boolean;
     /** Records that a response has closed. */
     recordResponseClosed(socket: net.Socket): void;
@@ -33,6 +33,7 @@
     readonly serve: (socket: net.Socket, wait: AcceptWait) => void;
     /** Serves a connection that another VM served before. */
     readonly serveReturned: EntryRelayOptions["serveReturned"];
+    readonly recordRelayed: EntryRelayOptions["recordRelayed"];
 }
 
 /** Open relayed connections per MB of memory: each takes two descriptors, of which the smallest VMs have 11 per MB. */
@@ -43,7 +44,7 @@
 
 /** Undefined if the relay is switched off. */
 export function createZoneRelay(options: ZoneRelayOptions): ZoneRelay | undefined {
-    const { context, connections, isReady, acceptWait, serve, serveReturned } = options;
+    const { context, connections, isReady, acceptWait, serve, serveReturned, recordRelayed } = options;
     const { settings, clock, log, metrics, random, follower, overload, acceptQueue, relayPeerLoads } = context;
     if (!settings.relay) {
         return undefined;
@@ -82,6 +83,7 @@
         readCatalog,
         isAlive: address => relayPeerLoads().some(load => load.address === address),
         serveReturned,
+        recordRelayed,
     });
     const listener = createRelayListener({
         clock,
