gateway: the end of a relayed response is known also if it came before the end of its request

A request sent right after a response, before the frame 'answered' was read, got a 502 although it had not run. A number of answered bytes beyond what was passed on made the rest of a body count as a request.

Change: the serving VM looks at such connections again every 50 ms; the relaying one drops the answered bytes and keeps the rest, since 'answered' is only sent between requests, and takes a number that cannot be for a loss.

--- a/packages/gateway/src/relay/RelayListener.ts
+++ b/packages/gateway/src/relay/RelayListener.ts
@@ -17,7 +17,7 @@
     readonly server: net.Server;
     /** Whether a relayed connection is closed after the responses in flight: its VM drains, or the catalog here is old. */
     isEnding(socket: net.Socket): boolean;
-    /** Releases a connection that is idle for too long. Returns false if another VM did not pass it on. */
+    /** Releases a connection that is idle for too long. Returns false if another VM did not pass it on, or does not know what was answered. */
     release(socket: net.Socket): boolean;
     /** Records that a response has closed, so that the relaying VM learns what has been answered. */
     recordResponseClosed(socket: net.Socket): void;
@@ -65,6 +65,8 @@
     const { clock, log, metrics, room, readCatalog, serve, isIdle, isBetweenRequests } = options;
     const served = new Map<net.Socket, ServedConnection>();
     const ending = new Set<net.Socket>();
+    /** Connections on which a response ended before its request, or while a part of the next one had arrived. */
+    const unknown = new Set<net.Socket>();
     let isDraining = false;
 
     let wasCatalogOld = false;
@@ -89,6 +91,7 @@
         socket.once("close", () => {
             served.delete(socket);
             ending.delete(socket);
+            unknown.delete(socket);
         });
         socket.write(encodeRelayAnswer({ isAccepted: true, spareCores: room.spareCores() }));
         served.set(socket, {
@@ -102,15 +105,24 @@
     /** Bytes of the caller that have arrived on a connection. */
     const callerBytesOf = (socket: net.Socket): number => socket.bytesRead - relayRequestBytes;
 
+    /** Tells the other VM what has been answered, if no part of a further request has arrived. */
+    function tellAnswered(socket: net.Socket, connection: ServedConnection): void {
+        connection.isAnswerKnown = isIdle(socket) && isBetweenRequests(socket);
+        if (connection.isAnswerKnown) {
+            unknown.delete(socket);
+            connection.frames.send("answered", callerBytesOf(socket));
+        }
+        else {
+            unknown.add(socket);
+        }
+    }
+
     function recordResponseClosed(socket: net.Socket): void {
         const connection = served.get(socket);
         if (!connection || socket.destroyed) {
             return;
         }
-        connection.isAnswerKnown = isIdle(socket) && isBetweenRequests(socket);
-        if (connection.isAnswerKnown) {
-            connection.frames.send("answered", callerBytesOf(socket));
-        }
+        tellAnswered(socket, connection);
         if (ending.has(socket)) {
             releaseIfIdle(socket);
         }
@@ -148,7 +160,15 @@
 
     const releaseIdle = (): void => ending.forEach(releaseIfIdle);
 
-    const cancelIdleChecks = core.setRepeatingTimer(clock, idleCheckIntervalMs, releaseIdle);
+    const cancelIdleChecks = core.setRepeatingTimer(clock, idleCheckIntervalMs, () => {
+        unknown.forEach(socket => {
+            const connection = served.get(socket);
+            if (connection && !socket.destroyed) {
+                tellAnswered(socket, connection);
+            }
+        });
+        releaseIdle();
+    });
     const cancelChecks = core.setRepeatingTimer(clock, checkIntervalMs, () => {
         const isOld = isCatalogOld();
         if (isOld && !wasCatalogOld) {
@@ -190,7 +210,7 @@
         isEnding: socket => ending.has(socket) || (served.has(socket) && (isDraining || isCatalogOld())),
         release(socket) {
             releaseIfIdle(socket);
-            return served.has(socket);
+            return served.has(socket) && socket.writableEnded;
         },
         recordResponseClosed,
         drain() {
--- a/packages/gateway/src/relay/RelayedPair.ts
+++ b/packages/gateway/src/relay/RelayedPair.ts
@@ -1,6 +1,7 @@
 import * as core from "@peridotloft/core";
 import type * as net from "node:net";
 import { createFrameDecoder, type RelayFrame } from "./RelayFrames.js";
+import { createUnansweredBytes } from "./UnansweredBytes.js";
 
 /**
  * How a relayed connection ended, seen from the VM that passed it on.
@@ -103,9 +104,8 @@
     let answeredBytes = 0;
     let awaitedSinceMs: number | undefined;
     let hasBegun = false;
-    /** What was passed on since a request began; undefined if it is not known where that was, or too much. */
-    let unanswered: Buffer[] | undefined = [];
-    let unansweredBytes = 0;
+    const unanswered = createUnansweredBytes();
+    /** Number of held bytes that was reported last. */
     let reportedBytes = 0;
     let isLast = false;
     let end: RelayedEnd | undefined;
@@ -142,20 +142,10 @@
         [caller, peer].filter(({ destroyed }) => !destroyed).forEach(socket => socket.resetAndDestroy());
     }
 
-    function dropUnanswered(): void {
-        unanswered = undefined;
-        unansweredBytes = 0;
-        reportedBytes = 0;
-    }
-
     function holdUnanswered(bytes: Buffer): void {
-        if (!unanswered) {
-            return;
-        }
-        unanswered.push(bytes);
-        unansweredBytes += bytes.length;
-        if (unansweredBytes >= reportedBytes + heldStepBytes) {
-            reportedBytes = unansweredBytes;
+        unanswered.add(bytes);
+        if (unanswered.length() >= reportedBytes + heldStepBytes) {
+            reportedBytes = unanswered.length();
             onHeld();
         }
     }
@@ -170,20 +160,24 @@
         }
     }
 
-    /** The serving VM has answered all requests within the first `bytes` of the caller. */
-    function recordAnswered(bytes: number): void {
+    /** The serving VM has answered all requests within the first `bytes` of the caller. Returns false if that cannot be. */
+    function recordAnswered(bytes: number): boolean {
+        if (bytes < answeredBytes || bytes > passedBytes) {
+            return false;
+        }
+        if (bytes === passedBytes) {
+            unanswered.restart();
+        }
+        else {
+            // The caller has sent a request after the response, or ahead of it.
+            unanswered.dropFirst(bytes - answeredBytes);
+        }
         hasBegun = false;
         answeredBytes = bytes;
+        reportedBytes = unanswered.length();
+        awaitedSinceMs = bytes === passedBytes ? undefined : clock.nowMs();
         onAnswered();
-        if (bytes === passedBytes) {
-            unanswered = [];
-            unansweredBytes = 0;
-            reportedBytes = 0;
-            awaitedSinceMs = undefined;
-            return;
-        }
-        // A request that was sent ahead may have begun within the bytes that were answered.
-        dropUnanswered();
+        return true;
     }
 
     function onFrame({ kind, value, bytes }: RelayFrame): void {
@@ -199,13 +193,18 @@
                 }
                 break;
             case "answered":
-                recordAnswered(value);
+                if (!recordAnswered(value)) {
+                    unanswered.dropAll();
+                    goOn("peer-lost", true);
+                }
                 break;
             case "released":
                 goOn("released", false);
                 break;
             case "last":
                 isLast = true;
+                awaitedSinceMs = undefined;
+                unanswered.dropAll();
                 break;
         }
     }
@@ -220,14 +219,17 @@
             // What the caller still sends is read only to be discarded.
             core.closeGracefully(caller, clock);
         }
-        else if (hasBegun || caller.destroyed || caller.readableEnded) {
+        else if (hasBegun) {
             reset(cause);
         }
-        else if (isAwaited && !unanswered) {
-            fail(cause);
+        else if (caller.destroyed || caller.readableEnded) {
+            // A caller that has ended what it sends counts as one that has left.
+            recordEnd("caller-lost", "closed");
+            peer.destroy();
+            core.closeGracefully(caller, clock);
         }
         else {
-            returnCaller(cause, isAwaited && mayHaveRun);
+            returnCaller(cause, isAwaited, mayHaveRun);
         }
     }
 
@@ -239,17 +241,21 @@
         }
     }
 
-    function returnCaller(cause: RelayedEnd, mayHaveRun: boolean): void {
+    function returnCaller(cause: RelayedEnd, isAwaited: boolean, mayHaveRun: boolean): void {
+        const unansweredBytes = isAwaited ? unanswered.read() : Buffer.alloc(0);
+        if (!unansweredBytes) {
+            fail(cause);
+            return;
+        }
         recordEnd(cause, "returned");
         const waitedMs = endProgress?.awaitedMs ?? 0;
         peer.destroy();
         caller.pause();
         caller.off("data", passOn).off("drain", resumePeer).off("error", onCallerError);
         caller.off("end", onCallerEnd).off("close", onCallerClose);
-        const returned = { caller, unansweredBytes: Buffer.concat(unanswered ?? []), mayHaveRun, waitedMs };
-        dropUnanswered();
+        unanswered.dropAll();
         recordClosed();
-        onReturned(returned);
+        onReturned({ caller, unansweredBytes, mayHaveRun: isAwaited && mayHaveRun, waitedMs });
     }
 
     const onCallerError = (): void => reset("caller-lost");
@@ -284,13 +290,17 @@
         caller: callerAddress,
         readProgress: () => endProgress ?? readProgress(),
         outcome: () => outcome,
-        heldBytes: () => caller.writableLength + peer.writableLength + unansweredBytes,
+        heldBytes: () => caller.writableLength + peer.writableLength + unanswered.length(),
         takeBytes() {
             const bytes = passedBytes + peer.bytesRead - takenBytes;
             takenBytes += bytes;
             return bytes;
         },
-        dropUnanswered,
+        dropUnanswered() {
+            if (unanswered.length() > 0) {
+                unanswered.dropAll();
+            }
+        },
         end(cause) {
             if (end === undefined && !hasBegun && passedBytes > answeredBytes && !caller.destroyed) {
                 fail(cause);
