gateway: nothing behind a request with Upgrade is parsed, and its response closes the connection

Cause: without a listener for 'upgrade', Node.js 20 serves a request with 'Connection: upgrade' and 'Upgrade' like any other, but its parser drops the rest of the part in which the request ends. If that part holds the head of a POST and the beginning of its body, the parser takes the rest of the body, which arrives later, for a request. Node.js also drops headers beyond 1,000, so that 'headers' may lack an 'Upgrade' that the parser goes by.

Change: a request with 'Upgrade', or with 1,000 headers, is the last one on its connection. Once it has arrived in full, all further bytes are discarded unparsed, and logged once as 'bytes-after-upgrade'; what the parser itself drops with the end of the request is not seen. 'Upgrade' without the connection option does not stop the parser, but counts as well.

--- a/packages/gateway/__tests__/unit/ParsedParts.test.ts
+++ b/packages/gateway/__tests__/unit/ParsedParts.test.ts
@@ -10,15 +10,17 @@
     let socket: stream.Duplex;
     let parsed: Buffer[];
     let onParsed: () => void;
+    let discards: boolean;
     beforeEach(() => {
         parsed = [];
+        discards = false;
         onParsed = () => undefined;
         socket = new stream.Duplex({ read: () => undefined });
         socket.on("data", (part: Buffer) => {
             parsed.push(part);
             onParsed();
         });
-        parseInParts(socket as net.Socket);
+        parseInParts(socket as net.Socket, () => discards);
     });
 
     const nextTurn = (): Promise<unknown> => new Promise(resolve => setImmediate(resolve));
@@ -43,6 +45,20 @@
         assert.deepEqual(Buffer.concat(parsed), Buffer.concat([bytes, Buffer.from("later")]));
     });
 
+    it("does not parse what is to be discarded, in the same read, after a pause or later", async () => {
+        onParsed = () => {
+            discards = true;
+            socket.pause();
+        };
+        socket.push(bytes);
+        await nextTurn();
+        socket.resume();
+        socket.push(Buffer.from("later"));
+        await nextTurn();
+        assert.deepEqual(parsed.map(({ length }) => length), [1_024]);
+        assert.equal(socket.readableLength, 0);
+    });
+
     it("drops the rest once the connection is closed", async () => {
         onParsed = () => socket.destroy();
         socket.push(bytes);
--- a/packages/gateway/src/CallerConnections.ts
+++ b/packages/gateway/src/CallerConnections.ts
@@ -31,7 +31,14 @@
     isFirst(response: http.ServerResponse): boolean;
     /** Whether no later request has arrived on the connection of a response. */
     isLatest(response: http.ServerResponse): boolean;
-    /** Whether a connection is closed after the responses so far, as the latest one states. No later request on it is served. */
+    /** Closes the connection of a response after it, and serves no later request on the connection. */
+    closeAfter(response: http.ServerResponse): void;
+    /** Whether a request after which its connection is closed has arrived in full, so that nothing behind it is parsed. */
+    hasLastArrived(socket: net.Socket): boolean;
+    /**
+     * Whether a connection is closed after the responses so far, as the latest one states or will state. No later request on it is
+     * served.
+     */
     isClosing(socket: net.Socket): boolean;
     /** The response to the request that arrived last on a connection. */
     latestOn(socket: net.Socket): http.ServerResponse | undefined;
@@ -79,6 +86,7 @@
     const sockets = new Set<net.Socket>();
     let acceptedCount = 0;
     const inFlight = new Set<http.ServerResponse>();
+    const lastRequests = new WeakMap<net.Socket, http.IncomingMessage>();
     const latestResponses = new WeakMap<net.Socket, http.ServerResponse>();
     const firstResponses = new WeakSet<http.ServerResponse>();
     const acceptWaits = new WeakMap<net.Socket, AcceptWait>();
@@ -139,9 +147,15 @@
         acceptWait: response =>
             (firstResponses.has(response) ? acceptWaits.get(response.req.socket) : undefined) ?? noWait,
         isLatest: response => latestResponses.get(response.req.socket) === response,
+        closeAfter(response) {
+            response.shouldKeepAlive = false;
+            lastRequests.set(response.req.socket, response.req);
+        },
+        hasLastArrived: socket => lastRequests.get(socket)?.complete === true,
         isClosing(socket) {
             const latest = latestResponses.get(socket);
-            return !socket.writable || (latest !== undefined && latest.headersSent && !latest.shouldKeepAlive);
+            return !socket.writable || lastRequests.has(socket)
+                || (latest !== undefined && latest.headersSent && !latest.shouldKeepAlive);
         },
         latestOn: socket => latestResponses.get(socket),
         inFlightOn: socket => [...inFlight].filter(({ req }) => req.socket === socket),
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -53,6 +53,8 @@
 
 /** Maximum size of request headers in bytes; the platform's configurations state the same limit. */
 const maxHeaderBytes = 16_384;
+/** Number of names and values of headers from which Node.js drops further headers. */
+const maxRawHeaders = 2_000;
 /** Timeouts in ms that apply until a configuration is known. */
 const defaultHeaderTimeoutMs = 3_000;
 const defaultIdleTimeoutMs = 15_000;
@@ -121,6 +123,9 @@
             request.resume();
             return;
         }
+        if (mayHaveUpgrade(request)) {
+            callerConnections.closeAfter(response);
+        }
         callerConnections.recordRequest(response, () => zoneRelay?.recordResponseClosed(request.socket));
         requestHandler.handle(request, response);
     });
@@ -235,7 +240,7 @@
             // The HTTP server calls this after the last response.
             socket.destroySoon = () => core.closeGracefully(socket, clock);
             defaultListeners.forEach(listener => listener.call(server, socket));
-            parseInParts(socket);
+            parseInParts(socket, discardBehindLast(socket));
         }
 
         function handleConnection(socket: net.Socket, verdict: ConnectionVerdict): void {
@@ -263,6 +268,21 @@
         }
     }
 
+    /** Discards what arrives behind the last request that is served on a connection, and logs it once. */
+    function discardBehindLast(socket: net.Socket): (bytes: Buffer) => boolean {
+        let hasDiscarded = false;
+        return ({ length }) => {
+            if (!callerConnections.hasLastArrived(socket)) {
+                return false;
+            }
+            if (!hasDiscarded) {
+                hasDiscarded = true;
+                log.failure("bytes-after-upgrade", { bytes: length, bytesRead: socket.bytesRead });
+            }
+            return true;
+        };
+    }
+
     /** Logs a connection that is closed unread, with the waits that are believed: that of its queue, and its bounds. */
     function logFlushed({ remoteAddress, remotePort }: net.Socket): void {
         log.failure("connection-closed-unread", {
@@ -395,6 +415,13 @@
     };
 }
 
+/**
+ * Whether a request may ask for another protocol. The parser of Node.js drops the rest of the bytes in which such a request ends, even if
+ * it is served as HTTP/1.1, so that what arrives later may be part of a body.
+ */
+const mayHaveUpgrade = ({ headers, rawHeaders }: http.IncomingMessage): boolean =>
+    headers.upgrade !== undefined || rawHeaders.length >= maxRawHeaders;
+
 const roundedOrUndefined = (value: number | undefined): number | undefined =>
     value === undefined ? undefined : Math.round(value);
 
--- a/packages/gateway/src/ParsedParts.ts
+++ b/packages/gateway/src/ParsedParts.ts
@@ -8,8 +8,10 @@
  * parses all that it reads at once, 64 KiB, before a pause or a close takes effect: these can hold a thousand requests.
  *
  * Call it after the HTTP server has been given the connection.
+ *
+ * @param tryDiscard called with all bytes before they are parsed; those for which it returns true are not parsed.
  */
-export function parseInParts(socket: net.Socket): void {
+export function parseInParts(socket: net.Socket, tryDiscard: (bytes: Buffer) => boolean = () => false): void {
     const [parse] = socket.listeners("data") as ((bytes: Buffer) => void)[];
     if (!parse) {
         return;
@@ -20,6 +22,9 @@
             if (socket.destroyed || !socket.listeners("data").includes(parseParts)) {
                 return;
             }
+            if (tryDiscard(bytes.subarray(offset))) {
+                return;
+            }
             if (socket.isPaused()) {
                 socket.unshift(bytes.subarray(offset));
                 return;
