gateway: a request with an unknown expectation is refused and counted, and its response closes the connection

Cause: for 'Expect' with a value other than 100-continue, Node.js 20 answers 417 itself, without the request event. The request was in no count and no line of the log, CallerConnections did not know of it, and the connection stayed open, so that requests behind it ran.

Change: 'checkExpectation' passes the request on as any other, and it is refused before it is decoded further ('unknown-expectation', 417), with 'Connection: close'.

--- a/packages/gateway/src/CallerResponse.ts
+++ b/packages/gateway/src/CallerResponse.ts
@@ -26,6 +26,7 @@
 
 /** Reasons for which the rest of a body is not needed. */
 const unreadBodyReasons: ReadonlySet<RefusalReason> = new Set([
+    "unknown-expectation",
     "body-too-large",
     "body-memory-full",
     "not-sent-in-time",
--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -72,6 +72,7 @@
     const pipelineLimit = createPipelineLimit({ log, maxWaiting: settings.maxPipelinedRequests });
     const clientErrors = createClientErrors(callerConnections, pipelineLimit.isPaused, clock, log);
     let isClosed = false;
+    const unknownExpectations = new WeakSet<http.IncomingMessage>();
     const refusalReport = createRefusalReport(context);
     const entryReport = createEntryReport({ ...context, connections: callerConnections });
     const chooseRetry = createOverloadRetryChooser(context);
@@ -106,6 +107,7 @@
         bodyMemory,
         recordBody: accounts.recordBody,
         responseMemory,
+        hasUnknownExpectation: request => unknownExpectations.has(request),
     });
     const callerServer = http.createServer({
         IncomingMessage: CoalescedMessage,
@@ -129,6 +131,11 @@
         callerConnections.recordRequest(response, () => zoneRelay?.recordResponseClosed(request.socket));
         requestHandler.handle(request, response);
     });
+    // Without a listener, Node.js answers it itself and keeps the connection open.
+    callerServer.on("checkExpectation", (request: http.IncomingMessage, response: http.ServerResponse) => {
+        unknownExpectations.add(request);
+        callerServer.emit("request", request, response);
+    });
     callerServer.on("clientError", (error, socket) => clientErrors.handle(error, socket as net.Socket));
     closeIdleAfterPoll(callerServer, socket => zoneRelay?.release(socket) === true);
     const serveConnection = refuseConnectionsUnderOverload(callerServer);
--- a/packages/gateway/src/Refusal.ts
+++ b/packages/gateway/src/Refusal.ts
@@ -7,6 +7,7 @@
     | "starting"
     | "draining"
     | "stale-configuration"
+    | "unknown-expectation"
     | "no-request-id"
     | "invalid-header"
     | "invalid-target"
@@ -47,6 +48,7 @@
     "starting": 503,
     "draining": 503,
     "stale-configuration": 503,
+    "unknown-expectation": 417,
     "no-request-id": 400,
     "invalid-header": 400,
     "invalid-target": 400,
--- a/packages/gateway/src/RequestExchange.ts
+++ b/packages/gateway/src/RequestExchange.ts
@@ -82,6 +82,8 @@
     readonly bodyMemory: BodyMemory;
     readonly recordBody: ConnectionAccounts["recordBody"];
     readonly responseMemory: ResponseMemory;
+    /** Whether a request states an expectation that this VM does not know. */
+    readonly hasUnknownExpectation: (request: http.IncomingMessage) => boolean;
 }
 
 export function createRequestHandler(options: RequestHandlerOptions): RequestHandler {
@@ -264,6 +266,9 @@
         if (context.refusesNewRequests()) {
             return refuse(createRefusal("draining"));
         }
+        if (options.hasUnknownExpectation(request)) {
+            return refuse(createRefusal("unknown-expectation"));
+        }
         if (requestHead.requestId === undefined) {
             return refuse(createRefusal("no-request-id"));
         }
