--- a/packages/gateway/src/AcceptQueueProbe.ts
+++ b/packages/gateway/src/AcceptQueueProbe.ts
@@ -54,8 +54,8 @@
 /**
  * Number of connections accepted after its `connect` from which a probe counts as overtaken. If the queue is full at the end of a
  * handshake, the kernel queues the connection up to seconds later, although its own end is connected. The connections that are
- * accepted until then were in the full queue; a few can have been accepted between the handshake and its report. With real
- * sockets and an overflowing queue, the bound was still 1,554 ms too large in 1 of 8 runs, for a reason that is not traced.
+ * accepted until then were in the full queue; a few can have been accepted between the handshake and its report. The lower bound is not
+ * proved for a queue that overflows.
  */
 const overtakenAfter = acceptBacklog - 10;
 /** Age in ms from which a measured wait says nothing about the queue any more. */
