--- a/packages/gateway/src/Gateway.ts
+++ b/packages/gateway/src/Gateway.ts
@@ -321,7 +321,6 @@
         // Unlike the method of HTTP servers, this one leaves open connections untouched.
         net.Server.prototype.close.call(callerServer);
         acceptQueue.recordFlushed();
-        context.acceptQueueProbe.recordFlushed();
         void listenAgain();
     }
 
