gateway, tests: what the last read of the change found, without a change of behaviour

- RelayListener kept for each connection whether its answers are known, and the set of those for which they are not: one of the two is enough.
- EntryRelay's resetLost hands connections back since: leaveLost.

--- a/packages/gateway/__tests__/unit/EntryRelay.test.ts
+++ b/packages/gateway/__tests__/unit/EntryRelay.test.ts
@@ -17,6 +17,7 @@
 import { createRelayPeers } from "../../src/relay/RelayPeers.js";
 import { createRelayRoom } from "../../src/relay/RelayRoom.js";
 import { createRelayShare } from "../../src/relay/RelayShare.js";
+import { connectPair } from "./SocketPair.js";
 
 const clock = testing.createVirtualClock();
 const random = testing.createSeededRandom(1);
@@ -238,13 +239,8 @@
     it("holds a bounded number of bytes for a caller that does not read, and its reset reaches both sides", async () => {
         const server = net.createServer({ allowHalfOpen: true }).listen(0, "127.0.0.1");
         await once(server, "listening");
-        const connectPair = async (): Promise<readonly [net.Socket, net.Socket]> => {
-            const outer = net.connect((server.address() as net.AddressInfo).port, "127.0.0.1");
-            const [inner] = await once(server, "connection") as [net.Socket];
-            return [outer, inner];
-        };
-        const [caller, callerEnd] = await connectPair();
-        const [serving, peerEnd] = await connectPair();
+        const [caller, callerEnd] = await connectPair(server);
+        const [serving, peerEnd] = await connectPair(server);
         const errors: (string | undefined)[] = [];
         [caller, serving].forEach(socket => socket.on("error", ({ code }: NodeJS.ErrnoException) => errors.push(code)));
         let onEnded: (end: string) => void = () => undefined;
--- a/packages/gateway/__tests__/unit/RelayedPair.test.ts
+++ b/packages/gateway/__tests__/unit/RelayedPair.test.ts
@@ -7,6 +7,7 @@
 import { joinConnections, type RelayedPair, type ReturnedConnection } from "../../src/relay/RelayedPair.js";
 import { type FramedConnection, frameWrites } from "../../src/relay/RelayFrames.js";
 import { createRelayReturns } from "../../src/relay/RelayReturns.js";
+import { connectPair } from "./SocketPair.js";
 
 describe("A relayed connection whose serving VM", { timeout: 10_000 }, () => {
     const clock = testing.createVirtualClock();
@@ -21,18 +22,12 @@
     let serving: net.Socket;
     let frames: FramedConnection;
 
-    async function connectPair(): Promise<readonly [net.Socket, net.Socket]> {
-        const outer = net.connect((server.address() as net.AddressInfo).port, "127.0.0.1");
-        const [inner] = await once(server, "connection") as [net.Socket];
-        sockets.push(outer, inner);
-        return [outer, inner];
-    }
-
     async function open(): Promise<void> {
         let callerEnd: net.Socket;
         let peerEnd: net.Socket;
-        [caller, callerEnd] = await connectPair();
-        [serving, peerEnd] = await connectPair();
+        [caller, callerEnd] = await connectPair(server);
+        [serving, peerEnd] = await connectPair(server);
+        sockets.push(caller, callerEnd, serving, peerEnd);
         returned = undefined;
         received = "";
         isReset = false;
--- a/packages/gateway/src/relay/EntryRelay.ts
+++ b/packages/gateway/src/relay/EntryRelay.ts
@@ -228,7 +228,7 @@
     }
 
     /** Ends connections whose serving VM has been lost without a reset. */
-    function resetLost(): void {
+    function leaveLost(): void {
         serving.forEach(({ pairs, heardMs }, address) => {
             if (!isAlive(address) && clock.nowMs() - heardMs >= silentPeerMs) {
                 log.state("relay-peer-lost", { peer: address, connections: pairs.size });
@@ -263,7 +263,7 @@
     }
 
     const cancelChecks = core.setRepeatingTimer(clock, checkIntervalMs, () => {
-        resetLost();
+        leaveLost();
         if (isDraining) {
             announceDrain();
         }
--- a/packages/gateway/src/relay/RelayListener.ts
+++ b/packages/gateway/src/relay/RelayListener.ts
@@ -46,8 +46,6 @@
 interface ServedConnection {
     readonly peer: string;
     readonly frames: FramedConnection;
-    /** Whether the other VM knows where the requests that have not been answered begin. */
-    isAnswerKnown: boolean;
 }
 
 /**
@@ -65,7 +63,10 @@
     const { clock, log, metrics, room, readCatalog, serve, isIdle, isBetweenRequests } = options;
     const served = new Map<net.Socket, ServedConnection>();
     const ending = new Set<net.Socket>();
-    /** Connections on which a response ended before its request, or while a part of the next one had arrived. */
+    /**
+     * Connections on which a response ended before its request, or while a part of the next one had arrived, so that the other VM does
+     * not know where the requests begin that have not been answered.
+     */
     const unknown = new Set<net.Socket>();
     let isDraining = false;
 
@@ -97,7 +98,6 @@
         served.set(socket, {
             peer: socket.remoteAddress ?? "",
             frames: frameWrites(socket),
-            isAnswerKnown: true,
         });
         serve(socket, request);
     }
@@ -107,8 +107,7 @@
 
     /** Tells the other VM what has been answered, if no part of a further request has arrived. */
     function tellAnswered(socket: net.Socket, connection: ServedConnection): void {
-        connection.isAnswerKnown = isIdle(socket) && isBetweenRequests(socket);
-        if (connection.isAnswerKnown) {
+        if (isIdle(socket) && isBetweenRequests(socket)) {
             unknown.delete(socket);
             connection.frames.send("answered", callerBytesOf(socket));
         }
@@ -152,7 +151,7 @@
      */
     function releaseIfIdle(socket: net.Socket): void {
         const connection = served.get(socket);
-        if (connection?.isAnswerKnown && isIdle(socket) && !socket.writableEnded) {
+        if (connection && !unknown.has(socket) && isIdle(socket) && !socket.writableEnded) {
             connection.frames.send("released", callerBytesOf(socket));
             core.closeGracefully(socket, clock);
         }
