Review 2: stand-ins end their processes when a script is stopped

Cause: a script that was stopped early left its gateways and its folder behind.

Added: the end of all processes and the removal of temporary folders at the exit of a script, also after SIGTERM and SIGINT.

--- a/review/standins-2/lib.mjs
+++ b/review/standins-2/lib.mjs
@@ -271,11 +271,13 @@
             env: { PATH: process.env.PATH ?? "", HOME: os.tmpdir(), PERIDOTLOFT_SETTINGS: file },
             stdio: ["ignore", "pipe", "pipe"],
         });
+        children.add(child);
         const gateway = { address, port: first, child, exit: undefined, log: "", errors: "" };
         child.stdout.on("data", bytes => gateway.log += bytes);
         child.stderr.on("data", bytes => gateway.errors += bytes);
         child.once("exit", (code, signal) => {
             gateway.exit = { code, signal };
+            children.delete(child);
             record?.write("gateway process ended", { address, code, signal });
         });
         return gateway;
@@ -382,6 +384,17 @@
     };
 }
 
+const children = new Set();
+const folders = new Set();
+// No process and no folder is left behind, also if the case ends early.
+process.once("exit", () => {
+    children.forEach(child => child.kill("SIGKILL"));
+    folders.forEach(folder => fs.rmSync(folder, { recursive: true, force: true }));
+});
+["SIGTERM", "SIGINT"].forEach(signal => process.once(signal, () => process.exit(2)));
+
 export function temporaryFolder() {
-    return fs.mkdtempSync(path.join(os.tmpdir(), "review-"));
+    const folder = fs.mkdtempSync(path.join(os.tmpdir(), "review-"));
+    folders.add(folder);
+    return folder;
 }
